Serve the whole path as separate processes

Cause: nothing ran yet; the promises can only be worked on once a caller's request passes through real processes.

Change: an entry daemon, an operators' client, stand-ins for targets and the platform, the decisions for one group as a deterministic machine, and a demo that writes, reads its own writes through another VM, runs a transaction, reads with a stated age, repeats a keyed payment and kills a primary.

Not done: tests, the specification, peers, budgets by roster, the documents that the README names.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,12 @@
+.PHONY: build demo test lint race spec soak
+
+build:
+	go build -o bin/ ./cmd/...
+
+# Runs the whole path as separate processes on loopback.
+demo:
+	bash scripts/demo.sh
+
+# Everything that CI checks.
+test:
+	bash scripts/test.sh
--- /dev/null
+++ b/cmd/amaranthsill/manifest.go
@@ -0,0 +1,143 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"amaranthsill/manifest"
+	"amaranthsill/platform"
+	"amaranthsill/submission"
+)
+
+func checkCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("amaranthsill check", flag.ContinueOnError)
+	asJSON := flags.Bool("json", false, "print JSON")
+	return &ffcli.Command{
+		Name:       "check",
+		ShortUsage: "amaranthsill check [--json] FILE",
+		ShortHelp:  "check a manifest without submitting it",
+		FlagSet:    flags,
+		Options:    options(),
+		Exec: func(_ context.Context, args []string) error {
+			m, err := load(args)
+			if err != nil {
+				return report(*asJSON, checkReport{Error: err.Error()}, err.Error(), exitRefused)
+			}
+			r := checkReport{Groups: len(m.Groups()), Kinds: len(m.Kinds())}
+			return report(*asJSON, r, fmt.Sprintf("%s: %d groups, %d kinds: good", args[0], r.Groups, r.Kinds), 0)
+		},
+	}
+}
+
+type checkReport struct {
+	Groups int    `json:"groups"`
+	Kinds  int    `json:"kinds"`
+	Error  string `json:"error,omitempty"`
+}
+
+func load(args []string) (*manifest.Manifest, error) {
+	if len(args) != 1 {
+		return nil, flag.ErrHelp
+	}
+	text, err := os.ReadFile(args[0])
+	if err != nil {
+		return nil, fmt.Errorf("read manifest: %w", err)
+	}
+	return manifest.Parse(args[0], text)
+}
+
+// report prints a result for a person or a pipeline and returns its exit
+// code.
+func report(asJSON bool, body any, text string, code exit) error {
+	if asJSON {
+		if err := json.NewEncoder(os.Stdout).Encode(body); err != nil {
+			return fmt.Errorf("print result: %w", err)
+		}
+	} else {
+		out := os.Stdout
+		if code != 0 {
+			out = os.Stderr
+		}
+		fmt.Fprintln(out, text)
+	}
+	if code != 0 {
+		return code
+	}
+	return nil
+}
+
+// submitter is the submit command's flags.
+type submitter struct {
+	address  string
+	identity string
+	timeout  time.Duration
+	asJSON   bool
+}
+
+func submitCommand() *ffcli.Command {
+	s := &submitter{}
+	flags := flag.NewFlagSet("amaranthsill submit", flag.ContinueOnError)
+	flags.StringVar(&s.address, "platform", "127.0.0.1:2379", "address of the platform's key-value service")
+	flags.StringVar(&s.identity, "identity", "", "identity of the submission; a repeat with the same one does no harm")
+	flags.DurationVar(&s.timeout, "timeout", 30*time.Second, "time to find out the outcome")
+	flags.BoolVar(&s.asJSON, "json", false, "print JSON")
+	return &ffcli.Command{
+		Name:       "submit",
+		ShortUsage: "amaranthsill submit [flags] FILE",
+		ShortHelp:  "check a manifest and put it in force",
+		FlagSet:    flags,
+		Options:    options(),
+		Exec:       s.run,
+	}
+}
+
+type submitReport struct {
+	Outcome string `json:"outcome"`
+	Version uint64 `json:"version,omitempty"`
+	Winner  string `json:"winner,omitempty"`
+	Error   string `json:"error,omitempty"`
+}
+
+func (s *submitter) run(ctx context.Context, args []string) error {
+	m, err := load(args)
+	if err != nil {
+		return report(s.asJSON, submitReport{Outcome: "refused", Error: err.Error()}, err.Error(), exitRefused)
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	n := &submission.Submission{
+		Store:    &platform.Client{Address: s.address},
+		Identity: s.identity,
+		Text:     m.Text(),
+	}
+	o, err := n.Run(ctx)
+	if err != nil {
+		return report(s.asJSON, submitReport{Outcome: "refused", Error: err.Error()}, err.Error(), exitRefused)
+	}
+	return s.ended(o)
+}
+
+func (s *submitter) ended(o submission.Outcome) error {
+	switch o := o.(type) {
+	case submission.Accepted:
+		text := fmt.Sprintf("accepted as version %d", o.Version)
+		if o.Current > o.Version {
+			text += fmt.Sprintf("; version %d has followed since", o.Current)
+		}
+		return report(s.asJSON, submitReport{Outcome: "accepted", Version: o.Version}, text, 0)
+	case submission.Lost:
+		text := fmt.Sprintf("refused: submission %s won with version %d; look at it and submit again", o.Winner, o.Version)
+		return report(s.asJSON, submitReport{Outcome: "lost", Version: o.Version, Winner: o.Winner}, text, exitRefused)
+	case submission.Unsettled:
+		text := fmt.Sprintf("outcome unknown: %v; submit again with the same --identity", o.Cause)
+		return report(s.asJSON, submitReport{Outcome: "unknown", Error: o.Cause.Error()}, text, exitUnknown)
+	default:
+		panic(fmt.Sprintf("amaranthsill: unknown outcome %T", o))
+	}
+}
--- /dev/null
+++ b/cmd/amaranthsill/status.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"amaranthsill/entry"
+)
+
+// statusLimit bounds one VM's answer.
+const statusLimit = 2 * time.Second
+
+func statusCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("amaranthsill status", flag.ContinueOnError)
+	vms := flags.String("vms", "127.0.0.1:9101", "admin addresses of the VMs, separated by commas")
+	asJSON := flags.Bool("json", false, "print JSON")
+	return &ffcli.Command{
+		Name:       "status",
+		ShortUsage: "amaranthsill status [flags]",
+		ShortHelp:  "show the version in force and the primaries that each VM sees",
+		FlagSet:    flags,
+		Options:    options(),
+		Exec: func(ctx context.Context, _ []string) error {
+			return showStatus(ctx, strings.Split(*vms, ","), *asJSON)
+		},
+	}
+}
+
+// vmReport is one VM's status, or why there is none.
+type vmReport struct {
+	Address string        `json:"address"`
+	Status  *entry.Status `json:"status,omitempty"`
+	Error   string        `json:"error,omitempty"`
+}
+
+func showStatus(ctx context.Context, addresses []string, asJSON bool) error {
+	reports := []vmReport{}
+	code := exit(0)
+	for _, a := range addresses {
+		r := vmReport{Address: a}
+		s, err := fetchStatus(ctx, a)
+		if err != nil {
+			r.Error = err.Error()
+			code = exitUnknown
+		} else {
+			r.Status = &s
+		}
+		reports = append(reports, r)
+	}
+	return report(asJSON, reports, statusText(reports), code)
+}
+
+func statusText(reports []vmReport) string {
+	b := &strings.Builder{}
+	for _, r := range reports {
+		if r.Status == nil {
+			fmt.Fprintf(b, "%-22s no answer: %s\n", r.Address, r.Error)
+			continue
+		}
+		s := r.Status
+		fmt.Fprintf(b, "%-22s vm %s zone %s version %d callers %d\n", r.Address, s.VM, s.Zone, s.Version, s.Callers)
+		for _, g := range s.Groups {
+			fmt.Fprintf(b, "%-22s   group %s primary %s term %d\n", "", g.Name, g.Primary, g.Term)
+		}
+	}
+	return strings.TrimRight(b.String(), "\n")
+}
+
+func fetchStatus(ctx context.Context, address string) (entry.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusLimit)
+	defer cancel()
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/status", nil)
+	if err != nil {
+		return entry.Status{}, fmt.Errorf("build request: %w", err)
+	}
+	a, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return entry.Status{}, fmt.Errorf("ask VM: %w", err)
+	}
+	defer func() { _ = a.Body.Close() }()
+	s := entry.Status{}
+	if err := json.NewDecoder(a.Body).Decode(&s); err != nil {
+		return entry.Status{}, fmt.Errorf("read status: %w", err)
+	}
+	return s, nil
+}
--- /dev/null
+++ b/cmd/amaranthsilld/main.go
@@ -0,0 +1,63 @@
+// Command amaranthsilld is the entry daemon: one VM of the system.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-logr/logr"
+	"github.com/peterbourgon/ff/v3"
+
+	"amaranthsill/entry"
+)
+
+// The exit codes.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(args []string) int {
+	flags := flag.NewFlagSet("amaranthsilld", flag.ContinueOnError)
+	file := flags.String("settings", "vm.json", "file with this VM's settings, JSON with comments")
+	verbose := flags.Bool("verbose", false, "log details")
+	err := ff.Parse(flags, args, ff.WithEnvVarPrefix("AMARANTHSILL"))
+	if errors.Is(err, flag.ErrHelp) {
+		return exitDone
+	}
+	if err != nil {
+		return exitUsage
+	}
+	settings, err := entry.ReadSettings(*file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	vm := &entry.VM{Settings: settings, Log: logger(*verbose)}
+	if err := vm.Run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	return exitDone
+}
+
+func logger(verbose bool) logr.Logger {
+	level := slog.LevelInfo
+	if verbose {
+		level = slog.LevelDebug
+	}
+	return logr.FromSlogHandler(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,81 @@
+// Command standin runs a stand-in target or a stand-in for the platform, for
+// trying the system out. It keeps nothing.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"amaranthsill/internal/standin"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	err := command().ParseAndRun(ctx, os.Args[1:])
+	if errors.Is(err, flag.ErrHelp) {
+		os.Exit(2)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func command() *ffcli.Command {
+	return &ffcli.Command{
+		ShortUsage:  "standin <target|platform> [flags]",
+		Subcommands: []*ffcli.Command{targetCommand(), platformCommand()},
+		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+	}
+}
+
+func targetCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("standin target", flag.ContinueOnError)
+	t := &standin.Target{}
+	flags.StringVar(&t.Address, "address", "127.0.0.1:7001", "where to listen")
+	flags.IntVar(&t.Connections, "connections", 20, "most connections of callers")
+	flags.IntVar(&t.Slots, "slots", 3, "statements that run at a time")
+	flags.DurationVar(&t.Dial, "dial", 12*time.Millisecond, "time that a new connection takes")
+	flags.DurationVar(&t.Lag, "lag", 5*time.Millisecond, "time until a replica shows an entry")
+	return &ffcli.Command{
+		Name:       "target",
+		ShortUsage: "standin target [flags]",
+		ShortHelp:  "a database server over an in-memory store",
+		FlagSet:    flags,
+		Exec:       func(ctx context.Context, _ []string) error { return t.Run(ctx) },
+	}
+}
+
+func platformCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("standin platform", flag.ContinueOnError)
+	p := &standin.Platform{}
+	address := flags.String("address", "127.0.0.1:2379", "where to listen")
+	flags.DurationVar(&p.Lag, "lag", 0, "time until the list of VMs shows a change")
+	return &ffcli.Command{
+		Name:       "platform",
+		ShortUsage: "standin platform [flags]",
+		ShortHelp:  "the platform's key-value service and list of VMs",
+		FlagSet:    flags,
+		Exec: func(ctx context.Context, _ []string) error {
+			s := &http.Server{Addr: *address, Handler: p.Handler(), ReadHeaderTimeout: time.Second}
+			go func() {
+				<-ctx.Done()
+				_ = s.Close()
+			}()
+			if err := s.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+				return fmt.Errorf("serve platform: %w", err)
+			}
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/group/position.go
@@ -0,0 +1,78 @@
+package group
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Term numbers the leadership of a group. A higher term always wins.
+type Term uint64
+
+// ErrPosition reports a text that is not a log position.
+var ErrPosition = errors.New("malformed log position")
+
+// Position names an entry of a group's log by the term that wrote it and
+// its offset. The zero Position stands before the first entry.
+type Position struct {
+	term   Term
+	offset uint64
+}
+
+// At returns the position of the entry that the given term wrote at offset.
+func At(term Term, offset uint64) Position {
+	return Position{term: term, offset: offset}
+}
+
+// Term returns the term that wrote the entry.
+func (p Position) Term() Term { return p.term }
+
+// Offset returns the number of entries up to and including this one.
+func (p Position) Offset() uint64 { return p.offset }
+
+// IsZero reports whether the position stands before the first entry.
+func (p Position) IsZero() bool { return p == Position{} }
+
+// Compare orders positions by term, then by offset.
+func (p Position) Compare(q Position) int {
+	if c := cmp.Compare(p.term, q.term); c != 0 {
+		return c
+	}
+	return cmp.Compare(p.offset, q.offset)
+}
+
+// Reaches reports whether p is at or above q.
+func (p Position) Reaches(q Position) bool { return p.Compare(q) >= 0 }
+
+// String returns the form that ParsePosition reads, such as "3.17".
+func (p Position) String() string {
+	return fmt.Sprintf("%d.%d", p.term, p.offset)
+}
+
+// ParsePosition reads the form that String writes. Its error wraps
+// ErrPosition.
+func ParsePosition(s string) (Position, error) {
+	term, offset, ok := strings.Cut(s, ".")
+	if !ok {
+		return Position{}, fmt.Errorf("read %q, want term.offset: %w", s, ErrPosition)
+	}
+	t, err := strconv.ParseUint(term, 10, 63)
+	if err != nil {
+		return Position{}, fmt.Errorf("read term of %q: %w", s, ErrPosition)
+	}
+	o, err := strconv.ParseUint(offset, 10, 63)
+	if err != nil {
+		return Position{}, fmt.Errorf("read offset of %q: %w", s, ErrPosition)
+	}
+	return At(Term(t), o), nil
+}
+
+// Max returns the higher of two positions.
+func Max(p, q Position) Position {
+	if p.Reaches(q) {
+		return p
+	}
+	return q
+}
--- /dev/null
+++ b/statement/hints.go
@@ -0,0 +1,150 @@
+package statement
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"unicode"
+)
+
+// ErrHint reports a leading comment that names a hint wrongly.
+var ErrHint = errors.New("malformed hint")
+
+// ErrUnsupported reports a statement that cannot work through a pooled
+// connection.
+var ErrUnsupported = errors.New("statement is not supported")
+
+// MaxKeyBytes bounds an idempotency key.
+const MaxKeyBytes = 128
+
+// Hints are what a request says about itself in a leading comment.
+type Hints struct {
+	// Kind is the manifest's kind; empty if none is named.
+	Kind string
+	// Key is the idempotency key; empty if none is named.
+	Key string
+}
+
+// ParseHints reads "/* kind=NAME key=KEY */" at the start of a query. A
+// query without such a comment has no hints. Its error wraps ErrHint.
+func ParseHints(query string) (Hints, error) {
+	rest, ok := strings.CutPrefix(strings.TrimSpace(query), "/*")
+	if !ok {
+		return Hints{}, nil
+	}
+	comment, _, ok := strings.Cut(rest, "*/")
+	if !ok {
+		return Hints{}, fmt.Errorf("comment has no end: %w", ErrHint)
+	}
+	h := Hints{}
+	for word := range strings.FieldsSeq(comment) {
+		name, value, found := strings.Cut(word, "=")
+		if !found {
+			continue
+		}
+		if err := h.set(name, value); err != nil {
+			return Hints{}, err
+		}
+	}
+	return h, nil
+}
+
+func (h *Hints) set(name, value string) error {
+	switch name {
+	case "kind":
+		h.Kind = value
+	case "key":
+		if value == "" || len(value) > MaxKeyBytes || strings.ContainsFunc(value, badInKey) {
+			return fmt.Errorf("key %q, want 1 to %d letters, digits or signs: %w", value, MaxKeyBytes, ErrHint)
+		}
+		h.Key = value
+	}
+	return nil
+}
+
+func badInKey(r rune) bool {
+	return r == '\'' || r == '\\' || r > unicode.MaxASCII || !unicode.IsPrint(r)
+}
+
+// Setting is a SET or SHOW statement that the proxy itself answers.
+type Setting struct {
+	// Name is the parameter without the "amaranthsill." prefix.
+	Name string
+	// Value is what SET assigns.
+	Value string
+	// Show reports a SHOW statement.
+	Show bool
+}
+
+// settingPrefix marks the parameters that the proxy keeps for a session.
+const settingPrefix = "amaranthsill."
+
+// ParseSetting recognises SET and SHOW of the proxy's own parameters.
+func ParseSetting(query string) (Setting, bool) {
+	f := strings.Fields(strings.TrimRight(strings.TrimSpace(query), ";"))
+	if len(f) < 2 {
+		return Setting{}, false
+	}
+	rest := strings.Join(f[1:], " ")
+	switch strings.ToUpper(f[0]) {
+	case "SHOW":
+		name, ok := strings.CutPrefix(strings.ToLower(rest), settingPrefix)
+		return Setting{Name: name, Show: true}, ok
+	case "SET":
+		name, value, ok := cutAssignment(rest)
+		name, mine := strings.CutPrefix(strings.ToLower(name), settingPrefix)
+		return Setting{Name: name, Value: strings.Trim(value, "'")}, ok && mine
+	default:
+		return Setting{}, false
+	}
+}
+
+func cutAssignment(s string) (name, value string, ok bool) {
+	name, value, ok = strings.Cut(s, "=")
+	if !ok {
+		name, value, ok = strings.Cut(s, " TO ")
+	}
+	if !ok {
+		name, value, ok = strings.Cut(s, " to ")
+	}
+	return strings.TrimSpace(name), strings.TrimSpace(value), ok
+}
+
+// Check refuses statements whose effect would stay on a pooled connection
+// and leak into another caller's session. Its error wraps ErrUnsupported.
+func Check(query string) error {
+	word := strings.ToUpper(firstWord(query))
+	switch word {
+	case "SET", "RESET", "PREPARE", "DEALLOCATE", "LISTEN", "UNLISTEN", "DISCARD", "LOAD", "COPY":
+		return fmt.Errorf("%s keeps state on the connection or needs it for itself: %w", word, ErrUnsupported)
+	default:
+		return nil
+	}
+}
+
+// Ends reports whether a query begins with the command that ends a
+// transaction.
+func Ends(query string) bool {
+	switch strings.ToUpper(firstWord(query)) {
+	case "COMMIT", "END", "ROLLBACK", "ABORT":
+		return true
+	default:
+		return false
+	}
+}
+
+func firstWord(query string) string {
+	s := strings.TrimSpace(query)
+	for strings.HasPrefix(s, "/*") {
+		_, rest, ok := strings.Cut(s, "*/")
+		if !ok {
+			return ""
+		}
+		s = strings.TrimSpace(rest)
+	}
+	end := strings.IndexFunc(s, func(r rune) bool { return !unicode.IsLetter(r) })
+	if end < 0 {
+		return s
+	}
+	return s[:end]
+}
--- /dev/null
+++ b/target/driver.go
@@ -0,0 +1,85 @@
+package target
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"amaranthsill/group"
+	"amaranthsill/kernel"
+)
+
+func init() {
+	kernel.Register("target", func(context.Context, *kernel.Kernel, kernel.Parts) (kernel.Driver, error) {
+		return &driver{slots: map[slotKey]*slot{}, controls: map[controlKey]*control{}}, nil
+	})
+}
+
+// driver carries out a kernel's actions on targets.
+type driver struct {
+	lock     sync.Mutex
+	slots    map[slotKey]*slot
+	controls map[controlKey]*control
+}
+
+type slotKey struct {
+	group *kernel.Group
+	slot  uint64
+}
+
+// Carry implements kernel.Driver.
+func (d *driver) Carry(ctx context.Context, g *kernel.Group, a group.Action) bool {
+	switch a := a.(type) {
+	case group.Dial:
+		d.dial(ctx, g, a)
+	case group.Hang:
+		d.hang(slotKey{group: g, slot: a.Slot})
+	case group.Run:
+		d.run(ctx, g, a)
+	case group.Rollback:
+		d.rollback(ctx, g, a)
+	case group.Ask:
+		d.ask(ctx, g, a)
+	case group.Fence:
+		call := fmt.Sprintf("select group_fence(%d, %s)", a.Term, quote(a.Attempt))
+		go d.command(ctx, g, a.Target, a.Attempt, call)
+	case group.Promote:
+		call := fmt.Sprintf("select group_promote(%d, %s)", a.Term, quote(a.Attempt))
+		go d.command(ctx, g, a.Target, a.Attempt, call)
+	case group.Follow:
+		primary, _ := g.Target(a.Primary)
+		call := fmt.Sprintf("select group_follow(%d, %s)", a.Term, quote(primary.Address().String()))
+		go d.command(ctx, g, a.Target, "", call)
+	default:
+		return false
+	}
+	return true
+}
+
+// command makes one control call over a connection of its own.
+func (d *driver) command(ctx context.Context, g *kernel.Group, name, attempt, call string) {
+	const limit = time.Second
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	e := group.Commanded{Target: name, Attempt: attempt}
+	s, err := d.commandStatus(ctx, g, name, call)
+	if err != nil {
+		g.Kernel().Log.V(1).Info("control call failed", "target", name, "call", call, "error", err.Error())
+	}
+	e.Done = err == nil
+	e.Status = s
+	g.Post(ctx, e)
+}
+
+func (d *driver) commandStatus(ctx context.Context, g *kernel.Group, name, call string) (group.Status, error) {
+	t, _ := g.Target(name)
+	c, err := dial(ctx, t.Address(), g.Name(), true)
+	if err != nil {
+		return group.Status{}, fmt.Errorf("open control connection: %w", err)
+	}
+	defer c.terminate()
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	defer stop()
+	return c.status(call)
+}
