--- a/group/knowledge.go
+++ b/group/knowledge.go
@@ -83,6 +83,17 @@
 	return nil
 }
 
+// Hears reports whether this VM has a recent answer of a target. Other VMs
+// ask for it.
+func (m *Machine) Hears(target string) bool {
+	v := findView(m.views, target)
+	return v != nil && v.known && !v.lost && m.now-v.heard <= m.Limits.Ask+m.Limits.Fresh
+}
+
+// Primary returns the target that leads the group and its term, as far as
+// this VM knows. The name is empty if it knows none.
+func (m *Machine) Primary() (string, Term) { return m.leading, m.leads }
+
 // quorum returns the size of a majority of the group's targets.
 func (m *Machine) quorum() int { return len(m.Members)/2 + 1 }
 
@@ -439,6 +450,7 @@
 	if v == nil || v.Name == m.leading && v.status.Term() == m.leads {
 		return
 	}
+	m.denied = 0
 	m.leading = v.Name
 	m.leads = v.status.Term()
 	m.note(PrimaryChanged{Target: v.Name, Term: m.leads})
--- a/group/promotion.go
+++ b/group/promotion.go
@@ -133,13 +133,17 @@
 	}
 }
 
-// promoteBest promotes the fenced target with the highest log.
+// promoteBest promotes the fenced target with the highest log. An old primary
+// that was found wanting is passed over if the others are a majority: theirs
+// is then the highest log that could have been acknowledged.
 func (m *Machine) promoteBest() {
 	p := m.promotion
+	_, both := p.fenced[m.leading]
+	pass := both && !p.ground.keepsPrimary() && len(p.fenced) > m.quorum()
 	var best *view
 	for _, v := range m.views {
 		s, ok := p.fenced[v.Name]
-		if !ok || v.removed {
+		if !ok || v.removed || pass && v.Name == m.leading {
 			continue
 		}
 		if best == nil || m.better(v, s, best, p.fenced[best.Name]) {
@@ -168,7 +172,9 @@
 }
 
 // keepsPrimary reports whether the old primary is healthy and may go on.
-func (g ground) keepsPrimary() bool { return g == groundStuck || g == groundOvertaken }
+func (g ground) keepsPrimary() bool {
+	return g == groundStuck || g == groundOvertaken || g == groundVacant
+}
 
 func (m *Machine) promoteAnswered(e Commanded) {
 	p := m.promotion
--- a/group/release.go
+++ b/group/release.go
@@ -36,7 +36,7 @@
 
 // rejected handles a request that the target itself did not run.
 func (m *Machine) rejected(w *work, r *run) {
-	w.sent = w.runs > 1
+	w.sent = r.before
 	if m.pinned[w.Session] == r.slot {
 		m.hang(r.slot)
 		m.refuse(w, ReasonTransactionLost)
--- a/group/requests.go
+++ b/group/requests.go
@@ -37,8 +37,10 @@
 	arrived time.Duration
 	// sent reports that a target may have run the request.
 	sent bool
-	runs int
-	run  *run
+	// sentTo is the target that may have run it last.
+	sentTo string
+	runs   int
+	run    *run
 	// notBefore delays a rerun.
 	notBefore time.Duration
 	// waitFrom is when the request began to wait for a replica; zero if it
--- a/group/routing.go
+++ b/group/routing.go
@@ -31,7 +31,9 @@
 		return
 	}
 	v := m.writable()
-	if v == nil {
+	if v == nil || w.sent && w.sentTo == v.Name {
+		// A first run that is still under way on the same target could take
+		// effect after the second one, and after later writes.
 		return
 	}
 	m.send(w, v)
--- a/group/slots.go
+++ b/group/slots.go
@@ -28,6 +28,9 @@
 	session  uint64
 	deadline time.Duration
 	rollback bool
+	// before is the request's mark that it may have run, as it was before
+	// this run.
+	before bool
 }
 
 func (v *view) freeSlot() *slot {
@@ -145,12 +148,13 @@
 		m.end(w, Unknown{Reason: ReasonInvariant})
 		return
 	}
-	r := &run{id: m.nextID(), slot: s, work: w, session: w.Session, deadline: w.Deadline}
+	r := &run{id: m.nextID(), slot: s, work: w, session: w.Session, deadline: w.Deadline, before: w.sent}
 	m.runs[r.id] = r
 	s.run = r
 	w.run = r
 	w.state = workRunning
 	w.sent = true
+	w.sentTo = s.view.Name
 	w.runs++
 	m.act(Run{Run: r.id, Slot: s.id, Request: w.ID})
 }
@@ -210,7 +214,8 @@
 	}
 	w.run = nil
 	if !e.Sent {
-		w.sent = w.runs > 1
+		w.sent = r.before
+		w.runs--
 		m.unsent(w, inside)
 		return
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -274,3 +274,14 @@
 	}
 	return n
 }
+
+// Values returns the values that the log's entries set, in order.
+func (r *Replica) Values() []string {
+	values := []string{}
+	for _, e := range r.entries {
+		for _, c := range e.Changes {
+			values = append(values, c.Value)
+		}
+	}
+	return values
+}
--- /dev/null
+++ b/spec/promotion.pml
@@ -0,0 +1,456 @@
+/*
+ * Acknowledgement, fencing and promotion in one database group.
+ *
+ * Every step is atomic, and any step may happen at any time or never, which
+ * stands for cuts, lost messages and pauses of any length. A target's log,
+ * term and fence survive its crash; its role does not. A promoter that
+ * crashes or gives up starts again with a fresh attempt; what it sent may
+ * still arrive.
+ *
+ * Checked: at most one target opens a term; no position that was
+ * acknowledged, or shown by a replica, is missing from a later primary.
+ *
+ * Each mutant takes one rule out, and the checker must find the fault:
+ *   -DACK_ONE        acknowledge with one holder
+ *   -DFENCE_ONE      promote with one fence
+ *   -DNO_OPENING     no entry opens a term
+ *   -DNO_OWNER       a fence is not exclusive to an attempt
+ *   -DREUSED         an attempt's identity is reused
+ *   -DIGNORE_TERM    acknowledge whatever the replica's term is
+ *   -DUNOPENED_READ  a replica shows entries before it holds its term's own
+ */
+
+#define N 3
+#ifndef TERMS
+#define TERMS 4
+#endif
+#ifndef LENGTH
+#define LENGTH 4
+#endif
+#ifndef ATTEMPTS
+#define ATTEMPTS 4
+#endif
+#ifndef CRASHES
+#define CRASHES 1
+#endif
+#define PROMOTERS 2
+
+#ifdef REUSED
+#define forgetAttempt(m) skip
+#else
+#define forgetAttempt(m) promoter[m].attempt = 0; promoter[m].term = 0
+#endif
+
+#ifdef ACK_ONE
+#define ACK_QUORUM 1
+#else
+#define ACK_QUORUM 2
+#endif
+#ifdef FENCE_ONE
+#define FENCE_QUORUM 1
+#else
+#define FENCE_QUORUM 2
+#endif
+
+#define DETACHED 0
+#define REPLICA 1
+#define PRIMARY 2
+
+typedef Target {
+	byte term;
+	byte owner;
+	byte role;
+	byte length;
+	byte entry[LENGTH];
+};
+Target target[N];
+
+typedef Promoter {
+	byte busy;
+	byte decided;
+	byte term;
+	byte attempt;
+	byte fenced;	/* bit set of targets */
+	byte count;
+	byte best;
+	byte bestTerm;
+	byte bestLength;
+};
+Promoter promoter[PROMOTERS];
+
+byte attempts;
+byte crashes;
+byte opened[TERMS + 1];	/* target + 1 that opened the term */
+
+/* The position being acknowledged, and the targets seen to hold it. */
+byte watchTerm, watchIndex, seen, seenCount;
+/* One position that was acknowledged or shown, and the term it was under. */
+byte ackTerm, ackIndex, ackUnder;
+
+/* The primary's term that counts for an acknowledgement. */
+byte watchUnder;
+
+byte i, j, k, t, common;
+
+#define last(x) (target[x].length > 0 -> target[x].entry[target[x].length - 1] : 0)
+#define holds(x, p, q) (target[x].length > p && target[x].entry[p] == q)
+#define reaches(x, p, q) (last(x) > q || (last(x) == q && target[x].length > p))
+
+
+#ifdef NO_OWNER
+#define owns(m, x) true
+#else
+#define owns(m, x) (promoter[m].attempt == target[x].owner)
+#endif
+
+/* Whether a target's answer counts for the entry being acknowledged. */
+#ifdef IGNORE_TERM
+#define counts(x) reaches(x, watchIndex, watchTerm)
+#else
+#define current(x) (target[x].term == watchUnder && target[x].role == REPLICA)
+#ifdef NO_OPENING
+#define counts(x) (current(x) && holds(x, watchIndex, watchTerm))
+#else
+#define counts(x) (current(x) && last(x) == watchUnder && reaches(x, watchIndex, watchTerm))
+#endif
+#endif
+
+/* Whether a replica may answer reads. */
+#ifdef UNOPENED_READ
+#define shows(x) true
+#else
+#define shows(x) (last(x) == target[x].term)
+#endif
+
+inline clearTail(x, from) {
+	k = from;
+	do
+	:: k < LENGTH -> target[x].entry[k] = 0; k++
+	:: else -> break
+	od;
+	k = 0
+}
+
+/* After an acknowledgement or a promotion: later primaries hold it. */
+inline checkKept() {
+	k = 0;
+	do
+	:: k < N ->
+		if
+		:: ackTerm > 0 && target[k].role == PRIMARY && target[k].term > ackUnder ->
+			assert(holds(k, ackIndex, ackTerm))
+		:: else
+		fi;
+		k++
+	:: else -> break
+	od;
+	k = 0
+}
+
+inline forgetWatch() {
+	watchTerm = 0; watchIndex = 0; watchUnder = 0; seen = 0; seenCount = 0
+}
+
+inline forgetPromoter(m) {
+	promoter[m].busy = false;
+	promoter[m].decided = false;
+	promoter[m].fenced = 0;
+	promoter[m].count = 0;
+	promoter[m].best = 0;
+	promoter[m].bestTerm = 0;
+	promoter[m].bestLength = 0;
+	forgetAttempt(m)
+}
+
+inline pick2(x) {
+	if
+	:: x = 0
+	:: x = 1
+	fi
+}
+
+inline pick3(x) {
+	if
+	:: x = 0
+	:: x = 1
+	:: x = 2
+	fi
+}
+
+inline pick4(x) {
+	if
+	:: x = 0
+	:: x = 1
+	:: x = 2
+	:: x = 3
+	fi
+}
+
+#ifdef NO_OPENING
+#define openTerm() skip
+#define chooseWatched() pick4(j)
+#else
+#define openTerm() target[j].entry[target[j].length] = target[j].term; target[j].length++
+#define chooseWatched() j = target[i].length - 1
+#endif
+
+inline highestTerm(x) {
+	x = target[0].term;
+	if
+	:: target[1].term > x -> x = target[1].term
+	:: else
+	fi;
+	if
+	:: target[2].term > x -> x = target[2].term
+	:: else
+	fi
+}
+
+/* A caller's write on a primary. */
+inline write() {
+	pick3(i);
+	if
+	:: target[i].role == PRIMARY && target[i].length < LENGTH ->
+		target[i].entry[target[i].length] = target[i].term;
+		target[i].length++
+	:: else
+	fi;
+	i = 0
+}
+
+/* A replica takes the next entry from the primary of its term. */
+inline replicate() {
+	pick3(i); pick3(j);
+	if
+	:: i != j && target[i].role == PRIMARY && target[j].role == REPLICA && target[i].term == target[j].term ->
+		common = 0;
+		do
+		:: common < target[i].length && common < target[j].length && target[i].entry[common] == target[j].entry[common] -> common++
+		:: else -> break
+		od;
+		if
+		:: common < target[i].length ->
+			target[j].entry[common] = target[i].entry[common];
+			target[j].length = common + 1;
+			clearTail(j, common + 1)
+		:: else
+		fi
+	:: else
+	fi;
+	i = 0; j = 0; common = 0
+}
+
+/*
+ * Only one position is followed in a run. Which one is left open, so every
+ * one is checked in some run.
+ *
+ * A VM begins to wait for a majority to hold an entry of a primary.
+ */
+inline watch() {
+	pick3(i);
+	if
+	:: target[i].role == PRIMARY && target[i].length > 0 && ackTerm == 0 && watchTerm == 0 ->
+		chooseWatched();
+		if
+		:: j < target[i].length ->
+			watchTerm = target[i].entry[j];
+			watchIndex = j;
+			watchUnder = target[i].term;
+			seen = 1 << i;
+			seenCount = 1
+		:: else
+		fi
+	:: else
+	fi;
+	i = 0; j = 0
+}
+
+/* The VM hears a replica's last position and term. */
+inline observe() {
+	pick3(i);
+	if
+	:: watchTerm > 0 && !(seen & (1 << i)) && counts(i) ->
+		seen = seen | (1 << i);
+		seenCount++
+	:: else
+	fi;
+	i = 0
+}
+
+inline acknowledge() {
+	if
+	:: watchTerm > 0 && seenCount >= ACK_QUORUM ->
+		ackTerm = watchTerm;
+		ackIndex = watchIndex;
+		ackUnder = watchUnder;
+		forgetWatch();
+		checkKept()
+	:: else
+	fi
+}
+
+/* A replica shows a reader what it has applied. */
+inline read() {
+	pick3(i);
+	if
+	:: target[i].role == REPLICA && target[i].length > 0 && ackTerm == 0 && watchTerm == 0 && shows(i) ->
+		pick4(j);
+		if
+		:: j < target[i].length ->
+			ackTerm = target[i].entry[j];
+			ackIndex = j;
+			ackUnder = target[i].term;
+			checkKept()
+		:: else
+		fi
+	:: else
+	fi;
+	i = 0; j = 0
+}
+
+inline begin() {
+	pick2(i);
+	if
+	:: !promoter[i].busy && attempts < ATTEMPTS ->
+		highestTerm(k);
+		/* A lower term would be refused; a gap would change nothing. */
+		if
+		:: k > 0 -> t = k
+		:: k < TERMS -> t = k + 1
+		fi;
+		k = 0;
+		attempts++;
+		if
+		:: promoter[i].attempt == 0 -> promoter[i].attempt = attempts
+		:: else
+		fi;
+		promoter[i].term = t;
+		promoter[i].busy = true
+	:: else
+	fi;
+	i = 0; t = 0
+}
+
+/* A fence arrives at a target; its answer may be lost. */
+inline fence() {
+	pick2(i); pick3(j);
+	if
+	:: promoter[i].busy && !promoter[i].decided && !(promoter[i].fenced & (1 << j)) &&
+	   (promoter[i].term > target[j].term ||
+	    (promoter[i].term == target[j].term && owns(i, j))) ->
+		if
+		:: promoter[i].term > target[j].term ->
+			target[j].term = promoter[i].term;
+			target[j].owner = promoter[i].attempt;
+			target[j].role = DETACHED
+		:: else
+		fi;
+		if
+		:: skip	/* the answer is lost */
+		:: skip;
+		   if
+		   :: promoter[i].count == 0 || last(j) > promoter[i].bestTerm ||
+		      (last(j) == promoter[i].bestTerm && target[j].length > promoter[i].bestLength) ->
+			promoter[i].best = j;
+			promoter[i].bestTerm = last(j);
+			promoter[i].bestLength = target[j].length
+		   :: else
+		   fi;
+		   promoter[i].fenced = promoter[i].fenced | (1 << j);
+		   promoter[i].count++
+		fi
+	:: else
+	fi;
+	i = 0; j = 0
+}
+
+inline decide() {
+	pick2(i);
+	if
+	:: promoter[i].busy && !promoter[i].decided && promoter[i].count >= FENCE_QUORUM ->
+		promoter[i].decided = true
+	:: else
+	fi;
+	i = 0
+}
+
+/* A promotion arrives at its target. */
+inline promote() {
+	pick2(i);
+	if
+	:: promoter[i].decided ->
+		j = promoter[i].best;
+		if
+		:: target[j].term == promoter[i].term && target[j].role == DETACHED && last(j) != target[j].term &&
+		   owns(i, j) && target[j].length < LENGTH ->
+			assert(opened[promoter[i].term] == 0 || opened[promoter[i].term] == j + 1);
+			opened[promoter[i].term] = j + 1;
+			target[j].role = PRIMARY;
+			openTerm();
+			checkKept()
+		:: else
+		fi;
+		forgetPromoter(i)
+	:: else
+	fi;
+	i = 0; j = 0
+}
+
+/* A target follows the primary of a term that is not below its own. */
+inline follow() {
+	pick3(i); pick3(j);
+	if
+	:: i != j && target[i].role == PRIMARY && target[j].term <= target[i].term &&
+	   !(target[j].term == target[i].term && target[j].role == PRIMARY) && target[j].role != REPLICA ->
+		if
+		:: target[j].term < target[i].term -> target[j].owner = 0
+		:: else
+		fi;
+		target[j].term = target[i].term;
+		target[j].role = REPLICA
+	:: i != j && target[i].role == PRIMARY && target[j].role == REPLICA && target[j].term < target[i].term ->
+		target[j].owner = 0;
+		target[j].term = target[i].term
+	:: else
+	fi;
+	i = 0; j = 0
+}
+
+inline crash() {
+	pick3(i);
+	if
+	:: crashes < CRASHES && target[i].role != DETACHED ->
+		crashes++;
+		target[i].role = DETACHED
+	:: else
+	fi;
+	i = 0
+}
+
+/* A promoter crashes or gives up. */
+inline giveUp() {
+	pick2(i);
+	if
+	:: promoter[i].busy -> forgetPromoter(i)
+	:: else
+	fi;
+	i = 0
+}
+
+init {
+	do
+	:: atomic { write() }
+	:: atomic { replicate() }
+	:: atomic { watch() }
+	:: atomic { observe() }
+	:: atomic { acknowledge() }
+	:: atomic { read() }
+	:: atomic { begin() }
+	:: atomic { fence() }
+	:: atomic { decide() }
+	:: atomic { promote() }
+	:: atomic { follow() }
+	:: atomic { crash() }
+	:: atomic { giveUp() }
+	od
+}
