Shorten the gap and stop duels between promoters

Cause: with the platform away two watchers tried at once, and the loser held its attempt until its time was up; losing the primary only on one side of the network waited for a full second of silence. A VM that had not been asked for a group yet counted its targets as lost and refused the first requests.

--- a/group/knowledge.go
+++ b/group/knowledge.go
@@ -380,8 +380,16 @@
 	m.checkReach()
 }
 
+// checkReach notes since when so many targets are lost that no majority can
+// be reached. A target that was never asked is not lost.
 func (m *Machine) checkReach() {
-	if m.reachable() >= m.quorum() {
+	lost := 0
+	for _, v := range m.views {
+		if !v.removed && v.lost {
+			lost++
+		}
+	}
+	if len(m.Members)-lost >= m.quorum() {
 		m.minority = 0
 		return
 	}
--- a/group/promotion.go
+++ b/group/promotion.go
@@ -14,6 +14,7 @@
 	stage   stage
 	since   time.Duration
 	fenced  map[string]Status
+	refused map[string]bool
 	enough  time.Duration
 	target  string
 }
@@ -39,6 +40,7 @@
 		ground:  g,
 		since:   m.now,
 		fenced:  map[string]Status{},
+		refused: map[string]bool{},
 	}
 	m.note(PromotionStarted{Term: term + 1, Reason: g.String()})
 	m.act(AcquireLease{Attempt: m.promotion.attempt})
@@ -121,10 +123,14 @@
 func (m *Machine) fenceAnswered(e Commanded) {
 	p := m.promotion
 	if !e.Done {
+		p.refused[e.Target] = true
+		if len(m.Members)-len(p.refused) < m.quorum() {
+			m.endPromotion("", "too many targets refused the fence")
+		}
 		return
 	}
 	p.fenced[e.Target] = e.Status
-	if len(p.fenced) == len(m.Members) {
+	if len(p.fenced)+len(p.refused) == len(m.Members) {
 		m.promoteBest()
 		return
 	}
--- a/group/watch.go
+++ b/group/watch.go
@@ -93,9 +93,7 @@
 	const stuckFactor = 5
 	hold := time.Duration(0)
 	switch g {
-	case groundNone, groundSilent, groundCutOff:
-	case groundUnreachable:
-		hold = m.Limits.Grace
+	case groundNone, groundSilent, groundCutOff, groundUnreachable:
 	case groundVacant, groundOvertaken, groundLeaving:
 		hold = m.Limits.Grace
 	case groundStuck:
@@ -154,7 +152,7 @@
 // askZones asks the other zones for a primary that only this VM may have
 // lost.
 func (m *Machine) askZones(leader *view) ground {
-	if m.now-m.askedPeer >= m.Limits.Ask {
+	if m.now-m.askedPeer >= m.Limits.Probe {
 		m.askedPeer = m.now
 		m.act(AskPeers{Target: leader.Name})
 	}
