--- /dev/null
+++ b/scripts/spec.sh
@@ -0,0 +1,46 @@
+#!/usr/bin/env bash
+# Checks the specification with Spin, and that the checker finds the fault of
+# each mutant. Every search is exhaustive within its bounds.
+set -euo pipefail
+cd "$(dirname "$0")/../spec"
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+failed=0
+passed=0
+
+# check NAME MODEL EXPECTED FLAGS...: EXPECTED is holds or violated.
+check() {
+  local name=$1 model=$2 expected=$3
+  shift 3
+  local here="$work/$name"
+  mkdir -p "$here"
+  cp "$model" "$here/"
+  (cd "$here" && spin -a "$@" "$model" >/dev/null && gcc -O2 -DSAFETY -DCOLLAPSE -DMEMLIM=6000 -o pan pan.c)
+  (cd "$here" && ./pan -m100000 -w25 >out 2>&1) || true
+  local verdict=incomplete
+  if grep -q "errors: 0" "$here/out" && ! grep -qE "max search depth too small|out of memory|Search not completed" "$here/out"; then
+    verdict=holds
+  elif grep -q "assertion violated" "$here/out"; then
+    verdict=violated
+  fi
+  local states
+  states=$(sed -n 's/^ *\([0-9.e+]*\) states, stored.*/\1/p' "$here/out")
+  if [ "$verdict" = "$expected" ]; then
+    passed=$((passed + 1))
+    echo "spec $name: $verdict, as expected ($states states, $*)"
+  else
+    failed=$((failed + 1))
+    echo "spec $name: $verdict, expected $expected ($states states, $*)" >&2
+  fi
+}
+
+three="-DTERMS=3 -DLENGTH=3 -DATTEMPTS=3 -DCRASHES=0 -DWRITES=1"
+check crash promotion.pml holds -DTERMS=3 -DLENGTH=3 -DATTEMPTS=3 -DCRASHES=1 -DWRITES=1
+check four-terms promotion.pml holds -DTERMS=4 -DLENGTH=4 -DATTEMPTS=4 -DCRASHES=0 -DWRITES=0
+for mutant in ACK_ONE FENCE_ONE NO_OWNER REUSED IGNORE_TERM UNOPENED_READ; do
+  # shellcheck disable=SC2086
+  check "mutant-$mutant" promotion.pml violated -D$mutant $three
+done
+check mutant-NO_OPENING promotion.pml violated -DNO_OPENING -DTERMS=4 -DLENGTH=2 -DATTEMPTS=4 -DCRASHES=0 -DWRITES=2
+echo "spec: $passed passed, $failed failed"
+[ "$failed" -eq 0 ]
