Let VMs tell each other versions and members

Cause: every VM watched the platform by itself, so the platform's calls grew with the fleet, a zone without the platform learned nothing, and a watcher could not ask other zones whether they hear a primary.

Change: a deterministic roster machine (exchanges with one partner a beat, at distances of 1, 2, 4 and so on around a ring; member records with incarnations; versions pushed on change), carried over connect. Two VMs of each zone wait on the platform. A store that lost the manifest gets the one in force back. A VM whose version goes unconfirmed for 60 s says so in status, metric and log and serves on. Connections to a target are shared by a fixed part for each VM.

Ruled out: shares that follow the roster, since two VMs with different rosters could pass the target's limit together.

--- a/entry/vm.go
+++ b/entry/vm.go
@@ -10,7 +10,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"sync"
@@ -24,7 +23,7 @@
 	"amaranthsill/kernel"
 	_ "amaranthsill/lease" // registers its driver
 	"amaranthsill/manifest"
-	_ "amaranthsill/peer" // registers its driver
+	"amaranthsill/peer"
 	"amaranthsill/platform"
 	"amaranthsill/roster"
 	_ "amaranthsill/target" // registers its driver
@@ -46,10 +45,14 @@
 	callers *caller.Server
 	done    sync.WaitGroup
 
-	lock     sync.Mutex
-	vms      []roster.VM
-	leaving  map[string]bool
-	revision uint64
+	mesh   *peer.Mesh
+	warned time.Time
+	// unreadable counts manifests that could not be put in force.
+	unreadable prometheus.Counter
+	revision   uint64
+
+	lock   sync.Mutex
+	record platform.Record
 }
 
 // Run serves until the context ends and every request under way has ended.
@@ -62,9 +65,12 @@
 	live, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer v.done.Wait()
 	defer stop()
-	if err := v.kernel.Start(live, kernel.Parts{Store: v.store}); err != nil {
+	if err := v.kernel.Start(live, kernel.Parts{Store: v.store, Peers: v.mesh}); err != nil {
 		return fmt.Errorf("start kernel: %w", err)
 	}
+	if err := v.mesh.Start(live); err != nil {
+		return fmt.Errorf("start mesh: %w", err)
+	}
 	admin, err := v.serveAdmin()
 	if err != nil {
 		return err
@@ -73,6 +79,8 @@
 	v.duty(func() { v.followManifest(live) })
 	v.duty(func() { v.followRoster(live) })
 	v.Log.Info("VM serves", "vm", v.Settings.VM(), "zone", v.Settings.Zone(), "callers", v.Settings.Callers().String())
+	announced := context.AfterFunc(ctx, func() { v.mesh.Post(live, roster.Left{}) })
+	defer announced()
 	if err := v.callers.Run(ctx); err != nil {
 		return fmt.Errorf("serve callers: %w", err)
 	}
@@ -94,21 +102,32 @@
 		v.Limits = group.DefaultLimits()
 	}
 	v.metrics = prometheus.NewRegistry()
-	v.leaving = map[string]bool{}
+	v.registerMetrics()
 	v.store = &platform.Client{
 		Address: v.Settings.Platform().String(),
 		HTTP:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}},
 	}
+	incarnation := uint64(time.Now().UnixNano())
 	v.kernel = &kernel.Kernel{
 		VM:          v.Settings.VM(),
 		Zone:        v.Settings.Zone(),
-		Incarnation: uint64(time.Now().UnixNano()),
+		Incarnation: incarnation,
 		Limits:      v.Limits,
 		Log:         v.Log,
 		Meter:       kernel.NewMeter(v.metrics),
 		Share:       v.share,
 		Rank:        v.rank,
 	}
+	v.mesh = &peer.Mesh{
+		Self:     roster.NewMember(v.Settings.VM(), v.Settings.Zone(), v.Settings.Peers().String(), incarnation, roster.StateAlive),
+		Limits:   roster.DefaultLimits(),
+		Log:      v.Log,
+		Document: v.document,
+		Adopt:    v.adoptFromPeer,
+		Hears:    v.hears,
+		Changed:  v.kernel.Refresh,
+		Metrics:  v.metrics,
+	}
 	v.callers = &caller.Server{
 		Address: v.Settings.Callers().String(),
 		Kernel:  v.kernel,
@@ -119,89 +138,22 @@
 	return nil
 }
 
-// share returns this VM's part of a target's connections.
+// share returns this VM's part of a target's connections. It is the same
+// whatever the VM knows of the others: all VMs that the settings allow fit
+// within the target's limit together.
 func (v *VM) share(t manifest.Target) (connections int, leaving bool) {
-	v.lock.Lock()
-	defer v.lock.Unlock()
-	return max(1, t.Connections()/v.Settings.Fleet()), v.leaving[t.Name()]
+	return t.Connections() / v.Settings.Fleet(), v.mesh.View().Leaving[t.Name()]
 }
 
 // rank returns this VM's place among the watchers of a group.
 func (v *VM) rank(name string) int {
-	v.lock.Lock()
-	defer v.lock.Unlock()
-	return roster.Rank(name, v.Settings.VM(), v.vms)
-}
-
-// watchWait is how long one watch of the manifest waits.
-const watchWait = 20 * time.Second
-
-// retryPause is the time between calls to a platform that fails.
-const retryPause = 500 * time.Millisecond
-
-// followManifest is the goroutine that watches the manifest in the store.
-func (v *VM) followManifest(ctx context.Context) {
-	for ctx.Err() == nil {
-		e, err := v.store.Watch(ctx, platform.ManifestKey, v.revision, watchWait)
-		if err != nil {
-			if !errors.Is(err, platform.ErrAbsent) {
-				v.Log.V(1).Info("watch failed", "error", err.Error())
-			}
-			pause(ctx, retryPause)
-			continue
-		}
-		v.revision = e.Revision()
-		v.adopt(ctx, e)
-	}
-}
-
-// adopt puts a stored manifest in force. One that cannot be read leaves the
-// one in force as it is.
-func (v *VM) adopt(ctx context.Context, e platform.Entry) {
-	r, err := platform.DecodeRecord(e.Value())
-	if err != nil {
-		v.Log.Error(err, "stored manifest is unreadable; the one in force stays")
-		return
-	}
-	m, err := manifest.Parse(fmt.Sprintf("version %d", r.Version()), r.Text())
-	if err != nil {
-		v.Log.Error(err, "stored manifest breaks its rules; the one in force stays")
-		return
-	}
-	if v.kernel.Configure(ctx, kernel.Record{Version: r.Version(), Manifest: m}) {
-		v.Log.Info("manifest in force", "version", r.Version())
-	}
+	return roster.Rank(name, v.Settings.VM(), v.mesh.View().VMs)
 }
 
-// rosterPause is the time between reads of the platform's list.
-const rosterPause = time.Second
-
-// followRoster is the goroutine that reads the platform's list of VMs.
-func (v *VM) followRoster(ctx context.Context) {
-	for ctx.Err() == nil {
-		vms, err := v.store.VMs(ctx)
-		if err == nil {
-			v.learnRoster(ctx, vms)
-		}
-		pause(ctx, rosterPause)
-	}
-}
-
-func (v *VM) learnRoster(ctx context.Context, vms []platform.VM) {
-	v.lock.Lock()
-	v.vms = nil
-	v.leaving = map[string]bool{}
-	for _, m := range vms {
-		if m.Address == "" {
-			v.leaving[m.Name] = m.Leaving
-			continue
-		}
-		if !m.Leaving {
-			v.vms = append(v.vms, roster.VM{Name: m.Name, Zone: m.Zone, Address: m.Address})
-		}
-	}
-	v.lock.Unlock()
-	v.kernel.Refresh(ctx)
+// hears reports whether this VM hears a target; other VMs ask for it.
+func (v *VM) hears(group, target string) bool {
+	g, err := v.kernel.Group(group)
+	return err == nil && g.Hears(target)
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/kernel/group.go
+++ b/kernel/group.go
@@ -21,6 +21,7 @@
 	cancel  context.CancelFunc
 	events  chan group.Event
 	machine *group.Machine
+	looked  time.Duration
 
 	lock    sync.Mutex
 	tasks   map[uint64]*Task
@@ -41,10 +42,20 @@
 	answer chan group.Ending
 }
 
+// Hears reports whether this VM has a recent answer of a target.
+func (g *Group) Hears(target string) bool {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	return g.view.Hears[target]
+}
+
 // View is what a group's goroutine last knew, for status pages.
 type View struct {
+	// Primary and Term tell which target leads.
 	Primary string
 	Term    group.Term
+	// Hears names the targets with a recent answer.
+	Hears map[string]bool
 }
 
 // Name returns the group's name.
@@ -183,6 +194,27 @@
 	for _, a := range g.machine.Step(g.kernel.Now(), e) {
 		g.carry(ctx, a)
 	}
+	g.look()
+}
+
+// lookPause is the least time between two looks at what the machine knows.
+const lookPause = 50 * time.Millisecond
+
+// look publishes what the machine knows.
+func (g *Group) look() {
+	now := g.kernel.Now()
+	if now-g.looked < lookPause {
+		return
+	}
+	g.looked = now
+	v := View{Hears: map[string]bool{}}
+	v.Primary, v.Term = g.machine.Primary()
+	for _, m := range g.machine.Members {
+		v.Hears[m.Name] = g.machine.Hears(m.Name)
+	}
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	g.view = v
 }
 
 func (g *Group) carry(ctx context.Context, a group.Action) {
@@ -224,9 +256,6 @@
 		g.kernel.Meter.promotions.WithLabelValues(g.name, outcome).Inc()
 		log.Info("promotion ended", "term", e.Term, "target", e.Target, "reason", e.Reason)
 	case group.PrimaryChanged:
-		g.lock.Lock()
-		g.view = View{Primary: e.Target, Term: e.Term}
-		g.lock.Unlock()
 		log.Info("primary changed", "target", e.Target, "term", e.Term)
 	default:
 		panic(fmt.Sprintf("kernel: unknown note %T", e))
