Bound what the roster costs on a large fleet

Cause: the spread measurement did not finish at 200 VMs. The profile showed the choice of partners sorted anew after every change, all members looked through at every beat for dead ones and for news, and a joining VM passing on each of the platform's entries some 24 times.

Ruled out: the messages themselves; encoding was below 5% of the time.

Change: what follows from the members is worked out at most twice a beat; news and dead members are kept apart; entries of the platform's list and of a whole roster are passed on once.

--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -4,6 +4,7 @@
 //	experiment reads     the share of reads on replicas, against two baselines
 //	experiment failover  the gap for each way to lose a primary
 //	experiment sweep     detection time against needless promotions
+//	experiment spread    what the control side of many VMs costs
 package main
 
 import (
@@ -26,10 +27,11 @@
 		"reads":    reads,
 		"failover": failovers,
 		"sweep":    sweep,
+		"spread":   spread,
 	}
 	run, ok := experiments[flag.Arg(0)]
 	if !ok {
-		fmt.Fprintln(os.Stderr, "usage: experiment [flags] <reads|failover|sweep>")
+		fmt.Fprintln(os.Stderr, "usage: experiment [flags] <reads|failover|sweep|spread>")
 		os.Exit(2)
 	}
 	t := run(*seeds)
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -23,8 +23,8 @@
 // or of another version of the program.
 var ErrMessage = errors.New("unusable message from a VM")
 
-// toKnowledge returns the message for what a VM tells.
-func toKnowledge(k roster.Knowledge) *peerpb.Knowledge {
+// ToKnowledge returns the message for what a VM tells.
+func ToKnowledge(k roster.Knowledge) *peerpb.Knowledge {
 	out := &peerpb.Knowledge{From: k.From, Roster: k.Roster, Whole: k.Whole}
 	for _, d := range k.Documents {
 		age := int64(-1)
@@ -45,8 +45,8 @@
 	return out
 }
 
-// fromKnowledge checks and reads a message. Its error wraps ErrMessage.
-func fromKnowledge(k *peerpb.Knowledge) (roster.Knowledge, error) {
+// FromKnowledge checks and reads a message. Its error wraps ErrMessage.
+func FromKnowledge(k *peerpb.Knowledge) (roster.Knowledge, error) {
 	if k == nil || k.From == "" || len(k.From) > maxName || len(k.Members) > maxMembers || len(k.Documents) > maxDocuments {
 		return roster.Knowledge{}, fmt.Errorf("read knowledge: %w", ErrMessage)
 	}
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -201,12 +201,12 @@
 func (m *Mesh) send(ctx context.Context, s roster.Send) {
 	limited, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
-	a, err := m.client(s.To).Exchange(limited, connect.NewRequest(&peerpb.ExchangeRequest{Protocol: protocol, Knowledge: toKnowledge(s.Knowledge)}))
+	a, err := m.client(s.To).Exchange(limited, connect.NewRequest(&peerpb.ExchangeRequest{Protocol: protocol, Knowledge: ToKnowledge(s.Knowledge)}))
 	if err != nil {
 		m.Post(ctx, roster.Failed{To: s.To.Name()})
 		return
 	}
-	k, err := fromKnowledge(a.Msg.Knowledge)
+	k, err := FromKnowledge(a.Msg.Knowledge)
 	if err != nil {
 		m.dropped.Inc()
 		return
@@ -230,7 +230,7 @@
 
 // Exchange implements the service for other VMs.
 func (m *Mesh) Exchange(ctx context.Context, q *connect.Request[peerpb.ExchangeRequest]) (*connect.Response[peerpb.ExchangeResponse], error) {
-	k, err := fromKnowledge(q.Msg.Knowledge)
+	k, err := FromKnowledge(q.Msg.Knowledge)
 	if err != nil || q.Msg.Protocol != protocol {
 		m.dropped.Inc()
 		return nil, connect.NewError(connect.CodeInvalidArgument, errors.Join(ErrMessage, err))
@@ -243,7 +243,7 @@
 	}
 	select {
 	case r := <-reply:
-		return connect.NewResponse(&peerpb.ExchangeResponse{Knowledge: toKnowledge(r)}), nil
+		return connect.NewResponse(&peerpb.ExchangeResponse{Knowledge: ToKnowledge(r)}), nil
 	case <-ctx.Done():
 		return nil, connect.NewError(connect.CodeUnavailable, errStopping)
 	}
--- a/roster/exchange.go
+++ b/roster/exchange.go
@@ -46,8 +46,8 @@
 
 func (m *Machine) dead() []Member {
 	out := []Member{}
-	for _, name := range slices.Sorted(maps.Keys(m.members)) {
-		if e := m.members[name]; e.IsVM() && e.state == StateDead && e.name != m.Self.name {
+	for _, name := range slices.Sorted(maps.Keys(m.ended)) {
+		if e := m.ended[name]; e.IsVM() && e.name != m.Self.name {
 			out = append(out, e.Member)
 		}
 	}
@@ -55,10 +55,13 @@
 }
 
 func (m *Machine) forget() {
-	for name, e := range m.members {
-		if e.state == StateDead && m.now-e.since > m.Limits.Forget && name != m.Self.name {
+	for name, e := range m.ended {
+		if m.now-e.since > m.Limits.Forget && name != m.Self.name {
 			m.hash ^= e.hash()
+			delete(m.ended, name)
 			delete(m.members, name)
+			delete(m.fresh, name)
+			m.outdate()
 		}
 	}
 }
@@ -106,11 +109,9 @@
 
 // news returns the records that still have to be passed on most often.
 func (m *Machine) news() []Member {
-	fresh := []*entry{}
-	for _, e := range m.members {
-		if e.tell > 0 {
-			fresh = append(fresh, e)
-		}
+	fresh := make([]*entry, 0, len(m.fresh))
+	for _, e := range m.fresh {
+		fresh = append(fresh, e)
 	}
 	slices.SortFunc(fresh, func(a, b *entry) int {
 		if c := cmp.Compare(b.tell, a.tell); c != 0 {
@@ -120,8 +121,11 @@
 	})
 	out := []Member{}
 	for _, e := range fresh[:min(len(fresh), m.Limits.Deltas)] {
-		e.tell--
 		out = append(out, e.Member)
+		e.tell--
+		if e.tell <= 0 {
+			delete(m.fresh, e.name)
+		}
 	}
 	return out
 }
@@ -151,6 +155,10 @@
 // learn takes in what another VM told.
 func (m *Machine) learn(k Knowledge) {
 	for _, n := range k.Members {
+		if k.Whole {
+			m.mergeQuietly(n, 1)
+			continue
+		}
 		m.merge(n)
 	}
 	if e := m.members[k.From]; e != nil {
@@ -261,7 +269,8 @@
 	before, seen := m.listed[n.name]
 	switch {
 	case e == nil:
-		m.merge(n)
+		// Whoever needs the list reads it too.
+		m.mergeQuietly(n, 1)
 	case n.state == StateLeaving && (!seen || before != StateLeaving):
 		m.mark(n.name, StateLeaving)
 	case n.state == StateAlive && seen && before == StateLeaving && !e.IsVM():
--- a/roster/machine.go
+++ b/roster/machine.go
@@ -54,21 +54,36 @@
 	// Seed seeds the choice of partners.
 	Seed uint64
 
-	now       time.Duration
-	running   bool
-	random    *rand.Rand
-	actions   []Action
-	members   map[string]*entry
+	now     time.Duration
+	running bool
+	random  *rand.Rand
+	actions []Action
+	members map[string]*entry
+	// fresh are the members whose records are still passed on.
+	fresh map[string]*entry
+	// ended are the members that count as dead.
+	ended     map[string]*entry
 	hash      uint64
 	documents map[string]*document
 	listed    map[string]State
 	beatAt    time.Duration
 	turn      int
-	ring      []Member
+	chosen    *chosen
 	wholeAt   time.Duration
 	differs   map[string]int
 }
 
+// chosen is what follows from the members; it is made anew after a change,
+// at most twice a beat.
+type chosen struct {
+	at       time.Duration
+	stale    bool
+	vms      []Member
+	ring     []Member
+	spreader bool
+	leaving  map[string]bool
+}
+
 // entry is one member and what this VM has done about it.
 type entry struct {
 	Member
@@ -123,32 +138,46 @@
 func (m *Machine) Next() time.Duration { return m.beatAt }
 
 // VMs returns the VMs that are alive, this one included, in order of name.
-func (m *Machine) VMs() []Member {
-	out := []Member{}
-	for _, name := range slices.Sorted(maps.Keys(m.members)) {
-		if e := m.members[name]; e.IsVM() && e.state == StateAlive {
-			out = append(out, e.Member)
-		}
+// The caller must not change the slice.
+func (m *Machine) VMs() []Member { return m.choose().vms }
+
+// LeavingNames names the machines that are leaving or gone. The caller must
+// not change the map.
+func (m *Machine) LeavingNames() map[string]bool { return m.choose().leaving }
+
+// Spreader reports whether this VM waits on the platform for its zone.
+func (m *Machine) Spreader() bool { return m.choose().spreader }
+
+func (m *Machine) outdate() {
+	if m.chosen != nil {
+		m.chosen.stale = true
 	}
-	return out
 }
 
-// LeavingNames names the machines that are leaving or gone.
-func (m *Machine) LeavingNames() map[string]bool {
-	out := map[string]bool{}
-	for name, e := range m.members {
-		if e.state != StateAlive {
-			out[name] = true
+// choose works out what follows from the members.
+func (m *Machine) choose() *chosen {
+	if c := m.chosen; c != nil && (!c.stale || m.now-c.at < m.Limits.Beat/2) {
+		return c
+	}
+	c := &chosen{at: m.now, leaving: map[string]bool{}}
+	for _, name := range slices.Sorted(maps.Keys(m.members)) {
+		e := m.members[name]
+		switch {
+		case e.state != StateAlive:
+			c.leaving[name] = true
+		case e.IsVM():
+			c.vms = append(c.vms, e.Member)
 		}
 	}
-	return out
-}
-
-// Spreader reports whether this VM waits on the platform for its zone.
-func (m *Machine) Spreader() bool {
-	return slices.ContainsFunc(PerZone("spread", m.VMs(), m.Limits.Spreaders), func(v Member) bool {
-		return v.name == m.Self.name
-	})
+	own := func(v Member) bool { return v.name == m.Self.name }
+	c.spreader = slices.ContainsFunc(PerZone("spread", c.vms, m.Limits.Spreaders), own)
+	ring := Order("ring", c.vms)
+	self := slices.IndexFunc(ring, own)
+	for d := 1; self >= 0 && d < len(ring); d *= 2 {
+		c.ring = append(c.ring, ring[(self+d)%len(ring)])
+	}
+	m.chosen = c
+	return c
 }
 
 // Confirmed returns how long ago the platform was known to hold the version
@@ -173,6 +202,8 @@
 	m.now = now
 	m.random = rand.New(rand.NewPCG(m.Seed, m.Self.incarnation))
 	m.members = map[string]*entry{}
+	m.fresh = map[string]*entry{}
+	m.ended = map[string]*entry{}
 	m.documents = map[string]*document{}
 	m.differs = map[string]int{}
 	m.wholeAt = now - m.Limits.Whole
@@ -182,8 +213,13 @@
 
 func (m *Machine) act(a Action) { m.actions = append(m.actions, a) }
 
-// merge takes a member record in if it is newer, and passes it on.
-func (m *Machine) merge(n Member) {
+// merge takes a member record in if it is newer, and passes it on until
+// everybody has probably heard it.
+func (m *Machine) merge(n Member) { m.mergeQuietly(n, m.tellings()) }
+
+// mergeQuietly takes a member record in if it is newer, and passes it on a
+// given number of times.
+func (m *Machine) mergeQuietly(n Member, tell int) {
 	if n.name == m.Self.name && n.replaces(m.Self) {
 		m.refute(n)
 		return
@@ -199,8 +235,13 @@
 		m.hash ^= old.hash()
 	}
 	m.hash ^= n.hash()
-	m.members[n.name] = &entry{Member: n, tell: m.tellings(), since: m.now}
-	m.ring = nil
+	m.members[n.name] = &entry{Member: n, tell: tell, since: m.now}
+	m.fresh[n.name] = m.members[n.name]
+	delete(m.ended, n.name)
+	if n.state == StateDead {
+		m.ended[n.name] = m.members[n.name]
+	}
+	m.outdate()
 	m.act(Changed{Member: n})
 }
 
@@ -224,18 +265,7 @@
 }
 
 // partners are the VMs at distances of 1, 2, 4 and so on around the ring.
-func (m *Machine) partners() []Member {
-	if m.ring != nil {
-		return m.ring
-	}
-	vms := Order("ring", m.VMs())
-	self := slices.IndexFunc(vms, func(v Member) bool { return v.name == m.Self.name })
-	m.ring = []Member{}
-	for d := 1; self >= 0 && d < len(vms); d *= 2 {
-		m.ring = append(m.ring, vms[(self+d)%len(vms)])
-	}
-	return m.ring
-}
+func (m *Machine) partners() []Member { return m.choose().ring }
 
 func (m *Machine) leave() {
 	m.Self.state = StateLeaving
