--- a/caller/problem.go
+++ b/caller/problem.go
@@ -15,6 +15,9 @@
 	CodeRefused = "R0001"
 	// CodeUnknown says that the request may or may not have run.
 	CodeUnknown = "08007"
+	// CodeStopping says that the VM stops and the request did not run; the
+	// connection ends.
+	CodeStopping = "57P01"
 
 	codeNoDatabase  = "3D000"
 	codeParameter   = "42704"
@@ -24,7 +27,6 @@
 	codeProtocol    = "08P01"
 	codeAborted     = "25P02"
 	codeTooMany     = "53300"
-	codeShutdown    = "57P01"
 )
 
 // errNoDecode reports an attempt to read a message that is only written.
--- a/caller/session.go
+++ b/caller/session.go
@@ -8,6 +8,7 @@
 	"net"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -217,16 +218,48 @@
 	}
 	select {
 	case m, ok := <-s.messages:
-		if !ok && s.tooLong {
-			s.fatal(&problem{code: codeProtocol, message: fmt.Sprintf("a message may have at most %d bytes", maxMessage)})
-		}
-		return m, ok
+		return s.received(m, ok)
+	default:
+	}
+	select {
+	case m, ok := <-s.messages:
+		return s.received(m, ok)
 	case <-stopping:
-		s.fatal(&problem{code: codeShutdown, message: "this VM is stopping; connect again"})
+		s.dismiss()
 		return nil, false
 	}
 }
 
+func (s *session) received(m pgproto3.FrontendMessage, ok bool) (pgproto3.FrontendMessage, bool) {
+	if !ok && s.tooLong {
+		s.fatal(&problem{code: codeProtocol, message: fmt.Sprintf("a message may have at most %d bytes", maxMessage)})
+	}
+	return m, ok
+}
+
+// dismiss tells an idle caller to connect again. It reads on until the caller
+// hangs up: closing with unread bytes would destroy what was said, and a
+// request that was already on its way has its answer, that it did not run.
+func (s *session) dismiss() {
+	const linger = 2 * time.Second
+	s.fatal(&problem{code: CodeStopping, message: "refused, not run: this VM is stopping; connect again"})
+	if c, ok := s.conn.(*net.TCPConn); ok {
+		// An error shows at the next read.
+		_ = c.CloseWrite()
+	}
+	late := time.After(linger)
+	for {
+		select {
+		case _, ok := <-s.messages:
+			if !ok {
+				return
+			}
+		case <-late:
+			return
+		}
+	}
+}
+
 // read is the goroutine that reads messages. It ends when the caller leaves.
 func (s *session) read() {
 	defer close(s.messages)
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,137 @@
+package fleet_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"amaranthsill/internal/fleet"
+)
+
+// TestMain fixes the seed of the randomised runs.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "60", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func TestFleet(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "fleet")
+}
+
+// The stated targets.
+const (
+	inForceSmall = 2 * time.Second
+	inForceLarge = 15 * time.Second
+	settled      = 20 * time.Second
+)
+
+var _ = Describe("A manifest", func() {
+	for name, c := range map[string]struct {
+		vms   int
+		zones int
+		fault func(*fleet.Fleet)
+		limit time.Duration
+	}{
+		"at today's size":                {vms: 8, zones: 3, limit: inForceSmall},
+		"on a large fleet":               {vms: 300, zones: 5, limit: inForceLarge},
+		"with a frozen spreader":         {vms: 8, zones: 3, limit: inForceLarge, fault: func(f *fleet.Fleet) { f.Freeze(0, 5*time.Second) }},
+		"with a third of the VMs frozen": {vms: 50, zones: 5, limit: inForceLarge, fault: func(f *fleet.Fleet) { freezeSome(f, 17, 5*time.Second) }},
+		"with a zone that was cut off":   {vms: 50, zones: 5, limit: inForceLarge, fault: func(f *fleet.Fleet) { f.CutZone(1, 4*time.Second) }},
+		"amid replacements":              {vms: 50, zones: 5, limit: inForceLarge, fault: func(f *fleet.Fleet) { replaceSome(f, 10) }},
+	} {
+		It("is in force everywhere in time, "+name, func() {
+			f := &fleet.Fleet{Seed: 1, Zones: c.zones}
+			f.Grow(c.vms)
+			f.Run(settled)
+			if c.fault != nil {
+				c.fault(f)
+			}
+			f.Publish()
+			f.Run(settled + c.limit)
+			Expect(f.Everywhere()).To(BeTrue())
+		})
+	}
+
+	It("is confirmed while the platform answers, and not after it went away", func() {
+		f := &fleet.Fleet{Seed: 1, Zones: 3}
+		f.Grow(8)
+		f.Publish()
+		f.Run(2 * time.Minute)
+		Expect(f.Blind()).To(BeZero())
+		f.Outage(10 * time.Minute)
+		f.Run(4 * time.Minute)
+		Expect(f.Blind()).To(Equal(8))
+		f.Run(14 * time.Minute)
+		Expect(f.Blind()).To(BeZero())
+	})
+})
+
+func freezeSome(f *fleet.Fleet, n int, d time.Duration) {
+	for i := range n {
+		f.Freeze(i*3, d)
+	}
+}
+
+func replaceSome(f *fleet.Fleet, n int) {
+	for i := range n {
+		f.Replace(i * 5)
+	}
+}
+
+// TestRandom strikes random failures and checks that versions never go down,
+// that all VMs have the last version once it is over, and that they agree on
+// the roster.
+func TestRandom(t *testing.T) {
+	const faults = 8
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fleet.Fleet{Seed: rapid.Uint64().Draw(t, "seed"), Zones: 3}
+		f.Grow(rapid.IntRange(3, 12).Draw(t, "vms"))
+		for i := range faults {
+			at := time.Duration(rapid.IntRange(5, 60).Draw(t, fmt.Sprint("at", i))) * time.Second
+			lasting := time.Duration(rapid.IntRange(1, 30).Draw(t, fmt.Sprint("lasting", i))) * time.Second
+			which := rapid.IntRange(0, 20).Draw(t, fmt.Sprint("which", i))
+			kind := rapid.IntRange(0, 4).Draw(t, fmt.Sprint("kind", i))
+			f.At(at, func() { strike(f, kind, which, lasting) })
+		}
+		for i := range 10 {
+			f.At(time.Duration(5+i*6)*time.Second, f.Publish)
+		}
+		f.Run(4 * time.Minute)
+		if len(f.Failures()) > 0 {
+			t.Fatal(f.Failures())
+		}
+		if !f.Everywhere() {
+			t.Fatal("a VM does not have the last version")
+		}
+		if !f.Agreed() {
+			t.Fatal("VMs disagree on the roster")
+		}
+	})
+}
+
+func strike(f *fleet.Fleet, kind, which int, lasting time.Duration) {
+	switch kind {
+	case 0:
+		f.Freeze(which, lasting)
+	case 1:
+		f.CutZone(which, lasting)
+	case 2:
+		f.Outage(lasting)
+	case 3:
+		f.Replace(which)
+	default:
+		f.Publish()
+	}
+}
--- a/roster/machine.go
+++ b/roster/machine.go
@@ -180,6 +180,14 @@
 	return c
 }
 
+// Version returns the version of a document that this VM holds.
+func (m *Machine) Version(name string) uint64 {
+	if d := m.documents[name]; d != nil {
+		return d.version
+	}
+	return 0
+}
+
 // Confirmed returns how long ago the platform was known to hold the version
 // of a document that this VM has, and false if that was never known.
 func (m *Machine) Confirmed(name string) (time.Duration, bool) {
