--- a/cmd/amaranthsill/main.go
+++ b/cmd/amaranthsill/main.go
@@ -55,9 +55,9 @@
 
 func command() *ffcli.Command {
 	return &ffcli.Command{
-		ShortUsage:  "amaranthsill <check|submit|status> [flags] [FILE]",
+		ShortUsage:  "amaranthsill <check|submit|status|burn> [flags] [FILE]",
 		Options:     options(),
-		Subcommands: []*ffcli.Command{checkCommand(), submitCommand(), statusCommand()},
+		Subcommands: []*ffcli.Command{checkCommand(), submitCommand(), statusCommand(), burnCommand()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 }
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -121,10 +121,22 @@
 	v.lock.Unlock()
 	if v.kernel.Configure(ctx, kernel.Record{Version: r.Version(), Manifest: m}) {
 		v.Log.Info("manifest in force", "version", r.Version())
+		v.warnOfShares(m)
 		v.mesh.Post(ctx, roster.Held{Document: peer.ManifestDocument, Version: r.Version()})
 	}
 }
 
+// warnOfShares logs targets of which this VM may hold no connection.
+func (v *VM) warnOfShares(m *manifest.Manifest) {
+	for _, g := range m.Groups() {
+		for _, t := range g.Targets() {
+			if t.Connections() < v.Settings.Fleet() {
+				v.Log.Info("target takes fewer connections than the setting fleet; no VM may use it", "group", g.Name(), "target", t.Name(), "connections", t.Connections(), "fleet", v.Settings.Fleet())
+			}
+		}
+	}
+}
+
 // adoptFromPeer takes over a record that another VM holds.
 func (v *VM) adoptFromPeer(ctx context.Context, _ string, value []byte) {
 	r, err := platform.DecodeRecord(value)
