--- /dev/null
+++ b/group/group_test.go
@@ -0,0 +1,169 @@
+package group_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"amaranthsill/group"
+)
+
+func TestGroup(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "group")
+}
+
+var statuses = map[string]struct {
+	text string
+	good bool
+}{
+	"a replica":                  {text: "3 replica 3.17 3.15 40", good: true},
+	"a primary":                  {text: "3 primary 3.17 3.17 0", good: true},
+	"an unknown role":            {text: "3 king 3.17 3.17 0"},
+	"a field too few":            {text: "3 replica 3.17 3.15"},
+	"applied above received":     {text: "3 replica 3.15 3.17 0"},
+	"entries above its own term": {text: "2 replica 3.17 3.15 0"},
+	"a negative silence":         {text: "3 replica 3.17 3.15 -1"},
+	"garbage":                    {text: "\x00\xff"},
+	"nothing":                    {text: ""},
+}
+
+var _ = Describe("ParseStatus", func() {
+	for name, c := range statuses {
+		It(fmt.Sprintf("takes %s: %v", name, c.good), func() {
+			s, err := group.ParseStatus(c.text)
+			if !c.good {
+				Expect(err).To(MatchError(group.ErrStatus))
+				return
+			}
+			Expect(err).NotTo(HaveOccurred())
+			Expect(s.String()).To(Equal(c.text))
+		})
+	}
+})
+
+// bench drives one machine by hand.
+type bench struct {
+	machine *group.Machine
+	now     time.Duration
+	asks    map[string]uint64
+	actions []group.Action
+}
+
+func newBench() *bench {
+	b := &bench{asks: map[string]uint64{}, machine: &group.Machine{
+		Name: "g", VM: "v", Zone: "z0", Rank: -1, Limits: group.DefaultLimits(), Seed: 1, Strict: true,
+	}}
+	for i := range 3 {
+		b.machine.Members = append(b.machine.Members, group.Member{Name: fmt.Sprint("t", i), Zone: fmt.Sprint("z", i), Connections: 2})
+	}
+	b.step(group.Configured{Members: b.machine.Members, Rank: 0})
+	return b
+}
+
+func (b *bench) step(e group.Event) {
+	b.actions = append([]group.Action{}, b.machine.Step(b.now, e)...)
+	for _, a := range b.actions {
+		if q, ok := a.(group.Ask); ok {
+			b.asks[q.Target] = q.Ask
+		}
+	}
+}
+
+// hear answers a target's newest status request.
+func (b *bench) hear(target string, s group.Status) {
+	b.step(group.Heard{Target: target, Ask: b.asks[target], Status: s})
+}
+
+func (b *bench) notes() []group.NoteEvent {
+	out := []group.NoteEvent{}
+	for _, a := range b.actions {
+		if n, ok := a.(group.Note); ok {
+			out = append(out, n.Event)
+		}
+	}
+	return out
+}
+
+func status(term group.Term, role group.Role, offset uint64) group.Status {
+	p := group.At(term, offset)
+	return group.NewStatus(term, role, p, p, 0)
+}
+
+var _ = Describe("A machine", func() {
+	for name, second := range map[string]group.Status{
+		"a lower term":                status(2, group.RoleReplica, 9),
+		"a position that goes back":   status(3, group.RoleReplica, 4),
+		"a lower term with a primary": status(1, group.RolePrimary, 90),
+	} {
+		It("sets aside a target that answers with "+name, func() {
+			b := newBench()
+			b.hear("t1", status(3, group.RoleReplica, 9))
+			b.now += 150 * time.Millisecond
+			b.step(group.Ticked{})
+			b.hear("t1", second)
+			Expect(b.notes()).To(ContainElement(BeAssignableToTypeOf(group.TargetSetAside{})))
+		})
+	}
+
+	It("lets no events of unknown slots, runs and targets disturb it", func() {
+		b := newBench()
+		for _, e := range []group.Event{
+			group.Dialed{Slot: 99},
+			group.SlotLost{Slot: 99},
+			group.Finished{Run: 99},
+			group.Broke{Run: 99},
+			group.Heard{Target: "nobody"},
+			group.Unheard{Target: "nobody"},
+			group.Commanded{Target: "nobody"},
+			group.LeaseAnswered{Attempt: "old"},
+			group.PeerSaw{Target: "nobody"},
+			group.Vanished{Session: 99},
+		} {
+			b.step(e)
+		}
+	})
+
+	It("answers at once what it gives up, and says when to come back", func() {
+		b := newBench()
+		b.machine.Limits.Queue = 1
+		for id := uint64(1); id <= 2; id++ {
+			b.step(group.Arrived{Request: group.Request{ID: id, Session: id, Deadline: time.Minute}})
+		}
+		Expect(b.actions).To(ContainElement(group.Answer{
+			Request: 2,
+			Ending:  group.Refused{Reason: group.ReasonQueueFull, RetryAfter: 101 * time.Millisecond},
+		}))
+	})
+
+	It("refuses writes at once while a majority is out of reach", func() {
+		b := newBench()
+		for range 40 {
+			b.now += 100 * time.Millisecond
+			b.step(group.Ticked{})
+		}
+		b.step(group.Arrived{Request: group.Request{ID: 1, Session: 1, Deadline: b.now + time.Minute}})
+		Expect(b.actions).To(ContainElement(group.Answer{
+			Request: 1,
+			Ending:  group.Refused{Reason: group.ReasonNoMajority, RetryAfter: time.Second},
+		}))
+	})
+})
+
+func FuzzParseStatus(f *testing.F) {
+	for _, c := range statuses {
+		f.Add(c.text)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		s, err := group.ParseStatus(text)
+		if err != nil {
+			return
+		}
+		if again, err := group.ParseStatus(s.String()); err != nil || again != s {
+			t.Fatalf("%q does not survive its own form: %v", text, err)
+		}
+	})
+}
--- /dev/null
+++ b/peer/convert_test.go
@@ -0,0 +1,36 @@
+package peer
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"amaranthsill/peer/peerpb"
+	"amaranthsill/roster"
+)
+
+func FuzzFromKnowledge(f *testing.F) {
+	k := roster.Knowledge{
+		From:      "vm-1",
+		Documents: []roster.Document{{Name: "manifest", Version: 3, Age: -1}},
+		Members:   []roster.Member{roster.NewMember("vm-2", "coban", "10.0.0.1:1", 7, roster.StateLeaving)},
+	}
+	seed, err := proto.Marshal(ToKnowledge(k))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(seed)
+	f.Add([]byte("garbage"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m := &peerpb.Knowledge{}
+		if proto.Unmarshal(b, m) != nil {
+			return
+		}
+		k, err := FromKnowledge(m)
+		if err != nil {
+			return
+		}
+		machine := &roster.Machine{Self: roster.NewMember("vm-0", "z", "a:1", 1, roster.StateAlive), Limits: roster.DefaultLimits()}
+		machine.Step(0, roster.Received{Knowledge: k})
+	})
+}
--- /dev/null
+++ b/session/token_test.go
@@ -0,0 +1,71 @@
+package session_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"amaranthsill/group"
+	"amaranthsill/session"
+)
+
+func TestSession(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "session")
+}
+
+var texts = map[string]struct {
+	text string
+	good bool
+}{
+	"nothing":          {text: "", good: true},
+	"one group":        {text: "choir:3.17", good: true},
+	"two groups":       {text: "choir:3.17;dues:2.9", good: true},
+	"no position":      {text: "choir"},
+	"no group":         {text: ":3.17"},
+	"a bad position":   {text: "choir:3"},
+	"a negative term":  {text: "choir:-3.17"},
+	"an endless term":  {text: "choir:99999999999999999999.1"},
+	"an empty part":    {text: "choir:3.17;"},
+	"something longer": {text: "choir:3.17.4"},
+}
+
+var _ = Describe("Parse", func() {
+	for name, c := range texts {
+		It(fmt.Sprintf("takes %s: %v", name, c.good), func() {
+			t, err := session.Parse(c.text)
+			if !c.good {
+				Expect(err).To(MatchError(session.ErrToken))
+				return
+			}
+			Expect(err).NotTo(HaveOccurred())
+			Expect(t.String()).To(Equal(c.text))
+		})
+	}
+})
+
+func ExampleToken_Raise() {
+	t, _ := session.Parse("choir:3.17")
+	t = t.Raise("choir", group.At(3, 12))
+	t = t.Raise("dues", group.At(1, 4))
+	fmt.Println(t)
+	// Output: choir:3.17;dues:1.4
+}
+
+func FuzzParse(f *testing.F) {
+	for _, c := range texts {
+		f.Add(c.text)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		first, err := session.Parse(text)
+		if err != nil {
+			return
+		}
+		again, err := session.Parse(first.String())
+		if err != nil || again.String() != first.String() {
+			t.Fatalf("%q does not survive its own form: %v", text, err)
+		}
+	})
+}
