Tell all VMs at once that a machine is leaving, and notice missing rules

Cause: a leaving target was passed on with the beats, and what follows from the members could be half a second old when the groups were told, so nobody told them again. Taking the confirmation of a primary's term out was noticed by no test.

Change: a record that says leaving is announced at once; the groups are told when what follows from the members is up to date; the machine's tests hold a primary's answer by hand; a script takes rules out of a copy and runs the tests.

--- a/group/group_test.go
+++ b/group/group_test.go
@@ -167,3 +167,72 @@
 		}
 	})
 }
+
+// serve makes t0 the primary, opens a slot there and sends a request that
+// does not name itself a read.
+func (b *bench) serve() (run uint64) {
+	for i, role := range []group.Role{group.RolePrimary, group.RoleReplica, group.RoleReplica} {
+		b.hear(fmt.Sprint("t", i), status(1, role, 9))
+	}
+	b.now += time.Millisecond
+	b.step(group.Arrived{Request: group.Request{ID: 1, Session: 1, Deadline: b.now + time.Minute}})
+	for _, a := range b.actions {
+		if d, ok := a.(group.Dial); ok {
+			b.step(group.Dialed{Slot: d.Slot})
+		}
+	}
+	for _, a := range b.actions {
+		if r, ok := a.(group.Run); ok {
+			return r.Run
+		}
+	}
+	Fail("the request was not sent")
+	return 0
+}
+
+func (b *bench) endings() []group.Ending {
+	out := []group.Ending{}
+	for _, a := range b.actions {
+		if e, ok := a.(group.Answer); ok {
+			out = append(out, e.Ending)
+		}
+	}
+	return out
+}
+
+var _ = Describe("A primary's answer", func() {
+	read := group.Reply{Status: status(1, group.RolePrimary, 9), First: group.At(1, 9)}
+
+	It("waits for a majority asked after the request came, although its position is covered", func() {
+		b := newBench()
+		run := b.serve()
+		b.step(group.Finished{Run: run, Reply: read})
+		Expect(b.endings()).To(BeEmpty())
+		b.hear("t1", status(1, group.RoleReplica, 9))
+		Expect(b.endings()).To(ConsistOf(BeAssignableToTypeOf(group.Done{})))
+	})
+
+	It("is not released once a majority has left the term", func() {
+		b := newBench()
+		run := b.serve()
+		b.step(group.Finished{Run: run, Reply: read})
+		b.hear("t1", group.NewStatus(2, group.RoleDetached, group.At(1, 9), group.At(1, 9), 0))
+		Expect(b.endings()).To(BeEmpty())
+		b.hear("t2", group.NewStatus(2, group.RoleDetached, group.At(1, 9), group.At(1, 9), 0))
+		Expect(b.endings()).To(ConsistOf(group.Unknown{Reason: group.ReasonDeposed}))
+	})
+
+	It("to a write waits for a replica that holds it at the primary's term", func() {
+		b := newBench()
+		run := b.serve()
+		b.step(group.Finished{Run: run, Reply: group.Reply{Status: status(1, group.RolePrimary, 10), First: group.At(1, 9), Wrote: true}})
+		b.hear("t1", status(1, group.RoleReplica, 9))
+		Expect(b.endings()).To(BeEmpty())
+		b.hear("t2", status(2, group.RoleReplica, 12))
+		Expect(b.endings()).To(BeEmpty())
+		b.now += 150 * time.Millisecond
+		b.step(group.Ticked{})
+		b.hear("t1", status(1, group.RoleReplica, 10))
+		Expect(b.endings()).To(ConsistOf(BeAssignableToTypeOf(group.Done{})))
+	})
+})
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -51,6 +51,8 @@
 	cpu      time.Duration
 	outage   time.Duration
 	cuts     map[int]time.Duration
+	targets  []string
+	leaving  map[string]bool
 	failures []string
 }
 
@@ -112,9 +114,36 @@
 			out = append(out, roster.NewMember(c.name, c.machine.Self.Zone(), c.name+":1", c.machine.Self.Incarnation(), roster.StateAlive))
 		}
 	}
+	for _, name := range f.targets {
+		state := roster.StateAlive
+		if f.leaving[name] {
+			state = roster.StateLeaving
+		}
+		out = append(out, roster.NewMember(name, "z0", "", 0, state))
+	}
 	return out
 }
 
+// AddTarget puts a target's machine on the platform's list.
+func (f *Fleet) AddTarget(name string) {
+	f.targets = append(f.targets, name)
+	f.leaving = map[string]bool{}
+}
+
+// SetLeaving marks a target's machine on the platform's list.
+func (f *Fleet) SetLeaving(name string, leaving bool) { f.leaving[name] = leaving }
+
+// KnowLeaving returns how many VMs know that a machine is leaving.
+func (f *Fleet) KnowLeaving(name string) int {
+	n := 0
+	for _, c := range f.vms {
+		if !c.gone && c.machine.LeavingNames()[name] {
+			n++
+		}
+	}
+	return n
+}
+
 // follow is a spreader's duty: a watch of 20 s and a list each second.
 func (c *control) follow() {
 	const pause = time.Second
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -78,6 +78,24 @@
 	})
 })
 
+var _ = Describe("A target that is listed as leaving", func() {
+	const noNewWork = 3 * time.Second
+	for name, vms := range map[string]int{"today's fleet": 8, "a large fleet": 300} {
+		It("is known to all VMs in time, and again when it stays, on "+name, func() {
+			f := &fleet.Fleet{Seed: 1, Zones: 3}
+			f.AddTarget("choir-a")
+			f.Grow(vms)
+			f.Run(settled)
+			f.SetLeaving("choir-a", true)
+			f.Run(settled + noNewWork)
+			Expect(f.KnowLeaving("choir-a")).To(Equal(vms))
+			f.SetLeaving("choir-a", false)
+			f.Run(2 * settled)
+			Expect(f.KnowLeaving("choir-a")).To(BeZero())
+		})
+	}
+})
+
 func freezeSome(f *fleet.Fleet, n int, d time.Duration) {
 	for i := range n {
 		f.Freeze(i*3, d)
--- a/internal/world/fault.go
+++ b/internal/world/fault.go
@@ -69,6 +69,21 @@
 	For time.Duration
 }
 
+// Leave makes a target leave for good: it is to get no new work.
+type Leave struct{ Target int }
+
+func (f Leave) strike(w *World) {
+	t := w.pick(f.Target)
+	for _, v := range w.vms {
+		members := append([]group.Member{}, v.machine.Members...)
+		for i, m := range members {
+			members[i].Leaving = m.Leaving || m.Name == t.name
+		}
+		v.step(group.Configured{Members: members, Rank: v.rank()})
+	}
+	t.left = true
+}
+
 // Primary stands for the target that leads the group when the fault strikes.
 const Primary = -1
 
--- a/internal/world/target.go
+++ b/internal/world/target.go
@@ -20,6 +20,8 @@
 	pending []func()
 	stream  *stream
 	polls   []*poll
+	// left reports that the VMs were told that the target leaves.
+	left bool
 	// executed counts how often each request ran here.
 	executed map[uint64]int
 }
--- a/internal/world/vm.go
+++ b/internal/world/vm.go
@@ -223,6 +223,9 @@
 		v.world.wake(&v.place, 0, func() { v.step(group.Broke{Run: a.Run}) })
 		return
 	}
+	if s.target.left && s.tx == nil {
+		v.world.fail("%s sent request %d to leaving %s", v.name, q.id, s.target.name)
+	}
 	s.run = a.Run
 	s.conn.send(&v.place, func() {
 		s.target.work(func() { v.execute(s, q, a.Run) })
--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -70,6 +70,8 @@
 		"connections to replica silent":     {faults: []world.Fault{world.Silence{Target: 1}}, gap: worstGap},
 		"replicas far behind":               {faults: []world.Fault{world.Lag{Target: 1, By: 6 * time.Second, For: 8 * time.Second}, world.Lag{Target: 2, By: 6 * time.Second, For: 8 * time.Second}}, gap: worstGap},
 		"zone of the primary cut off":       {faults: []world.Fault{world.CutZone{Zone: 0, For: 8 * time.Second}}, gap: worstGap},
+		"primary is leaving":                {faults: []world.Fault{world.Leave{Target: world.Primary}}, gap: worstGap},
+		"replica is leaving":                {faults: []world.Fault{world.Leave{Target: 2}}, gap: worstGap},
 		"VM killed":                         {faults: []world.Fault{world.KillVM{VM: 0, For: time.Second}}, gap: worstGap},
 		"VM frozen":                         {faults: []world.Fault{world.FreezeVM{VM: 1, For: 6 * time.Second}}, gap: worstGap},
 		"two targets killed":                {faults: []world.Fault{world.KillTarget{Target: 0, For: 6 * time.Second}, world.KillTarget{Target: 1, For: 7 * time.Second}}},
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -50,6 +50,8 @@
 	begun   time.Time
 	machine *roster.Machine
 	events  chan asked
+	// changed reports that members changed since Changed was last called.
+	changed bool
 	dropped prometheus.Counter
 	server  *http.Server
 	http    *http.Client
@@ -143,7 +145,6 @@
 }
 
 func (m *Mesh) step(ctx context.Context, a asked) {
-	changed := false
 	for _, action := range m.machine.Step(time.Since(m.begun), a.event) {
 		switch n := action.(type) {
 		case roster.Send:
@@ -153,14 +154,15 @@
 		case roster.Reply:
 			a.reply <- n.Knowledge
 		case roster.Changed:
-			changed = true
+			m.changed = true
 			m.Log.Info("member changed", "name", n.Member.Name(), "state", n.Member.State().String())
 		default:
 			panic(fmt.Sprintf("peer: unknown action %T", n))
 		}
 	}
 	m.look()
-	if changed {
+	if m.changed && m.machine.Settled() {
+		m.changed = false
 		m.Changed(ctx)
 	}
 }
--- a/roster/machine.go
+++ b/roster/machine.go
@@ -74,7 +74,7 @@
 }
 
 // chosen is what follows from the members; it is made anew after a change,
-// at most twice a beat.
+// on a large fleet at most twice a beat.
 type chosen struct {
 	at       time.Duration
 	stale    bool
@@ -156,7 +156,8 @@
 
 // choose works out what follows from the members.
 func (m *Machine) choose() *chosen {
-	if c := m.chosen; c != nil && (!c.stale || m.now-c.at < m.Limits.Beat/2) {
+	const small = 100
+	if c := m.chosen; c != nil && (!c.stale || len(m.members) > small && m.now-c.at < m.Limits.Beat/2) {
 		return c
 	}
 	c := &chosen{at: m.now, leaving: map[string]bool{}}
@@ -188,6 +189,10 @@
 	return 0
 }
 
+// Settled reports whether VMs, LeavingNames and Spreader show every change so
+// far.
+func (m *Machine) Settled() bool { return !m.choose().stale }
+
 // Confirmed returns how long ago the platform was known to hold the version
 // of a document that this VM has, and false if that was never known.
 func (m *Machine) Confirmed(name string) (time.Duration, bool) {
@@ -251,6 +256,10 @@
 	}
 	m.outdate()
 	m.act(Changed{Member: n})
+	if n.state == StateLeaving {
+		// It must get no new work soon, so nobody waits for a beat.
+		m.announce("")
+	}
 }
 
 // refute answers a rumour of this VM's own end with a newer record.
@@ -278,5 +287,4 @@
 func (m *Machine) leave() {
 	m.Self.state = StateLeaving
 	m.merge(m.Self)
-	m.announce("")
 }
--- /dev/null
+++ b/scripts/mutants.sh
@@ -0,0 +1,47 @@
+#!/usr/bin/env bash
+# Takes one rule after the other out of the decisions, in a copy of the tree,
+# and checks that the tests notice. A mutant that passes is a hole in the
+# proofs.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+caught=0
+missed=0
+
+# mutant NAME FILE PATTERN REPLACEMENT PACKAGE: perl replaces the first match.
+mutant() {
+  local copy="$work/$1"
+  mkdir -p "$copy"
+  git ls-files -z | tar --null -T - -cf - | tar -xf - -C "$copy"
+  (cd "$copy" && perl -0pi -e "s/$3/$4/" "$2")
+  if cmp -s "$2" "$copy/$2"; then
+    echo "mutant $1: the pattern matches nothing" >&2
+    missed=$((missed + 1))
+    return
+  fi
+  if (cd "$copy" && go test "$5" >"$copy/out" 2>&1); then
+    echo "mutant $1: not noticed" >&2
+    missed=$((missed + 1))
+  else
+    caught=$((caught + 1))
+    echo "mutant $1: noticed: $(grep -m1 -oE 'invariant broken: .{0,80}|[a-z]+ [0-9]+ .{0,20}(was lost|ran [0-9]+ times|ran in the transaction).{0,40}|refused request.{0,20}|session [0-9]+ (wrote|went|saw).{0,60}|aged read.{0,60}|row k[0-9] is not linearizable|saw r[0-9]+, which was lost|Expected$|a VM does not have.{0,40}|went down.{0,40}' "$copy/out" | head -1)"
+  fi
+  rm -rf "$copy"
+}
+
+world=./internal/world
+mutant no-majority group/knowledge.go 'return holders >= m.quorum\(\)' 'return holders >= 1' $world
+mutant no-confirmation group/knowledge.go 'return n >= m.quorum\(\)\n\}\n\n\/\/ index' 'return true\n}\n\n\/\/ index' ./group
+mutant no-read-index group/knowledge.go 'return last\[m.quorum\(\)-1\], true' 'return Position{}, true' $world
+mutant no-floor group/release.go '\|\| !first.Reaches\(w.need\) \|\| !first.Reaches\(w.Floor\)' '' $world
+mutant no-age group/samples.go 'if e.at < now-age \{\n\t\t\treturn false' 'if false {\n\t\t\treturn false' $world
+mutant rerun-any-write group/requests.go 'if !w.Read && !w.Repeat \{\n\t\treturn false' 'if false {\n\t\treturn false' $world
+mutant rerun-on-same-target group/routing.go 'v == nil \|\| w.sent && w.sentTo == v.Name' 'v == nil' $world
+mutant transaction-not-pinned group/slots.go 's.session = r.session\n' '' $world
+mutant unopened-replica group/release.go '!s.Opened\(\) \|\| ' '' $world
+mutant fence-of-one group/promotion.go 'len\(p.fenced\) >= m.quorum\(\) && p.enough' 'len(p.fenced) >= 1 \&\& p.enough' $world
+mutant version-goes-down roster/exchange.go 'if e.Version < d.version \{\n\t\treturn\n\t\}\n\tnews := e.Version > d.version' 'news := e.Version != d.version' ./internal/fleet
+mutant no-push roster/exchange.go 'if news \{\n\t\tm.announce\(""\)\n\t\}' '' ./internal/fleet
+echo "mutants: $caught passed, $missed failed"
+[ "$missed" -eq 0 ]
