--- a/burn/burn_test.go
+++ b/burn/burn_test.go
@@ -6,15 +6,15 @@
 	"testing"
 	"time"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
 
 	"amaranthsill/burn"
 )
 
 func TestBurn(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "burn")
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "burn")
 }
 
 var noon = time.Date(2026, 12, 3, 12, 0, 0, 0, time.UTC)
@@ -26,7 +26,7 @@
 	}}
 }
 
-var _ = Describe("A report", func() {
+var _ = ginkgo.Describe("A report", func() {
 	for name, c := range map[string]struct {
 		snapshots []burn.Snapshot
 		covered   time.Duration
@@ -39,34 +39,34 @@
 		"leaves out what is before its window":  {snapshots: []burn.Snapshot{snapshot(0, "a", 0, 0), snapshot(time.Hour, "a", 5000, 0), snapshot(time.Hour+time.Minute, "a", 5999, 1)}, covered: time.Minute, total: 1000, burn: 1},
 		"with a VM that is new in the snapshot": {snapshots: []burn.Snapshot{{At: noon}, snapshot(time.Minute, "b", 1000, 0)}, covered: time.Minute, total: 1000, burn: 0},
 	} {
-		It(name, func() {
+		ginkgo.It(name, func() {
 			r := burn.Compare(nil, c.snapshots, nil)
 			w := r.Rows[0].Windows[0]
-			Expect(w.Covered).To(Equal(c.covered))
-			Expect(w.Total).To(Equal(c.total))
-			Expect(w.Burn(r.Rows[0].Objective)).To(BeNumerically("~", c.burn, 1e-9))
+			gomega.Expect(w.Covered).To(gomega.Equal(c.covered))
+			gomega.Expect(w.Total).To(gomega.Equal(c.total))
+			gomega.Expect(w.Burn(r.Rows[0].Objective)).To(gomega.BeNumerically("~", c.burn, 1e-9))
 		})
 	}
 
-	It("names what is missing, in text and on the page", func() {
+	ginkgo.It("names what is missing, in text and on the page", func() {
 		r := burn.Compare(nil, []burn.Snapshot{snapshot(0, "a", 0, 0), snapshot(time.Minute, "a", 990, 10)}, map[string]error{"vm-9": errors.New("no answer")})
 		text, page := &bytes.Buffer{}, &bytes.Buffer{}
-		Expect(r.Text(text)).To(Succeed())
-		Expect(r.Page(page)).To(Succeed())
-		Expect(text.String()).To(ContainSubstring("missing: vm-9: no answer"))
-		Expect(page.String()).To(ContainSubstring("Missing: vm-9: no answer"))
-		Expect(page.String()).To(ContainSubstring("<svg"))
+		gomega.Expect(r.Text(text)).To(gomega.Succeed())
+		gomega.Expect(r.Page(page)).To(gomega.Succeed())
+		gomega.Expect(text.String()).To(gomega.ContainSubstring("missing: vm-9: no answer"))
+		gomega.Expect(page.String()).To(gomega.ContainSubstring("Missing: vm-9: no answer"))
+		gomega.Expect(page.String()).To(gomega.ContainSubstring("<svg"))
 	})
 
-	It("is kept and read back", func() {
-		directory := GinkgoT().TempDir()
+	ginkgo.It("is kept and read back", func() {
+		directory := ginkgo.GinkgoT().TempDir()
 		s := snapshot(0, "a", 1, 2)
-		Expect(s.Save(directory)).To(Succeed())
-		Expect(burn.Load(directory)).To(Equal([]burn.Snapshot{s}))
+		gomega.Expect(s.Save(directory)).To(gomega.Succeed())
+		gomega.Expect(burn.Load(directory)).To(gomega.Equal([]burn.Snapshot{s}))
 	})
 
-	It("refuses metrics that are none", func() {
+	ginkgo.It("refuses metrics that are none", func() {
 		s := burn.Snapshot{}
-		Expect(s.Add("a", []byte("{not metrics"))).To(MatchError(burn.ErrMetrics))
+		gomega.Expect(s.Add("a", []byte("{not metrics"))).To(gomega.MatchError(burn.ErrMetrics))
 	})
 })
--- a/cmd/amaranthsill/manifest.go
+++ b/cmd/amaranthsill/manifest.go
@@ -78,6 +78,8 @@
 	identity string
 	timeout  time.Duration
 	asJSON   bool
+	wait     bool
+	vms      string
 }
 
 func submitCommand() *ffcli.Command {
@@ -87,6 +89,8 @@
 	flags.StringVar(&s.identity, "identity", "", "identity of the submission; a repeat with the same one does no harm")
 	flags.DurationVar(&s.timeout, "timeout", 30*time.Second, "time to find out the outcome")
 	flags.BoolVar(&s.asJSON, "json", false, "print JSON")
+	flags.BoolVar(&s.wait, "wait", false, "wait until the VMs given with --vms have it in force")
+	flags.StringVar(&s.vms, "vms", "", "admin addresses of the VMs to wait for, separated by commas")
 	return &ffcli.Command{
 		Name:       "submit",
 		ShortUsage: "amaranthsill submit [flags] FILE",
@@ -102,6 +106,10 @@
 	Version uint64 `json:"version,omitempty"`
 	Winner  string `json:"winner,omitempty"`
 	Error   string `json:"error,omitempty"`
+	// Zones tells, with --wait, which VMs have the version in force.
+	Zones []zoneReport `json:"zones,omitempty"`
+	// Missing are the VMs that did not confirm in time.
+	Missing []string `json:"missing,omitempty"`
 }
 
 func (s *submitter) run(ctx context.Context, args []string) error {
@@ -120,16 +128,19 @@
 	if err != nil {
 		return report(s.asJSON, submitReport{Outcome: "refused", Error: err.Error()}, err.Error(), exitRefused)
 	}
-	return s.ended(o)
+	return s.ended(ctx, o)
 }
 
-func (s *submitter) ended(o submission.Outcome) error {
+func (s *submitter) ended(ctx context.Context, o submission.Outcome) error {
 	switch o := o.(type) {
 	case submission.Accepted:
 		text := fmt.Sprintf("accepted as version %d", o.Version)
 		if o.Current > o.Version {
 			text += fmt.Sprintf("; version %d has followed since", o.Current)
 		}
+		if s.wait {
+			return s.await(ctx, o, text)
+		}
 		return report(s.asJSON, submitReport{Outcome: "accepted", Version: o.Version}, text, 0)
 	case submission.Lost:
 		text := fmt.Sprintf("refused: submission %s won with version %d; look at it and submit again", o.Winner, o.Version)
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -15,9 +15,10 @@
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
 
+	"amaranthsill/caller"
 	"amaranthsill/entry"
 	"amaranthsill/internal/standin"
 	"amaranthsill/platform"
@@ -25,8 +26,8 @@
 )
 
 func TestEntry(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "entry")
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "entry")
 }
 
 const kinds = `[
@@ -57,11 +58,11 @@
 		Connections: 40,
 		Kinds:       kinds,
 	}}
-	Expect(f.site.Start(ctx)).To(Succeed())
+	gomega.Expect(f.site.Start(ctx)).To(gomega.Succeed())
 	s := &submission.Submission{Store: &platform.Client{Address: f.site.PlatformAddress}, Text: []byte(f.site.Manifest())}
 	outcome, err := s.Run(ctx)
-	Expect(err).NotTo(HaveOccurred())
-	Expect(outcome).To(Equal(submission.Accepted{Version: 1, Current: 1}))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	gomega.Expect(outcome).To(gomega.Equal(submission.Accepted{Version: 1, Current: 1}))
 	for i := range vms {
 		f.startVM(ctx, i)
 	}
@@ -75,7 +76,7 @@
 	addresses := []any{}
 	for range 3 {
 		a, err := standin.FreeAddress()
-		Expect(err).NotTo(HaveOccurred())
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		addresses = append(addresses, a)
 	}
 	name := fmt.Sprintf("vm-%d", i)
@@ -83,7 +84,7 @@
 	text := fmt.Sprintf(`{"vm": %q, "zone": %q, "callers": %q, "peers": %q, "admin": %q, "platform": %q}`,
 		append(append([]any{name, zone}, addresses...), f.site.PlatformAddress)...)
 	settings, err := entry.ParseSettings("vm.json", []byte(text))
-	Expect(err).NotTo(HaveOccurred())
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	body := fmt.Sprintf(`{"zone": %q, "address": %q}`, zone, addresses[1])
 	put(ctx, f.site.PlatformAddress, "/v1/vms/"+name, body)
 	ctx, stop := context.WithCancel(ctx)
@@ -95,10 +96,10 @@
 
 func put(ctx context.Context, address, path, body string) {
 	q, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+address+path, bytes.NewReader([]byte(body)))
-	Expect(err).NotTo(HaveOccurred())
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	a, err := http.DefaultClient.Do(q)
-	Expect(err).NotTo(HaveOccurred())
-	Expect(a.Body.Close()).To(Succeed())
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	gomega.Expect(a.Body.Close()).To(gomega.Succeed())
 }
 
 // await waits until a VM acknowledges a write in each group.
@@ -130,7 +131,7 @@
 
 func (f *fixture) mustConnect(ctx context.Context, i int, group, token string) *pgx.Conn {
 	c, err := f.connect(ctx, i, group, token)
-	Expect(err).NotTo(HaveOccurred())
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	return c
 }
 
@@ -144,114 +145,138 @@
 
 func token(c *pgx.Conn) string { return c.PgConn().ParameterStatus("amaranthsill.session") }
 
-var _ = Describe("A VM", Ordered, func() {
+var _ = ginkgo.Describe("A VM", ginkgo.Ordered, func() {
 	var ctx context.Context
 	var f *fixture
-	BeforeAll(func() {
+	ginkgo.BeforeAll(func() {
 		c, stop := context.WithCancel(context.Background())
 		ctx = c
-		DeferCleanup(stop)
+		ginkgo.DeferCleanup(stop)
 		f = start(ctx, 3)
 	})
 
-	It("lets a session see its writes through any VM", func() {
+	ginkgo.It("lets a session see its writes through any VM", func() {
 		mark := ""
 		for i := range 60 {
 			c := f.mustConnect(ctx, i%3, "choir", mark)
 			_, err := c.Exec(ctx, "/* kind=marks */ insert into marks (key, value) values ($1, $2) on conflict (key) do update set value = excluded.value", "own", fmt.Sprint(i))
-			Expect(err).NotTo(HaveOccurred())
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
 			mark = token(c)
-			Expect(c.Close(ctx)).To(Succeed())
+			gomega.Expect(c.Close(ctx)).To(gomega.Succeed())
 			c = f.mustConnect(ctx, (i+1)%3, "choir", mark)
 			for _, kind := range []string{"tracks", "lookup"} {
 				value := ""
-				Expect(c.QueryRow(ctx, "/* kind="+kind+" */ select value from marks where key = $1", "own").Scan(&value)).To(Succeed())
-				Expect(value).To(Equal(fmt.Sprint(i)))
+				gomega.Expect(c.QueryRow(ctx, "/* kind="+kind+" */ select value from marks where key = $1", "own").Scan(&value)).To(gomega.Succeed())
+				gomega.Expect(value).To(gomega.Equal(fmt.Sprint(i)))
 			}
-			Expect(c.Close(ctx)).To(Succeed())
+			gomega.Expect(c.Close(ctx)).To(gomega.Succeed())
 		}
 	})
 
-	It("runs a request with a key once, whichever VM gets it", func() {
+	ginkgo.It("runs a request with a key once, whichever VM gets it", func() {
 		c := f.mustConnect(ctx, 0, "dues", "")
 		defer func() { _ = c.Close(ctx) }()
 		_, err := c.Exec(ctx, "insert into paid (key, value) values ('sum', '')")
-		Expect(err).NotTo(HaveOccurred())
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		var all sync.WaitGroup
 		for i := range 9 {
 			all.Go(func() {
-				defer GinkgoRecover()
+				defer ginkgo.GinkgoRecover()
 				n := f.mustConnect(ctx, i%3, "dues", "")
 				defer func() { _ = n.Close(ctx) }()
 				tag, err := n.Exec(ctx, "/* kind=payment key=one */ update paid set value = value || 'x' where key = 'sum'")
-				Expect(err).NotTo(HaveOccurred())
-				Expect(tag.RowsAffected()).To(Equal(int64(1)))
+				gomega.Expect(err).NotTo(gomega.HaveOccurred())
+				gomega.Expect(tag.RowsAffected()).To(gomega.Equal(int64(1)))
 			})
 		}
 		all.Wait()
 		sum := ""
-		Expect(c.QueryRow(ctx, "/* kind=lookup */ select value from paid where key = 'sum'").Scan(&sum)).To(Succeed())
-		Expect(sum).To(Equal("x"))
+		gomega.Expect(c.QueryRow(ctx, "/* kind=lookup */ select value from paid where key = 'sum'").Scan(&sum)).To(gomega.Succeed())
+		gomega.Expect(sum).To(gomega.Equal("x"))
 	})
 
-	It("never mixes transactions", func() {
+	ginkgo.It("gives a repeat the first run's answer after the primary died", func() {
+		g := start(ctx, 3)
+		const query = "/* kind=payment key=claim-7 */ insert into claims (key, value) values ('claim-7', 'sent')"
+		c := g.mustConnect(ctx, 0, "dues", "")
+		_, err := c.Exec(ctx, query)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		mark := token(c)
+		gomega.Expect(c.Close(ctx)).To(gomega.Succeed())
+		g.site.KillPrimary("dues")
+		for i := range 6 {
+			n := g.mustConnect(ctx, i%3, "dues", mark)
+			tag, err := n.Exec(ctx, query)
+			for codeOf(err) == caller.CodeRefused || codeOf(err) == caller.CodeUnknown {
+				tag, err = n.Exec(ctx, query)
+			}
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(tag.String()).To(gomega.Equal("INSERT 0 1"))
+			value := ""
+			gomega.Expect(n.QueryRow(ctx, "/* kind=lookup */ select value from claims where key = 'claim-7'").Scan(&value)).To(gomega.Succeed())
+			gomega.Expect(value).To(gomega.Equal("sent"))
+			gomega.Expect(n.Close(ctx)).To(gomega.Succeed())
+		}
+	})
+
+	ginkgo.It("never mixes transactions", func() {
 		var all sync.WaitGroup
 		for i := range 12 {
 			all.Go(func() {
-				defer GinkgoRecover()
+				defer ginkgo.GinkgoRecover()
 				c := f.mustConnect(ctx, i%3, "choir", "")
 				defer func() { _ = c.Close(ctx) }()
 				for n := range 10 {
 					tx, err := c.Begin(ctx)
-					Expect(err).NotTo(HaveOccurred())
+					gomega.Expect(err).NotTo(gomega.HaveOccurred())
 					key := fmt.Sprintf("tx-%d-%d", i, n)
 					_, err = tx.Exec(ctx, "insert into marks (key, value) values ($1, $2)", key, "a")
-					Expect(err).NotTo(HaveOccurred())
+					gomega.Expect(err).NotTo(gomega.HaveOccurred())
 					got := ""
-					Expect(tx.QueryRow(ctx, "select value from marks where key = $1", key).Scan(&got)).To(Succeed())
-					Expect(got).To(Equal("a"))
+					gomega.Expect(tx.QueryRow(ctx, "select value from marks where key = $1", key).Scan(&got)).To(gomega.Succeed())
+					gomega.Expect(got).To(gomega.Equal("a"))
 					if n%2 == 0 {
-						Expect(tx.Commit(ctx)).To(Succeed())
+						gomega.Expect(tx.Commit(ctx)).To(gomega.Succeed())
 						continue
 					}
-					Expect(tx.Rollback(ctx)).To(Succeed())
+					gomega.Expect(tx.Rollback(ctx)).To(gomega.Succeed())
 					err = c.QueryRow(ctx, "/* kind=lookup */ select value from marks where key = $1", key).Scan(&got)
-					Expect(err).To(MatchError(pgx.ErrNoRows))
+					gomega.Expect(err).To(gomega.MatchError(pgx.ErrNoRows))
 				}
 			})
 		}
 		all.Wait()
 	})
 
-	It("rolls back what a vanished caller left open", func() {
+	ginkgo.It("rolls back what a vanished caller left open", func() {
 		c := f.mustConnect(ctx, 0, "choir", "")
 		_, err := c.Exec(ctx, "begin")
-		Expect(err).NotTo(HaveOccurred())
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		_, err = c.Exec(ctx, "insert into marks (key, value) values ('left', 'open')")
-		Expect(err).NotTo(HaveOccurred())
-		Expect(c.PgConn().Conn().Close()).To(Succeed())
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(c.PgConn().Conn().Close()).To(gomega.Succeed())
 		n := f.mustConnect(ctx, 0, "choir", "")
 		defer func() { _ = n.Close(ctx) }()
 		for range 20 {
 			got := ""
 			err = n.QueryRow(ctx, "/* kind=lookup */ select value from marks where key = 'left'").Scan(&got)
-			Expect(err).To(MatchError(pgx.ErrNoRows))
+			gomega.Expect(err).To(gomega.MatchError(pgx.ErrNoRows))
 		}
 	})
 
-	It("answers a commit after a failed statement with a rollback", func() {
+	ginkgo.It("answers a commit after a failed statement with a rollback", func() {
 		c := f.mustConnect(ctx, 0, "choir", "")
 		defer func() { _ = c.Close(ctx) }()
 		tx, err := c.Begin(ctx)
-		Expect(err).NotTo(HaveOccurred())
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		_, err = tx.Exec(ctx, "insert into marks (key, value) values ('half', 'x')")
-		Expect(err).NotTo(HaveOccurred())
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		_, err = tx.Exec(ctx, "listen nothing")
-		Expect(codeOf(err)).To(Equal("0A000"))
-		Expect(tx.Commit(ctx)).To(MatchError(pgx.ErrTxCommitRollback))
+		gomega.Expect(codeOf(err)).To(gomega.Equal("0A000"))
+		gomega.Expect(tx.Commit(ctx)).To(gomega.MatchError(pgx.ErrTxCommitRollback))
 		got := ""
 		err = c.QueryRow(ctx, "/* kind=lookup */ select value from marks where key = 'half'").Scan(&got)
-		Expect(err).To(MatchError(pgx.ErrNoRows))
+		gomega.Expect(err).To(gomega.MatchError(pgx.ErrNoRows))
 	})
 
 	for name, c := range map[string]struct {
@@ -266,23 +291,23 @@
 		"a malformed token":            {query: "set amaranthsill.session = 'x'", code: "22023"},
 		"what the target rejects":      {query: "selekt", code: "42601"},
 	} {
-		It("refuses "+name+" and goes on", func() {
+		ginkgo.It("refuses "+name+" and goes on", func() {
 			n := f.mustConnect(ctx, 0, "choir", "")
 			defer func() { _ = n.Close(ctx) }()
 			_, err := n.Exec(ctx, c.query, pgx.QueryExecModeSimpleProtocol)
-			Expect(codeOf(err)).To(Equal(c.code))
+			gomega.Expect(codeOf(err)).To(gomega.Equal(c.code))
 			_, err = n.Exec(ctx, "/* kind=lookup */ select count(*) from marks")
-			Expect(err).NotTo(HaveOccurred())
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		})
 	}
 
-	It("refuses an unknown database and an unknown start-up parameter", func() {
+	ginkgo.It("refuses an unknown database and an unknown start-up parameter", func() {
 		_, err := f.connect(ctx, 0, "nowhere", "")
-		Expect(codeOf(err)).To(Equal("3D000"))
+		gomega.Expect(codeOf(err)).To(gomega.Equal("3D000"))
 		config, err := pgx.ParseConfig("postgres://me@" + f.vms[0].callers + "/choir?sslmode=disable&nonsense=1")
-		Expect(err).NotTo(HaveOccurred())
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		_, err = pgx.ConnectConfig(ctx, config)
-		Expect(codeOf(err)).To(Equal("42704"))
+		gomega.Expect(codeOf(err)).To(gomega.Equal("42704"))
 	})
 
 	for name, raw := range map[string][]byte{
@@ -292,23 +317,23 @@
 		"an unknown message":        {'!', 0, 0, 0, 4},
 		"a message that is too big": {'P', 0, 0, 0, 4},
 	} {
-		It("survives a caller that sends "+name, func() {
+		ginkgo.It("survives a caller that sends "+name, func() {
 			n, err := net.Dial("tcp", f.vms[0].callers)
-			Expect(err).NotTo(HaveOccurred())
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
 			front := pgproto3.NewFrontend(n, n)
 			front.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersionNumber, Parameters: map[string]string{"user": "me", "database": "choir"}})
-			Expect(front.Flush()).To(Succeed())
+			gomega.Expect(front.Flush()).To(gomega.Succeed())
 			_, err = n.Write(raw)
-			Expect(err).NotTo(HaveOccurred())
-			Expect(n.Close()).To(Succeed())
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(n.Close()).To(gomega.Succeed())
 			c := f.mustConnect(ctx, 0, "choir", "")
 			defer func() { _ = c.Close(ctx) }()
 			_, err = c.Exec(ctx, "/* kind=lookup */ select count(*) from marks")
-			Expect(err).NotTo(HaveOccurred())
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		})
 	}
 
-	It("cuts no request in flight when it stops", func() {
+	ginkgo.It("cuts no request in flight when it stops", func() {
 		i := len(f.vms)
 		f.startVM(ctx, i)
 		f.await(ctx, i)
@@ -321,9 +346,9 @@
 		}()
 		time.Sleep(100 * time.Millisecond)
 		f.vms[i].stop()
-		Expect(<-answered).To(Succeed())
-		Expect(<-f.vms[i].ended).To(Succeed())
+		gomega.Expect(<-answered).To(gomega.Succeed())
+		gomega.Expect(<-f.vms[i].ended).To(gomega.Succeed())
 		_, err := idle.Exec(ctx, "select 1")
-		Expect(err).To(HaveOccurred())
+		gomega.Expect(err).To(gomega.HaveOccurred())
 	})
 })
--- a/group/group_test.go
+++ b/group/group_test.go
@@ -5,15 +5,15 @@
 	"testing"
 	"time"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
 
 	"amaranthsill/group"
 )
 
 func TestGroup(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "group")
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "group")
 }
 
 var statuses = map[string]struct {
@@ -31,16 +31,16 @@
 	"nothing":                    {text: ""},
 }
 
-var _ = Describe("ParseStatus", func() {
+var _ = ginkgo.Describe("ParseStatus", func() {
 	for name, c := range statuses {
-		It(fmt.Sprintf("takes %s: %v", name, c.good), func() {
+		ginkgo.It(fmt.Sprintf("takes %s: %v", name, c.good), func() {
 			s, err := group.ParseStatus(c.text)
 			if !c.good {
-				Expect(err).To(MatchError(group.ErrStatus))
+				gomega.Expect(err).To(gomega.MatchError(group.ErrStatus))
 				return
 			}
-			Expect(err).NotTo(HaveOccurred())
-			Expect(s.String()).To(Equal(c.text))
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(s.String()).To(gomega.Equal(c.text))
 		})
 	}
 })
@@ -93,23 +93,23 @@
 	return group.NewStatus(term, role, p, p, 0)
 }
 
-var _ = Describe("A machine", func() {
+var _ = ginkgo.Describe("A machine", func() {
 	for name, second := range map[string]group.Status{
 		"a lower term":                status(2, group.RoleReplica, 9),
 		"a position that goes back":   status(3, group.RoleReplica, 4),
 		"a lower term with a primary": status(1, group.RolePrimary, 90),
 	} {
-		It("sets aside a target that answers with "+name, func() {
+		ginkgo.It("sets aside a target that answers with "+name, func() {
 			b := newBench()
 			b.hear("t1", status(3, group.RoleReplica, 9))
 			b.now += 150 * time.Millisecond
 			b.step(group.Ticked{})
 			b.hear("t1", second)
-			Expect(b.notes()).To(ContainElement(BeAssignableToTypeOf(group.TargetSetAside{})))
+			gomega.Expect(b.notes()).To(gomega.ContainElement(gomega.BeAssignableToTypeOf(group.TargetSetAside{})))
 		})
 	}
 
-	It("lets no events of unknown slots, runs and targets disturb it", func() {
+	ginkgo.It("lets no events of unknown slots, runs and targets disturb it", func() {
 		b := newBench()
 		for _, e := range []group.Event{
 			group.Dialed{Slot: 99},
@@ -127,26 +127,26 @@
 		}
 	})
 
-	It("answers at once what it gives up, and says when to come back", func() {
+	ginkgo.It("answers at once what it gives up, and says when to come back", func() {
 		b := newBench()
 		b.machine.Limits.Queue = 1
 		for id := uint64(1); id <= 2; id++ {
 			b.step(group.Arrived{Request: group.Request{ID: id, Session: id, Deadline: time.Minute}})
 		}
-		Expect(b.actions).To(ContainElement(group.Answer{
+		gomega.Expect(b.actions).To(gomega.ContainElement(group.Answer{
 			Request: 2,
 			Ending:  group.Refused{Reason: group.ReasonQueueFull, RetryAfter: 101 * time.Millisecond},
 		}))
 	})
 
-	It("refuses writes at once while a majority is out of reach", func() {
+	ginkgo.It("refuses writes at once while a majority is out of reach", func() {
 		b := newBench()
 		for range 40 {
 			b.now += 100 * time.Millisecond
 			b.step(group.Ticked{})
 		}
 		b.step(group.Arrived{Request: group.Request{ID: 1, Session: 1, Deadline: b.now + time.Minute}})
-		Expect(b.actions).To(ContainElement(group.Answer{
+		gomega.Expect(b.actions).To(gomega.ContainElement(group.Answer{
 			Request: 1,
 			Ending:  group.Refused{Reason: group.ReasonNoMajority, RetryAfter: time.Second},
 		}))
@@ -186,7 +186,7 @@
 			return r.Run
 		}
 	}
-	Fail("the request was not sent")
+	ginkgo.Fail("the request was not sent")
 	return 0
 }
 
@@ -200,39 +200,39 @@
 	return out
 }
 
-var _ = Describe("A primary's answer", func() {
+var _ = ginkgo.Describe("A primary's answer", func() {
 	read := group.Reply{Status: status(1, group.RolePrimary, 9), First: group.At(1, 9)}
 
-	It("waits for a majority asked after the request came, although its position is covered", func() {
+	ginkgo.It("waits for a majority asked after the request came, although its position is covered", func() {
 		b := newBench()
 		run := b.serve()
 		b.step(group.Finished{Run: run, Reply: read})
-		Expect(b.endings()).To(BeEmpty())
+		gomega.Expect(b.endings()).To(gomega.BeEmpty())
 		b.hear("t1", status(1, group.RoleReplica, 9))
-		Expect(b.endings()).To(ConsistOf(BeAssignableToTypeOf(group.Done{})))
+		gomega.Expect(b.endings()).To(gomega.ConsistOf(gomega.BeAssignableToTypeOf(group.Done{})))
 	})
 
-	It("is not released once a majority has left the term", func() {
+	ginkgo.It("is not released once a majority has left the term", func() {
 		b := newBench()
 		run := b.serve()
 		b.step(group.Finished{Run: run, Reply: read})
 		b.hear("t1", group.NewStatus(2, group.RoleDetached, group.At(1, 9), group.At(1, 9), 0))
-		Expect(b.endings()).To(BeEmpty())
+		gomega.Expect(b.endings()).To(gomega.BeEmpty())
 		b.hear("t2", group.NewStatus(2, group.RoleDetached, group.At(1, 9), group.At(1, 9), 0))
-		Expect(b.endings()).To(ConsistOf(group.Unknown{Reason: group.ReasonDeposed}))
+		gomega.Expect(b.endings()).To(gomega.ConsistOf(group.Unknown{Reason: group.ReasonDeposed}))
 	})
 
-	It("to a write waits for a replica that holds it at the primary's term", func() {
+	ginkgo.It("to a write waits for a replica that holds it at the primary's term", func() {
 		b := newBench()
 		run := b.serve()
 		b.step(group.Finished{Run: run, Reply: group.Reply{Status: status(1, group.RolePrimary, 10), First: group.At(1, 9), Wrote: true}})
 		b.hear("t1", status(1, group.RoleReplica, 9))
-		Expect(b.endings()).To(BeEmpty())
+		gomega.Expect(b.endings()).To(gomega.BeEmpty())
 		b.hear("t2", status(2, group.RoleReplica, 12))
-		Expect(b.endings()).To(BeEmpty())
+		gomega.Expect(b.endings()).To(gomega.BeEmpty())
 		b.now += 150 * time.Millisecond
 		b.step(group.Ticked{})
 		b.hear("t1", status(1, group.RoleReplica, 10))
-		Expect(b.endings()).To(ConsistOf(BeAssignableToTypeOf(group.Done{})))
+		gomega.Expect(b.endings()).To(gomega.ConsistOf(gomega.BeAssignableToTypeOf(group.Done{})))
 	})
 })
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
 	"amaranthsill/internal/fleet"
@@ -26,8 +26,8 @@
 }
 
 func TestFleet(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "fleet")
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "fleet")
 }
 
 // The stated targets.
@@ -37,7 +37,7 @@
 	settled      = 20 * time.Second
 )
 
-var _ = Describe("A manifest", func() {
+var _ = ginkgo.Describe("A manifest", func() {
 	for name, c := range map[string]struct {
 		vms   int
 		zones int
@@ -51,7 +51,7 @@
 		"with a zone that was cut off":   {vms: 50, zones: 5, limit: inForceLarge, fault: func(f *fleet.Fleet) { f.CutZone(1, 4*time.Second) }},
 		"amid replacements":              {vms: 50, zones: 5, limit: inForceLarge, fault: func(f *fleet.Fleet) { replaceSome(f, 10) }},
 	} {
-		It("is in force everywhere in time, "+name, func() {
+		ginkgo.It("is in force everywhere in time, "+name, func() {
 			f := &fleet.Fleet{Seed: 1, Zones: c.zones}
 			f.Grow(c.vms)
 			f.Run(settled)
@@ -60,38 +60,38 @@
 			}
 			f.Publish()
 			f.Run(settled + c.limit)
-			Expect(f.Everywhere()).To(BeTrue())
+			gomega.Expect(f.Everywhere()).To(gomega.BeTrue())
 		})
 	}
 
-	It("is confirmed while the platform answers, and not after it went away", func() {
+	ginkgo.It("is confirmed while the platform answers, and not after it went away", func() {
 		f := &fleet.Fleet{Seed: 1, Zones: 3}
 		f.Grow(8)
 		f.Publish()
 		f.Run(2 * time.Minute)
-		Expect(f.Blind()).To(BeZero())
+		gomega.Expect(f.Blind()).To(gomega.BeZero())
 		f.Outage(10 * time.Minute)
 		f.Run(4 * time.Minute)
-		Expect(f.Blind()).To(Equal(8))
+		gomega.Expect(f.Blind()).To(gomega.Equal(8))
 		f.Run(14 * time.Minute)
-		Expect(f.Blind()).To(BeZero())
+		gomega.Expect(f.Blind()).To(gomega.BeZero())
 	})
 })
 
-var _ = Describe("A target that is listed as leaving", func() {
+var _ = ginkgo.Describe("A target that is listed as leaving", func() {
 	const noNewWork = 3 * time.Second
 	for name, vms := range map[string]int{"today's fleet": 8, "a large fleet": 300} {
-		It("is known to all VMs in time, and again when it stays, on "+name, func() {
+		ginkgo.It("is known to all VMs in time, and again when it stays, on "+name, func() {
 			f := &fleet.Fleet{Seed: 1, Zones: 3}
 			f.AddTarget("choir-a")
 			f.Grow(vms)
 			f.Run(settled)
 			f.SetLeaving("choir-a", true)
 			f.Run(settled + noNewWork)
-			Expect(f.KnowLeaving("choir-a")).To(Equal(vms))
+			gomega.Expect(f.KnowLeaving("choir-a")).To(gomega.Equal(vms))
 			f.SetLeaving("choir-a", false)
 			f.Run(2 * settled)
-			Expect(f.KnowLeaving("choir-a")).To(BeZero())
+			gomega.Expect(f.KnowLeaving("choir-a")).To(gomega.BeZero())
 		})
 	}
 })
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -27,6 +27,8 @@
 	PlatformAddress string
 	// Targets are the targets of each group, in the order of the zones.
 	Targets map[string][]*Target
+
+	kills map[*Target]context.CancelFunc
 }
 
 // FreeAddress returns a loopback address that nothing listens on.
@@ -51,6 +53,7 @@
 	go func() { _ = h.Serve(l) }()
 	context.AfterFunc(ctx, func() { _ = h.Close() })
 	s.Targets = map[string][]*Target{}
+	s.kills = map[*Target]context.CancelFunc{}
 	for _, g := range s.Groups {
 		for range s.Zones {
 			if err := s.startTarget(ctx, g); err != nil {
@@ -69,10 +72,21 @@
 	}
 	t := &Target{Address: a, Connections: s.Connections, Slots: slots, Lag: lag}
 	s.Targets[group] = append(s.Targets[group], t)
+	ctx, s.kills[t] = context.WithCancel(ctx)
 	go func() { _ = t.Run(ctx) }()
 	return nil
 }
 
+// KillPrimary ends the target that leads a group: it stops listening and all
+// its connections break.
+func (s *Site) KillPrimary(name string) {
+	for _, t := range s.Targets[name] {
+		if t.leads() {
+			s.kills[t]()
+		}
+	}
+}
+
 // Manifest returns the text of a manifest that describes the site.
 func (s *Site) Manifest() string {
 	groups := []string{}
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -155,6 +155,8 @@
 
 func (t *Target) serve(ctx context.Context, c net.Conn) {
 	defer func() { _ = c.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	defer stop()
 	b := pgproto3.NewBackend(c, c)
 	m, err := b.ReceiveStartupMessage()
 	if err != nil {
@@ -178,3 +180,10 @@
 
 // status returns the replica's own account. The lock is held.
 func (t *Target) status() group.Status { return t.replica.Status(t.now()) }
+
+// leads reports whether the target is the primary and has not been stopped.
+func (t *Target) leads() bool {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	return t.replica.Role() == group.RolePrimary
+}
--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
 	"amaranthsill/internal/world"
@@ -41,8 +41,8 @@
 }
 
 func TestWorld(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "world")
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "world")
 }
 
 var shapes = map[string]func() world.Shape{
@@ -50,7 +50,7 @@
 	"habimana":    world.Habimana,
 }
 
-var _ = Describe("Promises under one failure or two", func() {
+var _ = ginkgo.Describe("Promises under one failure or two", func() {
 	for name, c := range map[string]struct {
 		faults []world.Fault
 		// gap is the longest time without an acknowledged write; zero if the
@@ -79,7 +79,7 @@
 	} {
 		for user, shape := range shapes {
 			for _, seed := range []uint64{1, 2, 3} {
-				It(fmt.Sprintf("hold: %s, %s, seed %d", name, user, seed), func() {
+				ginkgo.It(fmt.Sprintf("hold: %s, %s, seed %d", name, user, seed), func() {
 					w := &world.World{Shape: shape(), Seed: seed}
 					w.Start()
 					for _, f := range c.faults {
@@ -87,9 +87,9 @@
 					}
 					w.Run(strike + heal)
 					w.Quiet(heal)
-					Expect(w.Check()).To(Succeed())
+					gomega.Expect(w.Check()).To(gomega.Succeed())
 					if c.gap > 0 {
-						Expect(w.History().Gap(strike)).To(BeNumerically("<", c.gap))
+						gomega.Expect(w.History().Gap(strike)).To(gomega.BeNumerically("<", c.gap))
 					}
 				})
 			}
@@ -97,8 +97,8 @@
 	}
 })
 
-var _ = Describe("A write that may run twice", func() {
-	It("never takes effect after a later write of its session", func() {
+var _ = ginkgo.Describe("A write that may run twice", func() {
+	ginkgo.It("never takes effect after a later write of its session", func() {
 		// The first run of a write is held up on a frozen primary while the
 		// second one is acknowledged.
 		for seed := range uint64(40) {
@@ -110,19 +110,19 @@
 			w.At(3*time.Second, world.FreezeTarget{Target: world.Primary, For: 560*time.Millisecond + time.Duration(seed)*2*time.Millisecond})
 			w.Run(5 * time.Second)
 			w.Quiet(10 * time.Second)
-			Expect(w.Check()).To(Succeed())
+			gomega.Expect(w.Check()).To(gomega.Succeed())
 		}
 	})
 })
 
-var _ = Describe("A healthy primary", func() {
-	It("is not replaced over an hour of lossy links", func() {
+var _ = ginkgo.Describe("A healthy primary", func() {
+	ginkgo.It("is not replaced over an hour of lossy links", func() {
 		s := world.Cooperative()
 		s.Loss, s.Jitter = 0.01, 3
 		w := &world.World{Shape: s, Seed: 1, Idle: true}
 		w.Start()
 		w.Run(time.Hour)
-		Expect(w.Promotions(3 * time.Second)).To(BeZero())
+		gomega.Expect(w.Promotions(3 * time.Second)).To(gomega.BeZero())
 	})
 })
 
--- a/manifest/manifest_test.go
+++ b/manifest/manifest_test.go
@@ -6,15 +6,15 @@
 	"strings"
 	"testing"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
 
 	"amaranthsill/manifest"
 )
 
 func TestManifest(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "manifest")
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "manifest")
 }
 
 const targets = `[
@@ -56,24 +56,24 @@
 	"too many bytes":      {text: strings.Repeat(" ", manifest.MaxBytes+1), error: fmt.Sprintf(`write at most %d bytes`, manifest.MaxBytes)},
 }
 
-var _ = Describe("Parse", func() {
+var _ = ginkgo.Describe("Parse", func() {
 	for name, c := range faults {
-		It("refuses "+name, func() {
+		ginkgo.It("refuses "+name, func() {
 			_, err := manifest.Parse("m.json", []byte(c.text))
-			Expect(err).To(MatchError(ContainSubstring(c.error)))
+			gomega.Expect(err).To(gomega.MatchError(gomega.ContainSubstring(c.error)))
 		})
 	}
 
-	It("reads the example", func() {
+	ginkgo.It("reads the example", func() {
 		text, err := os.ReadFile("../examples/choir.json")
-		Expect(err).NotTo(HaveOccurred())
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		m, err := manifest.Parse("choir.json", text)
-		Expect(err).NotTo(HaveOccurred())
-		Expect(m.Groups()).To(HaveLen(2))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(m.Groups()).To(gomega.HaveLen(2))
 		k, ok := m.Kind("payment")
-		Expect(ok).To(BeTrue())
-		Expect(k.Repeat()).To(BeFalse())
-		Expect(k.Objective()).To(Equal(0.9999))
+		gomega.Expect(ok).To(gomega.BeTrue())
+		gomega.Expect(k.Repeat()).To(gomega.BeFalse())
+		gomega.Expect(k.Objective()).To(gomega.Equal(0.9999))
 	})
 })
 
--- a/peer/convert_test.go
+++ b/peer/convert_test.go
@@ -21,7 +21,7 @@
 	}
 	f.Add(seed)
 	f.Add([]byte("garbage"))
-	f.Fuzz(func(t *testing.T, b []byte) {
+	f.Fuzz(func(_ *testing.T, b []byte) {
 		m := &peerpb.Knowledge{}
 		if proto.Unmarshal(b, m) != nil {
 			return
--- a/session/token_test.go
+++ b/session/token_test.go
@@ -4,16 +4,16 @@
 	"fmt"
 	"testing"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
 
 	"amaranthsill/group"
 	"amaranthsill/session"
 )
 
 func TestSession(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "session")
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "session")
 }
 
 var texts = map[string]struct {
@@ -32,16 +32,16 @@
 	"something longer": {text: "choir:3.17.4"},
 }
 
-var _ = Describe("Parse", func() {
+var _ = ginkgo.Describe("Parse", func() {
 	for name, c := range texts {
-		It(fmt.Sprintf("takes %s: %v", name, c.good), func() {
+		ginkgo.It(fmt.Sprintf("takes %s: %v", name, c.good), func() {
 			t, err := session.Parse(c.text)
 			if !c.good {
-				Expect(err).To(MatchError(session.ErrToken))
+				gomega.Expect(err).To(gomega.MatchError(session.ErrToken))
 				return
 			}
-			Expect(err).NotTo(HaveOccurred())
-			Expect(t.String()).To(Equal(c.text))
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(t.String()).To(gomega.Equal(c.text))
 		})
 	}
 })
--- a/submission/submission_test.go
+++ b/submission/submission_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
 
 	"amaranthsill/internal/standin"
 	"amaranthsill/platform"
@@ -19,21 +19,21 @@
 )
 
 func TestSubmission(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "submission")
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "submission")
 }
 
 func newStore() (*platform.Client, func(string)) {
 	p := &standin.Platform{}
 	s := httptest.NewServer(p.Handler())
-	DeferCleanup(s.Close)
+	ginkgo.DeferCleanup(s.Close)
 	address := strings.TrimPrefix(s.URL, "http://")
 	fault := func(body string) {
 		q, err := http.NewRequest(http.MethodPut, s.URL+"/v1/faults", strings.NewReader(body))
-		Expect(err).NotTo(HaveOccurred())
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		a, err := http.DefaultClient.Do(q)
-		Expect(err).NotTo(HaveOccurred())
-		Expect(a.Body.Close()).To(Succeed())
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(a.Body.Close()).To(gomega.Succeed())
 	}
 	return &platform.Client{Address: address}, fault
 }
@@ -41,55 +41,55 @@
 func submit(ctx context.Context, store platform.Store, identity string) submission.Outcome {
 	s := &submission.Submission{Store: store, Identity: identity, Text: []byte(identity), Pause: time.Millisecond}
 	o, err := s.Run(ctx)
-	Expect(err).NotTo(HaveOccurred())
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	return o
 }
 
-var _ = Describe("A submission", func() {
+var _ = ginkgo.Describe("A submission", func() {
 	ctx := context.Background()
 
-	It("gets the next version", func() {
+	ginkgo.It("gets the next version", func() {
 		store, _ := newStore()
-		Expect(submit(ctx, store, "a")).To(Equal(submission.Accepted{Version: 1, Current: 1}))
-		Expect(submit(ctx, store, "b")).To(Equal(submission.Accepted{Version: 2, Current: 2}))
+		gomega.Expect(submit(ctx, store, "a")).To(gomega.Equal(submission.Accepted{Version: 1, Current: 1}))
+		gomega.Expect(submit(ctx, store, "b")).To(gomega.Equal(submission.Accepted{Version: 2, Current: 2}))
 	})
 
-	It("does no harm when it is repeated", func() {
+	ginkgo.It("does no harm when it is repeated", func() {
 		store, _ := newStore()
 		submit(ctx, store, "a")
-		Expect(submit(ctx, store, "a")).To(Equal(submission.Accepted{Version: 1, Current: 1}))
+		gomega.Expect(submit(ctx, store, "a")).To(gomega.Equal(submission.Accepted{Version: 1, Current: 1}))
 		submit(ctx, store, "b")
-		Expect(submit(ctx, store, "a")).To(Equal(submission.Accepted{Version: 1, Current: 2}))
+		gomega.Expect(submit(ctx, store, "a")).To(gomega.Equal(submission.Accepted{Version: 1, Current: 2}))
 	})
 
-	It("finds out that it won when its answer was lost", func() {
+	ginkgo.It("finds out that it won when its answer was lost", func() {
 		store, fault := newStore()
 		fault(`{"lose": 1}`)
-		Expect(submit(ctx, store, "a")).To(Equal(submission.Accepted{Version: 1, Current: 1}))
+		gomega.Expect(submit(ctx, store, "a")).To(gomega.Equal(submission.Accepted{Version: 1, Current: 1}))
 	})
 
-	It("goes on after an outage", func() {
+	ginkgo.It("goes on after an outage", func() {
 		store, fault := newStore()
 		fault(`{"outage": 50}`)
-		Expect(submit(ctx, store, "a")).To(Equal(submission.Accepted{Version: 1, Current: 1}))
+		gomega.Expect(submit(ctx, store, "a")).To(gomega.Equal(submission.Accepted{Version: 1, Current: 1}))
 	})
 
-	It("is unsettled while the platform is away", func() {
+	ginkgo.It("is unsettled while the platform is away", func() {
 		store, fault := newStore()
 		fault(`{"outage": 600000}`)
 		short, cancel := context.WithTimeout(ctx, 20*time.Millisecond)
 		defer cancel()
-		Expect(submit(short, store, "a")).To(BeAssignableToTypeOf(submission.Unsettled{}))
+		gomega.Expect(submit(short, store, "a")).To(gomega.BeAssignableToTypeOf(submission.Unsettled{}))
 	})
 
-	It("is above the version in force when the store lost it", func() {
+	ginkgo.It("is above the version in force when the store lost it", func() {
 		store, _ := newStore()
 		s := &submission.Submission{Store: store, Identity: "a", Text: []byte("a"), Floor: 41}
-		Expect(s.Run(ctx)).To(Equal(submission.Accepted{Version: 42, Current: 42}))
+		gomega.Expect(s.Run(ctx)).To(gomega.Equal(submission.Accepted{Version: 42, Current: 42}))
 	})
 
 	for name, lose := range map[string]int{"": 0, ", with answers lost": 4} {
-		It("wins its version alone among ten"+name, func() {
+		ginkgo.It("wins its version alone among ten"+name, func() {
 			const racers = 10
 			store, fault := newStore()
 			fault(fmt.Sprintf(`{"lose": %d}`, lose))
@@ -97,7 +97,7 @@
 			var all sync.WaitGroup
 			for i := range racers {
 				all.Go(func() {
-					defer GinkgoRecover()
+					defer ginkgo.GinkgoRecover()
 					outcomes[i] = submit(ctx, store, fmt.Sprint("racer-", i))
 				})
 			}
@@ -105,14 +105,14 @@
 			won := map[uint64]string{}
 			for i, o := range outcomes {
 				if a, ok := o.(submission.Accepted); ok {
-					Expect(won).NotTo(HaveKey(a.Version))
+					gomega.Expect(won).NotTo(gomega.HaveKey(a.Version))
 					won[a.Version] = fmt.Sprint("racer-", i)
 				}
 			}
-			Expect(won).NotTo(BeEmpty())
+			gomega.Expect(won).NotTo(gomega.BeEmpty())
 			for _, o := range outcomes {
 				if l, ok := o.(submission.Lost); ok {
-					Expect(won[l.Version]).To(Equal(l.Winner))
+					gomega.Expect(won[l.Version]).To(gomega.Equal(l.Winner))
 				}
 			}
 		})
