Let reads wait longer for a replica, and let a kind say how long

Each read on the primary raises the session's floor to the newest entry, which no replica shows for 200 ms, so the next read goes there too.

Ruled out: a floor that a primary's read raises less; nothing tells which entries the read saw, and rows would go back.

Change: a kind may state its patience; the default goes from 20 to 40 ms.

At 200 ms the choice between the primary's load and the wait is the users', by kind.

--- a/caller/request.go
+++ b/caller/request.go
@@ -245,6 +245,7 @@
 		Session:  s.id,
 		Read:     kind.Access() == manifest.AccessRead,
 		Age:      kind.Age(),
+		Patience: kind.Patience(),
 		Repeat:   kind.Repeat(),
 		Deadline: s.server.Kernel.Now() + kind.Timeout(),
 	}
--- a/cmd/experiment/reads.go
+++ b/cmd/experiment/reads.go
@@ -21,12 +21,14 @@
 
 // policy is a way to route reads by name.
 type policy struct {
-	name   string
-	policy world.Policy
+	name     string
+	policy   world.Policy
+	patience time.Duration
 }
 
 var policies = []policy{
 	{name: "full", policy: world.PolicyFull},
+	{name: "full, patience 250ms", policy: world.PolicyFull, patience: 250 * time.Millisecond},
 	{name: "primary only", policy: world.PolicyPrimary},
 	{name: "floor only", policy: world.PolicyFloor},
 }
@@ -67,6 +69,7 @@
 	s.Lag = c.lag
 	s.Token = c.token
 	s.Policy = c.policy.policy
+	s.Patience = c.policy.patience
 	w := &world.World{Shape: s, Seed: 1}
 	w.Start()
 	w.Run(length)
--- a/group/event.go
+++ b/group/event.go
@@ -127,6 +127,9 @@
 	Read bool
 	// Age is how old the data may be that a read sees; zero means current.
 	Age time.Duration
+	// Patience is how much longer than the primary's trip a read may wait for
+	// a replica; zero means the Machine's own.
+	Patience time.Duration
 	// Repeat reports that a write may run more than once.
 	Repeat bool
 	// Floor is the highest position that the session wrote or read.
--- a/group/limits.go
+++ b/group/limits.go
@@ -75,7 +75,7 @@
 		Lease:        100 * time.Millisecond,
 		Step:         500 * time.Millisecond,
 		Settle:       30 * time.Millisecond,
-		Patience:     20 * time.Millisecond,
+		Patience:     40 * time.Millisecond,
 		Dial:         12 * time.Millisecond,
 		Wait:         200 * time.Millisecond,
 		Hopeless:     1500 * time.Millisecond,
--- a/group/routing.go
+++ b/group/routing.go
@@ -138,7 +138,7 @@
 func (m *Machine) costOf(w *work, v *view) (cost, wait time.Duration, ok bool) {
 	cost = v.trip + m.slotCost(v)
 	if v == m.writable() {
-		return cost + m.Limits.Patience, 0, v.status.Last().Reaches(w.Floor)
+		return cost + m.patience(w), 0, v.status.Last().Reaches(w.Floor)
 	}
 	if !v.serves() {
 		return 0, 0, false
@@ -147,12 +147,20 @@
 		return cost, 0, true
 	}
 	wait = max(v.lag, m.Limits.Tick)
-	if w.waitFrom > 0 && m.now-w.waitFrom > m.Limits.Patience && m.writable() != nil {
+	if w.waitFrom > 0 && m.now-w.waitFrom > m.patience(w) && m.writable() != nil {
 		return 0, 0, false
 	}
 	return cost + wait, wait, true
 }
 
+// patience is how much longer than the primary's trip a read waits.
+func (m *Machine) patience(w *work) time.Duration {
+	if w.Patience > 0 {
+		return w.Patience
+	}
+	return m.Limits.Patience
+}
+
 // slotCost estimates how long a new request waits for a slot of the target.
 func (m *Machine) slotCost(v *view) time.Duration {
 	if v.freeSlot() != nil {
--- a/internal/world/caller.go
+++ b/internal/world/caller.go
@@ -119,6 +119,7 @@
 		Floor:    s.floor,
 		Known:    s.known,
 		Deadline: w.now + w.Shape.Timeout,
+		Patience: w.Shape.Patience,
 	}
 	switch q.op {
 	case opRead:
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -58,6 +58,9 @@
 	Transactions float64
 	// Age is the stated age of aged reads.
 	Age time.Duration
+	// Patience is how long reads may wait for a replica; zero means the
+	// machine's own choice.
+	Patience time.Duration
 	// Roam is the number of requests after which a session changes its VM;
 	// zero means never.
 	Roam int
--- a/manifest/manifest.go
+++ b/manifest/manifest.go
@@ -122,6 +122,7 @@
 	name      string
 	access    Access
 	age       time.Duration
+	patience  time.Duration
 	repeat    bool
 	timeout   time.Duration
 	objective float64
@@ -136,6 +137,10 @@
 // Age returns how old the data may be that a read sees; zero means current.
 func (k Kind) Age() time.Duration { return k.age }
 
+// Patience returns how much longer than a trip to the primary a read may wait
+// for a replica; zero means the system's own choice.
+func (k Kind) Patience() time.Duration { return k.patience }
+
 // Repeat reports whether a write may run more than once.
 func (k Kind) Repeat() bool { return k.repeat }
 
@@ -274,9 +279,10 @@
 	access := ""
 	repeats := false
 	err := f.Object(strict.Fields{
-		"name":   func(f strict.Field) error { return f.Word(&k.name) },
-		"access": func(f strict.Field) error { return f.Text(&access) },
-		"age":    func(f strict.Field) error { return f.Duration(&k.age, time.Millisecond, MaxAge) },
+		"name":     func(f strict.Field) error { return f.Word(&k.name) },
+		"access":   func(f strict.Field) error { return f.Text(&access) },
+		"age":      func(f strict.Field) error { return f.Duration(&k.age, time.Millisecond, MaxAge) },
+		"patience": func(f strict.Field) error { return f.Duration(&k.patience, time.Millisecond, MaxTimeout) },
 		"repeat": func(f strict.Field) error {
 			repeats = true
 			return f.Flag(&k.repeat)
@@ -300,6 +306,10 @@
 		return Kind{}, f.Fail("write the kind's name")
 	case k.access == AccessWrite && k.age > 0:
 		return Kind{}, f.Fail("a write has no age; remove age or write \"read\" under access")
+	case k.access == AccessWrite && k.patience > 0:
+		return Kind{}, f.Fail("a write waits for no replica; remove patience or write \"read\" under access")
+	case k.patience >= k.timeout:
+		return Kind{}, f.Fail("patience is not below the timeout of %s; write less", k.timeout)
 	case k.access == AccessRead && repeats:
 		return Kind{}, f.Fail("a read may always be repeated; remove repeat or write \"write\" under access")
 	}
--- a/manifest/manifest_test.go
+++ b/manifest/manifest_test.go
@@ -47,6 +47,8 @@
 	"no connections":      {text: withTargets(strings.Replace(targets, `, "connections": 20`, "", 1)), error: `write under connections how many the target takes`},
 	"too many":            {text: withTargets(strings.Replace(targets, `20`, "2000000", 1)), error: `write a whole number from 1 to 10000`},
 	"a write with an age": {text: withKinds("[\n{\"name\": \"k\", \"access\": \"write\", \"age\": \"2s\"}]"), error: `a write has no age; remove age or write "read" under access`},
+	"a patient write":     {text: withKinds(`[{"name": "k", "access": "write", "patience": "1s"}]`), error: `a write waits for no replica`},
+	"too much patience":   {text: withKinds(`[{"name": "k", "access": "read", "patience": "9s"}]`), error: `patience is not below the timeout of 5s`},
 	"a read to repeat":    {text: withKinds(`[{"name": "k", "access": "read", "repeat": true}]`), error: `a read may always be repeated`},
 	"a kind twice":        {text: withKinds(`[{"name": "k", "access": "read"}, {"name": "k", "access": "read"}]`), error: `kind "k" stands twice`},
 	"no access":           {text: withKinds(`[{"name": "k"}]`), error: `write under access "read" or "write", not ""`},
