Judge a replica's answers by hand in the machine's tests

Cause: the mutants no-floor and no-age were noticed by no test; on all paths of the random runs the choice of the target already keeps to floor and age.

Ruled out: dropping the checks; a replica that restarts between the choice and the read answers with less, and a read may take longer than its age.

Change: tests of current reads at and below the floor, without the term's own entry, of a target that lost its role, and of aged reads that took their time.

--- a/group/group_test.go
+++ b/group/group_test.go
@@ -236,3 +236,80 @@
 		gomega.Expect(b.endings()).To(gomega.ConsistOf(gomega.BeAssignableToTypeOf(group.Done{})))
 	})
 })
+
+var _ = ginkgo.Describe("A replica's answer", func() {
+	for name, c := range map[string]struct {
+		reply    group.Status
+		first    group.Position
+		released bool
+	}{
+		"at the session's floor":     {reply: status(1, group.RoleReplica, 9), first: group.At(1, 9), released: true},
+		"below the session's floor":  {reply: status(1, group.RoleReplica, 9), first: group.At(1, 8)},
+		"without its term's entry":   {reply: group.NewStatus(2, group.RoleReplica, group.At(1, 9), group.At(1, 9), 0), first: group.At(1, 9)},
+		"of a target that lost role": {reply: group.NewStatus(2, group.RoleDetached, group.At(1, 9), group.At(1, 9), 0), first: group.At(1, 9)},
+	} {
+		ginkgo.It(fmt.Sprintf("%s is released: %v", name, c.released), func() {
+			b := newBench()
+			for i := range 3 {
+				b.hear(fmt.Sprint("t", i), status(1, group.RoleReplica, 9))
+			}
+			b.now += time.Millisecond
+			b.step(group.Arrived{Request: group.Request{ID: 1, Session: 1, Read: true, Known: true, Floor: group.At(1, 9), Deadline: b.now + time.Minute}})
+			b.hear("t1", status(1, group.RoleReplica, 9))
+			b.hear("t2", status(1, group.RoleReplica, 9))
+			for _, a := range b.actions {
+				if d, ok := a.(group.Dial); ok {
+					b.step(group.Dialed{Slot: d.Slot})
+				}
+			}
+			for _, a := range b.actions {
+				if r, ok := a.(group.Run); ok {
+					b.step(group.Finished{Run: r.Run, Reply: group.Reply{Status: c.reply, First: c.first}})
+				}
+			}
+			if c.released {
+				gomega.Expect(b.endings()).To(gomega.ConsistOf(gomega.BeAssignableToTypeOf(group.Done{})))
+				return
+			}
+			gomega.Expect(b.endings()).To(gomega.BeEmpty())
+		})
+	}
+})
+
+var _ = ginkgo.Describe("A read with a stated age", func() {
+	for name, c := range map[string]struct {
+		took     time.Duration
+		released bool
+	}{
+		"that was quick":                  {took: 100 * time.Millisecond, released: true},
+		"that took longer than the age":   {took: 1500 * time.Millisecond},
+		"that took just about the age":    {took: 1001 * time.Millisecond},
+		"that took a little less than it": {took: 900 * time.Millisecond, released: true},
+	} {
+		ginkgo.It(fmt.Sprintf("%s is released: %v", name, c.released), func() {
+			b := newBench()
+			for i := range 3 {
+				b.hear(fmt.Sprint("t", i), status(1, group.RoleReplica, 9))
+			}
+			b.step(group.Arrived{Request: group.Request{ID: 1, Session: 1, Read: true, Age: time.Second, Known: true, Deadline: b.now + time.Minute}})
+			for _, a := range b.actions {
+				if d, ok := a.(group.Dial); ok {
+					b.step(group.Dialed{Slot: d.Slot})
+				}
+			}
+			run := uint64(0)
+			for _, a := range b.actions {
+				if r, ok := a.(group.Run); ok {
+					run = r.Run
+				}
+			}
+			b.now += c.took
+			b.step(group.Finished{Run: run, Reply: group.Reply{Status: status(1, group.RoleReplica, 9), First: group.At(1, 9)}})
+			if c.released {
+				gomega.Expect(b.endings()).To(gomega.ConsistOf(gomega.BeAssignableToTypeOf(group.Done{})))
+				return
+			}
+			gomega.Expect(b.endings()).To(gomega.BeEmpty())
+		})
+	}
+})
