Probe five times less often, and look closely once something is wrong

Cause: a VM at rest with two watched groups took 2.2% of a core, most of it for 30 status requests a second and group; docs/CAPACITY.md showed the probes at 17 times the bytes that control may spend.

Ruled out: longer probes alone; with 500 ms between them the gap of a killed primary grew from 303 to 688 ms, since the end of a connection was noticed only at the next probe, and the replicas' own view was too old to count.

Change: the end of a status connection is an event of its own and tries a fresh one at once; while the primary is lost or missing, targets are asked every 100 ms as before; otherwise every 500 ms. One test answered a probe that does not come any more; it answers the long poll instead, and demands the same.

Conclusion: kept at 500 ms; 1 s is there for a larger fleet.

--- a/cmd/experiment/failover.go
+++ b/cmd/experiment/failover.go
@@ -128,3 +128,20 @@
 	w.Run(time.Hour)
 	return w.Promotions(settled)
 }
+
+// probes varies the time between status requests and shows what it costs and
+// what a longer one does to the gap.
+func probes(seeds int) table {
+	t := table{heading: []string{"probe", "status requests a second, one watched group", "median gap ms, killed", "worst", "median gap ms, frozen", "worst", "median gap ms, cut off from VMs", "worst", "needless promotions in an hour, 1% loss"}}
+	for _, probe := range []time.Duration{100, 200, 300, 500, 1000} {
+		l := group.DefaultLimits()
+		l.Probe = probe * time.Millisecond
+		row := []string{l.Probe.String(), fmt.Sprintf("%.1f", watchCost(0, l).asks)}
+		for _, f := range failures[:3] {
+			r := failoverRow(users[0], f, seeds, l)
+			row = append(row, r[3], r[4])
+		}
+		t.rows = append(t.rows, append(row, fmt.Sprint(needlessIn(0.01, l))))
+	}
+	return t
+}
--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -4,6 +4,7 @@
 //	experiment reads     the share of reads on replicas, against two baselines
 //	experiment failover  the gap for each way to lose a primary
 //	experiment sweep     detection time against needless promotions
+//	experiment probes    the time between status requests against the gap
 //	experiment slopes    what one VM spends for a group and a request
 //	experiment spread    what the control side of many VMs costs
 package main
@@ -28,12 +29,13 @@
 		"reads":    reads,
 		"failover": failovers,
 		"sweep":    sweep,
+		"probes":   probes,
 		"spread":   spread,
 		"slopes":   slopes,
 	}
 	run, ok := experiments[flag.Arg(0)]
 	if !ok {
-		fmt.Fprintln(os.Stderr, "usage: experiment [flags] <reads|failover|sweep|spread|slopes>")
+		fmt.Fprintln(os.Stderr, "usage: experiment [flags] <reads|failover|sweep|probes|spread|slopes>")
 		os.Exit(2)
 	}
 	t := run(*seeds)
--- a/cmd/experiment/slopes.go
+++ b/cmd/experiment/slopes.go
@@ -19,10 +19,10 @@
 		t.rows = append(t.rows, []string{what, fmt.Sprintf("%.1f", value), unit})
 	}
 	add("status request and answer, without TCP and IP headers", "bytes", float64(askBytes()))
-	watched := watchCost(0)
+	watched := watchCost(0, group.DefaultLimits())
 	add("watched group, status requests of one VM", "per second", watched.asks)
 	add("watched group, decisions of one VM", "us of processor per second", watched.processor)
-	add("used and not watched group, status requests of one VM", "per second", watchCost(-1).asks)
+	add("used and not watched group, status requests of one VM", "per second", watchCost(-1, group.DefaultLimits()).asks)
 	add("machine of one group with three targets", "bytes", machineBytes())
 	add("request under load, decisions", "us of processor", requestCost())
 	return t
@@ -56,9 +56,10 @@
 }
 
 // watchCost runs one machine against targets that answer at once.
-func watchCost(rank int) cost {
+func watchCost(rank int, limits group.Limits) cost {
 	const length = 60 * time.Second
 	m := quietMachine(rank)
+	m.Limits = limits
 	asks := 0
 	spent := time.Duration(0)
 	for now := time.Duration(0); now < length; now = m.Next(now) {
--- a/group/event.go
+++ b/group/event.go
@@ -57,6 +57,10 @@
 	Ask    uint64
 }
 
+// Disconnected is the end of a connection for status requests, whether or not
+// one was under way.
+type Disconnected struct{ Target string }
+
 // Commanded is a target's answer to Fence, Promote or Follow.
 type Commanded struct {
 	Target  string
@@ -102,6 +106,7 @@
 func (Broke) event()         {}
 func (Heard) event()         {}
 func (Unheard) event()       {}
+func (Disconnected) event()  {}
 func (Commanded) event()     {}
 func (LeaseAnswered) event() {}
 func (PeerSaw) event()       {}
--- a/group/group_test.go
+++ b/group/group_test.go
@@ -50,11 +50,13 @@
 	machine *group.Machine
 	now     time.Duration
 	asks    map[string]uint64
+	// polls are the long polls for a position that each target was sent.
+	polls   map[string]uint64
 	actions []group.Action
 }
 
 func newBench() *bench {
-	b := &bench{asks: map[string]uint64{}, machine: &group.Machine{
+	b := &bench{asks: map[string]uint64{}, polls: map[string]uint64{}, machine: &group.Machine{
 		Name: "g", VM: "v", Zone: "z0", Rank: -1, Limits: group.DefaultLimits(), Seed: 1, Strict: true,
 	}}
 	for i := range 3 {
@@ -67,8 +69,13 @@
 func (b *bench) step(e group.Event) {
 	b.actions = append([]group.Action{}, b.machine.Step(b.now, e)...)
 	for _, a := range b.actions {
-		if q, ok := a.(group.Ask); ok {
+		q, ok := a.(group.Ask)
+		switch {
+		case !ok:
+		case q.Received.IsZero() && q.Applied.IsZero():
 			b.asks[q.Target] = q.Ask
+		default:
+			b.polls[q.Target] = q.Ask
 		}
 	}
 }
@@ -78,6 +85,11 @@
 	b.step(group.Heard{Target: target, Ask: b.asks[target], Status: s})
 }
 
+// reach answers a target's newest long poll.
+func (b *bench) reach(target string, s group.Status) {
+	b.step(group.Heard{Target: target, Ask: b.polls[target], Status: s})
+}
+
 func (b *bench) notes() []group.NoteEvent {
 	out := []group.NoteEvent{}
 	for _, a := range b.actions {
@@ -102,7 +114,7 @@
 		ginkgo.It("sets aside a target that answers with "+name, func() {
 			b := newBench()
 			b.hear("t1", status(3, group.RoleReplica, 9))
-			b.now += 150 * time.Millisecond
+			b.now += b.machine.Limits.Probe
 			b.step(group.Ticked{})
 			b.hear("t1", second)
 			gomega.Expect(b.notes()).To(gomega.ContainElement(gomega.BeAssignableToTypeOf(group.TargetSetAside{})))
@@ -230,9 +242,7 @@
 		gomega.Expect(b.endings()).To(gomega.BeEmpty())
 		b.hear("t2", status(2, group.RoleReplica, 12))
 		gomega.Expect(b.endings()).To(gomega.BeEmpty())
-		b.now += 150 * time.Millisecond
-		b.step(group.Ticked{})
-		b.hear("t1", status(1, group.RoleReplica, 10))
+		b.reach("t1", status(1, group.RoleReplica, 10))
 		gomega.Expect(b.endings()).To(gomega.ConsistOf(gomega.BeAssignableToTypeOf(group.Done{})))
 	})
 })
--- a/group/knowledge.go
+++ b/group/knowledge.go
@@ -335,6 +335,15 @@
 	}
 }
 
+// disconnected tries a fresh connection at once, instead of at the next probe.
+func (m *Machine) disconnected(target string) {
+	v := findView(m.views, target)
+	if v == nil || v.lost || v.removed || len(v.asks) > 0 || !m.active() {
+		return
+	}
+	m.ask(v, true)
+}
+
 // failedAsk reacts to a plain request without a usable answer: an old
 // connection is replaced, a fresh one shows that the target is lost.
 func (m *Machine) failedAsk(v *view, a ask) {
@@ -408,12 +417,13 @@
 // whose answer a request waits for.
 func (m *Machine) probe() {
 	active := m.active()
+	interval := m.interval()
 	for _, v := range m.views {
 		if v.removed {
 			continue
 		}
 		m.pollPositions(v)
-		idle := m.now-v.probed >= m.Limits.Probe
+		idle := m.now-v.probed >= interval
 		if v.lost {
 			if idle && len(v.asks) == 0 && active {
 				m.ask(v, true)
@@ -430,6 +440,14 @@
 	}
 }
 
+// interval is the time between status requests to a target without traffic.
+func (m *Machine) interval() time.Duration {
+	if v := m.leader(); v == nil || v.lost {
+		return m.Limits.Alert
+	}
+	return m.Limits.Probe
+}
+
 // pollPositions waits on a replica for the lowest position that an answer or
 // a read needs of it.
 func (m *Machine) pollPositions(v *view) {
--- a/group/limits.go
+++ b/group/limits.go
@@ -6,6 +6,8 @@
 type Limits struct {
 	// Probe is the time between status requests to a target without traffic.
 	Probe time.Duration
+	// Alert is the same while the group's primary is lost or missing.
+	Alert time.Duration
 	// Ask is how long a status request may go unanswered before a fresh
 	// connection is tried.
 	Ask time.Duration
@@ -64,7 +66,8 @@
 // milliseconds apart.
 func DefaultLimits() Limits {
 	return Limits{
-		Probe:        100 * time.Millisecond,
+		Probe:        500 * time.Millisecond,
+		Alert:        100 * time.Millisecond,
 		Ask:          300 * time.Millisecond,
 		Fresh:        300 * time.Millisecond,
 		Stream:       500 * time.Millisecond,
--- a/group/machine.go
+++ b/group/machine.go
@@ -57,7 +57,7 @@
 		return now + m.Limits.Tick
 	}
 	if m.active() {
-		return now + m.Limits.Probe/2
+		return now + m.interval()/2
 	}
 	return now + m.Limits.Idle
 }
@@ -114,6 +114,8 @@
 		m.heard(e)
 	case Unheard:
 		m.unheard(e)
+	case Disconnected:
+		m.disconnected(e.Target)
 	case Commanded:
 		m.commanded(e)
 	case LeaseAnswered:
--- a/group/watch.go
+++ b/group/watch.go
@@ -138,7 +138,7 @@
 func (m *Machine) silentTo(leader *view, limit time.Duration) bool {
 	n := 0
 	for _, v := range m.views {
-		if v == leader || v.removed || v.lost || !v.known || m.now-v.asked > m.Limits.Ask {
+		if v == leader || v.removed || v.lost || !v.known || m.now-v.asked > m.Limits.Ask+m.Limits.Alert {
 			continue
 		}
 		if v.status.Role() == RoleReplica && v.silence(m.now) < limit {
@@ -152,7 +152,7 @@
 // askZones asks the other zones for a primary that only this VM may have
 // lost.
 func (m *Machine) askZones(leader *view) ground {
-	if m.now-m.askedPeer >= m.Limits.Probe {
+	if m.now-m.askedPeer >= m.Limits.Alert {
 		m.askedPeer = m.now
 		m.act(AskPeers{Target: leader.Name})
 	}
--- a/internal/world/vm.go
+++ b/internal/world/vm.go
@@ -270,6 +270,9 @@
 	if !v.world.reaches(&v.place, &t.place) {
 		return
 	}
+	if c := v.controls[controlName(t.name, false, false)]; c != nil && !c.silent && !c.closed {
+		v.world.wake(&v.place, v.world.delay(&v.place, &t.place), func() { v.step(group.Disconnected{Target: t.name}) })
+	}
 	for _, id := range slices.Sorted(maps.Keys(v.slots)) {
 		s := v.slots[id]
 		if s.target != t || s.conn.silent {
@@ -292,7 +295,7 @@
 
 func (v *vm) ask(a group.Ask) {
 	t := v.world.target(a.Target)
-	key := fmt.Sprint(a.Target, !a.Received.IsZero(), !a.Applied.IsZero())
+	key := controlName(a.Target, !a.Received.IsZero(), !a.Applied.IsZero())
 	c := v.controls[key]
 	failed := func() { v.step(group.Unheard{Target: a.Target, Ask: a.Ask}) }
 	if a.Fresh || c == nil {
@@ -309,6 +312,11 @@
 	c.send(&v.place, func() { v.poll(t, c, a) })
 }
 
+// controlName names the VM's connection for one kind of status request.
+func controlName(target string, received, applied bool) string {
+	return fmt.Sprint(target, received, applied)
+}
+
 // poll answers a status request, at once or when its position is reached.
 func (v *vm) poll(t *target, c *conn, a group.Ask) {
 	p := &poll{received: a.Received, applied: a.Applied, term: t.replica.Term()}
--- a/target/control.go
+++ b/target/control.go
@@ -88,11 +88,15 @@
 		c.serve(live)
 		cancel()
 		d.lock.Lock()
-		if d.controls[key] == c {
+		broke := d.controls[key] == c
+		if broke {
 			delete(d.controls, key)
 		}
 		d.lock.Unlock()
 		c.drain(ctx)
+		if broke && key.kind == controlPlain {
+			g.Post(ctx, group.Disconnected{Target: key.target})
+		}
 	}()
 	return c
 }
