Serve a caller with one goroutine

Change: the session reads its caller's messages itself. While a request is under way it looks every 250 ms whether the caller has hung up; a stop ends its wait by a deadline.

--- a/caller/request.go
+++ b/caller/request.go
@@ -8,6 +8,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"amaranthsill/group"
+	"amaranthsill/internal/socket"
 	"amaranthsill/kernel"
 	"amaranthsill/manifest"
 	"amaranthsill/statement"
@@ -138,37 +139,30 @@
 	return ""
 }
 
+// lookPause is the time between two looks whether a caller has hung up while
+// its request is under way.
+const lookPause = 250 * time.Millisecond
+
 // await waits for the ending, for a cancel request, or for the caller to
 // hang up.
 func (s *session) await(ctx context.Context, answer <-chan group.Ending) (group.Ending, bool) {
-	messages := s.messages
-	held := []pgproto3.FrontendMessage{}
+	look := time.NewTicker(lookPause)
+	defer look.Stop()
 	for {
 		select {
 		case e := <-answer:
-			s.giveBack(held)
 			return e, true
 		case <-s.cancelled:
 			s.group.Vanish(ctx, s.id)
-			s.giveBack(held)
 			return group.Unknown{Reason: reasonCancelled}, true
-		case m, ok := <-messages:
-			if !ok {
+		case <-look.C:
+			if socket.Look(s.conn) == socket.Gone {
 				return nil, false
 			}
-			held = append(held, m)
-			messages = nil
 		}
 	}
 }
 
-// giveBack makes a message that was read too early the next one.
-func (s *session) giveBack(held []pgproto3.FrontendMessage) {
-	if len(held) > 0 {
-		s.early = held[0]
-	}
-}
-
 const reasonCancelled group.Reason = "the caller cancelled it"
 
 // task describes a request to the kernel.
--- a/caller/server.go
+++ b/caller/server.go
@@ -79,6 +79,7 @@
 	defer stop()
 	err = s.accept(ctx, l)
 	close(s.stopping)
+	s.wakeAll()
 	s.drain()
 	return err
 }
@@ -118,6 +119,17 @@
 	}
 }
 
+// wakeAll ends the reads of sessions that wait for their callers, so that they
+// see that the VM stops.
+func (s *Server) wakeAll() {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	for _, c := range s.sessions {
+		// A connection that failed shows it to its session.
+		_ = c.conn.SetReadDeadline(time.Now())
+	}
+}
+
 func (s *Server) closeAll() {
 	s.lock.Lock()
 	defer s.lock.Unlock()
@@ -148,7 +160,9 @@
 	if start == nil {
 		return
 	}
-	_ = c.SetDeadline(time.Time{})
+	if c.SetDeadline(time.Time{}) != nil {
+		return
+	}
 	n := &session{server: s, conn: c, backend: b}
 	if err := n.begin(start); err != nil {
 		n.fatal(err)
--- a/caller/session.go
+++ b/caller/session.go
@@ -4,14 +4,17 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"maps"
 	"net"
+	"os"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"amaranthsill/internal/socket"
 	"amaranthsill/kernel"
 	"amaranthsill/manifest"
 	pgsession "amaranthsill/session"
@@ -26,8 +29,7 @@
 	parameterKey     = parameterPrefix + "key"
 )
 
-// session is one caller's connection. One goroutine reads its messages,
-// another answers them.
+// session is one caller's connection, served by one goroutine.
 type session struct {
 	server  *Server
 	conn    net.Conn
@@ -42,13 +44,8 @@
 	token     pgsession.Token
 	reported  string
 	prepared  map[string]statement.Prepared
-	messages  chan pgproto3.FrontendMessage
 	cancelled chan struct{}
-	quit      chan struct{}
-	tooLong   bool
 
-	// early is a message that arrived while a request was under way.
-	early    pgproto3.FrontendMessage
 	batch    []pgproto3.FrontendMessage
 	skipping bool
 	// state is the transaction state that the caller was told: I, T or E.
@@ -58,9 +55,6 @@
 	aborted bool
 }
 
-// messageRing bounds the messages read ahead of the one being answered.
-const messageRing = 8
-
 // begin checks the start-up message and answers it.
 func (s *session) begin(start *pgproto3.StartupMessage) error {
 	if err := s.takeParameters(start.Parameters); err != nil {
@@ -75,9 +69,7 @@
 	s.id = s.server.Kernel.NextID()
 	s.state = 'I'
 	s.prepared = map[string]statement.Prepared{}
-	s.messages = make(chan pgproto3.FrontendMessage, messageRing)
 	s.cancelled = make(chan struct{}, 1)
-	s.quit = make(chan struct{})
 	if err := s.server.register(s); err != nil {
 		return &problem{code: codeTooMany, message: err.Error()}
 	}
@@ -188,8 +180,6 @@
 
 // run answers the caller's messages until it leaves or the VM stops.
 func (s *session) run(ctx context.Context) {
-	go s.read()
-	defer close(s.quit)
 	defer s.group.Vanish(ctx, s.id)
 	for {
 		if s.backend.Flush() != nil {
@@ -206,35 +196,43 @@
 }
 
 // next returns the caller's next message. While the VM stops, a session
-// without a transaction gets no further one.
+// without a transaction gets no further one, unless it has arrived already.
 func (s *session) next() (pgproto3.FrontendMessage, bool) {
-	if m := s.early; m != nil {
-		s.early = nil
-		return m, true
-	}
-	stopping := s.server.stopping
-	if s.state != 'I' || len(s.batch) > 0 {
-		stopping = nil
+	for {
+		if s.dismissible() && socket.Look(s.conn) == socket.Quiet {
+			s.dismiss()
+			return nil, false
+		}
+		m, err := s.backend.Receive()
+		if err == nil {
+			return keep(m), true
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			s.refuseLong(err)
+			return nil, false
+		}
+		// The VM began to stop; the deadline has served its purpose.
+		if s.conn.SetReadDeadline(time.Time{}) != nil {
+			return nil, false
+		}
 	}
+}
+
+// dismissible reports whether the VM stops and the session has nothing open.
+func (s *session) dismissible() bool {
 	select {
-	case m, ok := <-s.messages:
-		return s.received(m, ok)
+	case <-s.server.stopping:
+		return s.state == 'I' && len(s.batch) == 0
 	default:
-	}
-	select {
-	case m, ok := <-s.messages:
-		return s.received(m, ok)
-	case <-stopping:
-		s.dismiss()
-		return nil, false
+		return false
 	}
 }
 
-func (s *session) received(m pgproto3.FrontendMessage, ok bool) (pgproto3.FrontendMessage, bool) {
-	if !ok && s.tooLong {
+func (s *session) refuseLong(err error) {
+	var long *pgproto3.ExceededMaxBodyLenErr
+	if errors.As(err, &long) {
 		s.fatal(&problem{code: codeProtocol, message: fmt.Sprintf("a message may have at most %d bytes", maxMessage)})
 	}
-	return m, ok
 }
 
 // dismiss tells an idle caller to connect again. It reads on until the caller
@@ -247,34 +245,9 @@
 		// An error shows at the next read.
 		_ = c.CloseWrite()
 	}
-	late := time.After(linger)
-	for {
-		select {
-		case _, ok := <-s.messages:
-			if !ok {
-				return
-			}
-		case <-late:
-			return
-		}
-	}
-}
-
-// read is the goroutine that reads messages. It ends when the caller leaves.
-func (s *session) read() {
-	defer close(s.messages)
-	for {
-		m, err := s.backend.Receive()
-		if err != nil {
-			var long *pgproto3.ExceededMaxBodyLenErr
-			s.tooLong = errors.As(err, &long)
-			return
-		}
-		select {
-		case s.messages <- keep(m):
-		case <-s.quit:
-			return
-		}
+	if s.conn.SetReadDeadline(time.Now().Add(linger)) == nil {
+		// What comes is not wanted, only its end.
+		_, _ = io.Copy(io.Discard, s.conn)
 	}
 }
 
--- a/target/conn.go
+++ b/target/conn.go
@@ -18,12 +18,12 @@
 	"net"
 	"net/netip"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"amaranthsill/group"
+	"amaranthsill/internal/socket"
 )
 
 // The start-up parameters of connections to targets.
@@ -87,23 +87,7 @@
 
 // idle reports whether an unused connection still stands: nothing has
 // arrived on it, not even its end.
-func (c *conn) idle() bool {
-	s, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Control(func(fd uintptr) {
-		b := [1]byte{}
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(err, syscall.EAGAIN)
-	})
-	return err == nil && quiet
-}
+func (c *conn) idle() bool { return socket.Look(c.Conn) == socket.Quiet }
 
 // answer is what a target sent up to its ReadyForQuery.
 type answer struct {
