Keep a submission that a store accepted after it had lost the manifest

Cause: a VM that found a lower version in the store wrote its own back over it. If the store had come back empty and had accepted a submission before the VMs restored it, that accepted manifest was reverted.

Ruled out: making the client wait for the VMs; it cannot know that there are any.

Change: a stored submission that the manifest in force does not know gets the next version. A watch waits 5 s instead of 20, since a store that lost its revisions may never pass the one that is waited for.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -352,3 +353,70 @@
 		gomega.Expect(err).To(gomega.HaveOccurred())
 	})
 })
+
+var _ = ginkgo.Describe("A platform that lost its keys", func() {
+	record := func(ctx context.Context, store platform.Store) platform.Record {
+		for ctx.Err() == nil {
+			if e, err := store.Get(ctx, platform.ManifestKey); err == nil {
+				r, err := platform.DecodeRecord(e.Value())
+				gomega.Expect(err).NotTo(gomega.HaveOccurred())
+				return r
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		return platform.Record{}
+	}
+	submit := func(ctx context.Context, store platform.Store, identity, text string) {
+		s := &submission.Submission{Store: store, Identity: identity, Text: []byte(text)}
+		outcome, err := s.Run(ctx)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(outcome).To(gomega.BeAssignableToTypeOf(submission.Accepted{}))
+	}
+
+	ginkgo.It("gets the manifest in force back, and never an older one", func() {
+		ctx, stop := context.WithCancel(context.Background())
+		ginkgo.DeferCleanup(stop)
+		f := start(ctx, 3)
+		store := &platform.Client{Address: f.site.PlatformAddress}
+		submit(ctx, store, "second", f.site.Manifest())
+		f.awaitVersion(ctx, 2)
+		put(ctx, f.site.PlatformAddress, "/v1/faults", `{"forget": true}`)
+		gomega.Expect(record(ctx, store).Version()).To(gomega.Equal(uint64(2)))
+	})
+
+	ginkgo.It("does not revert a submission that it accepted before", func() {
+		ctx, stop := context.WithCancel(context.Background())
+		ginkgo.DeferCleanup(stop)
+		f := start(ctx, 3)
+		store := &platform.Client{Address: f.site.PlatformAddress}
+		submit(ctx, store, "second", f.site.Manifest())
+		f.awaitVersion(ctx, 2)
+		put(ctx, f.site.PlatformAddress, "/v1/faults", `{"forget": true}`)
+		// Whether the VMs or the submission are first, it stays.
+		submit(ctx, store, "third", f.site.Manifest()+" ")
+		f.awaitVersion(ctx, 3)
+		now := record(ctx, store)
+		gomega.Expect(now.Submission()).To(gomega.Equal("third"))
+		gomega.Expect(now.Version()).To(gomega.Equal(uint64(3)))
+	})
+})
+
+// awaitVersion waits until every VM has the version in force.
+func (f *fixture) awaitVersion(ctx context.Context, version uint64) {
+	for _, r := range f.vms {
+		for ctx.Err() == nil && versionOf(ctx, r.admin) < version {
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+func versionOf(ctx context.Context, admin string) uint64 {
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin+"/status", nil)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	a, err := http.DefaultClient.Do(q)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = a.Body.Close() }()
+	s := entry.Status{}
+	gomega.Expect(json.NewDecoder(a.Body).Decode(&s)).To(gomega.Succeed())
+	return s.Version
+}
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -16,7 +16,7 @@
 // The times of calls to the platform.
 const (
 	// watchWait is how long one watch of the manifest waits.
-	watchWait = 20 * time.Second
+	watchWait = 5 * time.Second
 	// retryPause is the time between calls to a platform that fails.
 	retryPause = 500 * time.Millisecond
 	// listPause is the time between a spreader's reads of the list of VMs.
@@ -82,7 +82,8 @@
 }
 
 // restore puts the manifest in force back into a store that has lost it, so
-// that an accepted configuration never reverts.
+// that an accepted configuration never reverts. If a submission was accepted
+// by the store that had lost it, that one gets the next version instead.
 func (v *VM) restore(ctx context.Context, e platform.Entry, stored platform.Record) {
 	v.lock.Lock()
 	own := v.record
@@ -90,7 +91,11 @@
 	if own.Version() <= stored.Version() {
 		return
 	}
-	value, err := own.Encode()
+	next := own
+	if _, known := own.Find(stored.Submission()); stored.Version() > 0 && !known {
+		next = own.Next(stored.Submission(), stored.Text())
+	}
+	value, err := next.Encode()
 	if err != nil {
 		v.Log.Error(err, "manifest in force cannot be encoded")
 		return
@@ -99,7 +104,7 @@
 		v.Log.V(1).Info("manifest could not be restored", "error", err.Error())
 		return
 	}
-	v.Log.Info("platform held a lower version; restored the one in force", "version", own.Version(), "held", stored.Version())
+	v.Log.Info("platform held a lower version; restored the one in force", "version", next.Version(), "held", stored.Version())
 }
 
 // adopt puts a record in force, unless it is no newer than the one in force
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -144,10 +144,10 @@
 	return n
 }
 
-// follow is a spreader's duty: a watch of 20 s and a list each second.
+// follow is a spreader's duty: a watch of 5 s and a list each second.
 func (c *control) follow() {
 	const pause = time.Second
-	const watch = 20
+	const watch = 5
 	f := c.fleet
 	turn := 0
 	var duty func()
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -40,11 +40,13 @@
 	at time.Time
 }
 
-// FaultBody is the JSON of PUT /v1/faults: an outage in milliseconds, and
-// how many of the next writes lose their answer after they took effect.
+// FaultBody is the JSON of PUT /v1/faults: an outage in milliseconds, how many
+// of the next writes lose their answer after they took effect, and whether all
+// keys are lost.
 type FaultBody struct {
 	Outage int64 `json:"outage"`
 	Lose   int   `json:"lose"`
+	Forget bool  `json:"forget"`
 }
 
 // Calls returns how many calls were made so far; a watch is one.
@@ -211,6 +213,11 @@
 	p.lock.Lock()
 	p.outage = time.Now().Add(time.Duration(body.Outage) * time.Millisecond)
 	p.lose = body.Lose
+	if body.Forget {
+		p.keys = map[string]platform.KeyBody{}
+		close(p.changed)
+		p.changed = make(chan struct{})
+	}
 	p.lock.Unlock()
 	p.answer(w, http.StatusOK, struct{}{}, false)
 }
