Remove what nothing uses

Cause: a pass with dead-code and static checkers found two fields of a slot, a counter of failures and a counter of calls that nothing read, and a comment that named a function that is called otherwise.

Ruled out: using the failure counter for routing; nothing was measured with it.

Change: they are gone.

Measured: group and entry pass. README's steps by hand, with psql: write, read, token, transaction, and a refused SET, as the page says. Conclusion: kept.

--- a/group/knowledge.go
+++ b/group/knowledge.go
@@ -47,9 +47,7 @@
 	followed time.Duration
 	// dialAgain is when a failed dial may be tried again.
 	dialAgain time.Duration
-	// failures counts the runs that had to be repeated elsewhere.
-	failures int
-	peers    map[string]peerView
+	peers     map[string]peerView
 }
 
 type ask struct {
--- a/group/release.go
+++ b/group/release.go
@@ -41,7 +41,7 @@
 		m.refuse(w, ReasonTransactionLost)
 		return
 	}
-	if m.rerun(w, r.slot.view) {
+	if m.rerun(w) {
 		return
 	}
 	m.refuse(w, ReasonRejected)
@@ -144,7 +144,7 @@
 // repeatHeld runs a request again whose reply cannot be released, if it may
 // run again; otherwise its outcome is unknown.
 func (m *Machine) repeatHeld(w *work, reason Reason) {
-	if m.pinned[w.Session] == nil && m.rerun(w, w.source) {
+	if m.pinned[w.Session] == nil && m.rerun(w) {
 		return
 	}
 	m.abandonHeld(w, reason)
--- a/group/requests.go
+++ b/group/requests.go
@@ -208,7 +208,7 @@
 		inside := r.slot.session != 0
 		w.run = nil
 		m.hang(r.slot)
-		if inside || !m.rerun(w, r.slot.view) {
+		if inside || !m.rerun(w) {
 			m.end(w, Unknown{Reason: ReasonSilent})
 		}
 	}
@@ -230,7 +230,7 @@
 
 // rerun queues a request again if it may run more than once and the retry
 // budget allows it.
-func (m *Machine) rerun(w *work, failed *view) bool {
+func (m *Machine) rerun(w *work) bool {
 	if !w.Read && !w.Repeat {
 		return false
 	}
@@ -239,7 +239,6 @@
 	}
 	m.allowance--
 	w.notBefore = m.now + time.Duration(m.random.Int64N(int64(m.Limits.Tick)+1))
-	failed.failures++
 	m.requeue(w)
 	return true
 }
--- a/group/slots.go
+++ b/group/slots.go
@@ -133,7 +133,7 @@
 	}
 }
 
-// start sends a request over a free slot or the one of its transaction.
+// startRun sends a request over a free slot or the one of its transaction.
 func (m *Machine) startRun(w *work, s *slot) {
 	if s.run != nil || s.session != 0 && s.session != w.Session {
 		m.breach("slot %d given to session %d while in use", s.id, w.Session)
@@ -219,7 +219,7 @@
 		m.unsent(w, inside)
 		return
 	}
-	if inside || !m.rerun(w, r.slot.view) {
+	if inside || !m.rerun(w) {
 		m.end(w, Unknown{Reason: ReasonConnectionLost})
 	}
 }
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -27,7 +27,6 @@
 	vms     map[string]listed
 	outage  time.Time
 	lose    int
-	calls   int
 }
 
 type lease struct {
@@ -49,13 +48,6 @@
 	Forget bool  `json:"forget"`
 }
 
-// Calls returns how many calls were made so far; a watch is one.
-func (p *Platform) Calls() int {
-	p.lock.Lock()
-	defer p.lock.Unlock()
-	return p.calls
-}
-
 // Handler returns the service's routes.
 func (p *Platform) Handler() http.Handler {
 	p.keys = map[string]platform.KeyBody{}
@@ -82,7 +74,6 @@
 func (p *Platform) enter(r *http.Request) bool {
 	p.lock.Lock()
 	defer p.lock.Unlock()
-	p.calls++
 	return time.Now().Before(p.outage) && !strings.HasPrefix(r.URL.Path, "/v1/faults")
 }
 
--- a/target/slot.go
+++ b/target/slot.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 
 	"amaranthsill/group"
 	"amaranthsill/kernel"
@@ -18,9 +17,6 @@
 	target string
 	cancel context.CancelFunc
 	orders chan order
-
-	lock sync.Mutex
-	conn *conn
 }
 
 // order is one run for a slot: a request, or a rollback if batch is nil.
