Answer callers of a group that a manifest removes; trust a zone's word longer

Cause: reading the group's goroutine as a newcomer: a group that the manifest no longer names was stopped at once, and whoever waited for it waited for ever. And a zone's word that it hears a target held for 600 ms, hardly longer than the 500 ms between two probes, so that a late packet could count as a lost target.

Ruled out: leaving it to the caller's timeout; what is given up is answered at once.

Change: a removed group gets no new work, its open transactions have 10 s, and new requests are refused at once as not run. A zone hears a target for the time of a probe and an ask, 800 ms.

Measured: the new test timed out on the code before and passes now.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -354,6 +354,30 @@
 	})
 })
 
+var _ = ginkgo.Describe("A group that the manifest no longer names", func() {
+	ginkgo.It("lets its open transaction end and refuses what comes then", func() {
+		ctx, stop := context.WithCancel(context.Background())
+		ginkgo.DeferCleanup(stop)
+		f := start(ctx, 1)
+		c := f.mustConnect(ctx, 0, "dues", "")
+		defer func() { _ = c.Close(ctx) }()
+		tx, err := c.Begin(ctx)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = tx.Exec(ctx, "insert into paid (key, value) values ('last', 'x')")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		f.site.Groups = []string{"choir"}
+		s := &submission.Submission{Store: &platform.Client{Address: f.site.PlatformAddress}, Text: []byte(f.site.Manifest())}
+		_, err = s.Run(ctx)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		f.awaitVersion(ctx, 2)
+		gomega.Expect(tx.Commit(ctx)).To(gomega.Succeed())
+		_, err = c.Exec(ctx, "insert into paid (key, value) values ('late', 'x')")
+		gomega.Expect(codeOf(err)).To(gomega.Equal(caller.CodeRefused))
+		_, err = f.connect(ctx, 0, "dues", "")
+		gomega.Expect(codeOf(err)).To(gomega.Equal("3D000"))
+	})
+})
+
 var _ = ginkgo.Describe("A platform that lost its keys", func() {
 	record := func(ctx context.Context, store platform.Store) platform.Record {
 		for ctx.Err() == nil {
--- a/group/action.go
+++ b/group/action.go
@@ -138,6 +138,7 @@
 	ReasonRejected        Reason = "the target rejected it"
 	ReasonTransactionLost Reason = "the transaction's connection was lost; it was rolled back"
 	ReasonStopping        Reason = "the VM is stopping"
+	ReasonRetired         Reason = "the group is no longer in the manifest"
 	ReasonInvariant       Reason = "an internal check failed"
 	ReasonUnacknowledged  Reason = "no majority confirmed it in time"
 	ReasonDeposed         Reason = "the primary was deposed while it ran"
--- a/group/knowledge.go
+++ b/group/knowledge.go
@@ -85,7 +85,7 @@
 // ask for it.
 func (m *Machine) Hears(target string) bool {
 	v := findView(m.views, target)
-	return v != nil && v.known && !v.lost && m.now-v.heard <= m.Limits.Ask+m.Limits.Fresh
+	return v != nil && v.known && !v.lost && m.now-v.heard <= m.Limits.Probe+m.Limits.Ask
 }
 
 // Primary returns the target that leads the group and its term, as far as
--- a/group/routing.go
+++ b/group/routing.go
@@ -12,6 +12,10 @@
 	}
 	for _, w := range slices.Clone(m.waiting) {
 		w.awaits = nil
+		if m.retired() {
+			m.refuse(w, ReasonRetired)
+			continue
+		}
 		if m.now < w.notBefore {
 			continue
 		}
@@ -23,6 +27,11 @@
 	}
 }
 
+// retired reports whether no target may get new work.
+func (m *Machine) retired() bool {
+	return !slices.ContainsFunc(m.Members, func(n Member) bool { return !n.Leaving })
+}
+
 // placeWrite sends a request to the primary, if a majority can acknowledge
 // it there.
 func (m *Machine) placeWrite(w *work) {
--- a/kernel/group.go
+++ b/kernel/group.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +20,7 @@
 type Group struct {
 	kernel  *Kernel
 	name    string
+	ctx     context.Context
 	cancel  context.CancelFunc
 	events  chan group.Event
 	machine *group.Machine
@@ -82,6 +85,7 @@
 	select {
 	case g.events <- e:
 	case <-ctx.Done():
+	case <-g.ctx.Done():
 	}
 }
 
@@ -93,9 +97,43 @@
 	g.tasks[t.Request.ID] = t
 	g.lock.Unlock()
 	g.Post(ctx, group.Arrived{Request: t.Request})
+	if g.ctx.Err() != nil {
+		g.Answer(t.Request.ID, group.Refused{Reason: group.ReasonRetired, RetryAfter: retiredRetry})
+	}
 	return t.answer
 }
 
+// The times of a group that the manifest in force no longer names.
+const (
+	// retiredRetry is when its callers may come back.
+	retiredRetry = time.Second
+	// retireBound is how long its open transactions may go on.
+	retireBound = 10 * time.Second
+)
+
+// retire gives the group's targets no new work, and ends what is left of it
+// after a while.
+func (g *Group) retire() {
+	members := []group.Member{}
+	g.lock.Lock()
+	for _, t := range g.targets {
+		members = append(members, group.Member{Name: t.Name(), Zone: t.Zone(), Leaving: true})
+	}
+	g.lock.Unlock()
+	g.hand(group.Configured{Members: members, Rank: -1})
+	time.AfterFunc(retireBound, g.cancel)
+}
+
+// abandon answers what a group that has ended will not answer any more.
+func (g *Group) abandon() {
+	g.lock.Lock()
+	left := slices.Collect(maps.Keys(g.tasks))
+	g.lock.Unlock()
+	for _, id := range left {
+		g.Answer(id, group.Unknown{Reason: group.ReasonRetired})
+	}
+}
+
 // Vanish forgets a caller's session and what it still waits for.
 func (g *Group) Vanish(ctx context.Context, session uint64) {
 	g.lock.Lock()
@@ -135,8 +173,6 @@
 // Kernel returns the kernel that runs the group.
 func (g *Group) Kernel() *Kernel { return g.kernel }
 
-func (g *Group) stop() { g.cancel() }
-
 func (g *Group) learn(d manifest.Group) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
@@ -162,12 +198,16 @@
 func (g *Group) configure(d manifest.Group) {
 	g.learn(d)
 	members, rank := g.members(d)
-	e := group.Configured{Members: members, Rank: rank}
+	g.hand(group.Configured{Members: members, Rank: rank})
+}
+
+// hand posts an event without waiting, since its caller holds the kernel's
+// lock.
+func (g *Group) hand(e group.Event) {
 	select {
 	case g.events <- e:
 	default:
-		// The caller holds the kernel's lock, so it must not wait.
-		go func() { g.events <- e }()
+		go g.Post(g.ctx, e)
 	}
 }
 
@@ -179,6 +219,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			g.abandon()
 			return
 		case e := <-g.events:
 			g.step(ctx, e)
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -130,7 +130,7 @@
 	}
 	for name, g := range k.groups {
 		if !wanted[name] {
-			g.stop()
+			g.retire()
 			delete(k.groups, name)
 		}
 	}
@@ -172,6 +172,7 @@
 	r := &Group{
 		kernel:  k,
 		name:    g.Name(),
+		ctx:     ctx,
 		cancel:  cancel,
 		events:  make(chan group.Event, ringSize),
 		tasks:   map[uint64]*Task{},
