Say that a target is not heard while it owes an answer

Change: a VM says that it does not hear a target while a request has waited for an answer for 150 ms.

--- a/group/knowledge.go
+++ b/group/knowledge.go
@@ -81,11 +81,17 @@
 	return nil
 }
 
-// Hears reports whether this VM has a recent answer of a target. Other VMs
-// ask for it.
+// Hears reports whether a target answers this VM: its last answer is recent,
+// and no request has waited long for one. Other VMs ask for it.
 func (m *Machine) Hears(target string) bool {
 	v := findView(m.views, target)
-	return v != nil && v.known && !v.lost && m.now-v.heard <= m.Limits.Probe+m.Limits.Ask
+	if v == nil || !v.known || v.lost {
+		return false
+	}
+	if len(v.asks) > 0 && m.now-v.asks[0].sent > m.Limits.Ask/2 {
+		return false
+	}
+	return m.now-v.heard <= m.Limits.Probe+m.Limits.Ask
 }
 
 // Primary returns the target that leads the group and its term, as far as
