List the demo's VMs without curl

Cause: a fresh machine with Go may have no curl, and the demo needed it to put its VMs on the platform's list.

Ruled out: a flag of the daemon; the list is the platform's.

Change: the stand-in platform takes the list as a flag.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -10,12 +10,14 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"amaranthsill/internal/standin"
+	"amaranthsill/platform"
 )
 
 func main() {
@@ -61,12 +63,18 @@
 	p := &standin.Platform{}
 	address := flags.String("address", "127.0.0.1:2379", "where to listen")
 	flags.DurationVar(&p.Lag, "lag", 0, "time until the list of VMs shows a change")
+	vms := flags.String("vms", "", "VMs on the list from the start: name/zone/peers' address, separated by commas")
 	return &ffcli.Command{
 		Name:       "platform",
 		ShortUsage: "standin platform [flags]",
 		ShortHelp:  "the platform's key-value service and list of VMs",
 		FlagSet:    flags,
 		Exec: func(ctx context.Context, _ []string) error {
+			list, err := readVMs(*vms)
+			if err != nil {
+				return err
+			}
+			p.VMs = list
 			s := &http.Server{Addr: *address, Handler: p.Handler(), ReadHeaderTimeout: time.Second}
 			go func() {
 				<-ctx.Done()
@@ -79,3 +87,21 @@
 		},
 	}
 }
+
+// errVMs reports a list of VMs that cannot be read.
+var errVMs = errors.New("write name/zone/address for each VM, separated by commas")
+
+func readVMs(s string) ([]platform.VM, error) {
+	out := []platform.VM{}
+	for part := range strings.SplitSeq(s, ",") {
+		if part == "" {
+			continue
+		}
+		f := strings.Split(part, "/")
+		if len(f) != 3 {
+			return nil, fmt.Errorf("read VM %q: %w", part, errVMs)
+		}
+		out = append(out, platform.VM{Name: f[0], Zone: f[1], Address: f[2]})
+	}
+	return out, nil
+}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -19,6 +19,8 @@
 type Platform struct {
 	// Lag is how long a change of the list of VMs stays unseen.
 	Lag time.Duration
+	// VMs are on the list from the start.
+	VMs []platform.VM
 
 	lock    sync.Mutex
 	keys    map[string]platform.KeyBody
@@ -54,6 +56,9 @@
 	p.changed = make(chan struct{})
 	p.leases = map[string]lease{}
 	p.vms = map[string]listed{}
+	for _, vm := range p.VMs {
+		p.vms[vm.Name] = listed{vm: vm}
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/keys/{key}", p.getKey)
 	mux.HandleFunc("PUT /v1/keys/{key}", p.putKey)
--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -3,6 +3,8 @@
 work=$(mktemp -d)
 pids=()
 processes=""
+zones=(none quetzaltenango guatemala coban)
+vm_pids=(none)
 
 stop_site() {
   for pid in "${pids[@]}"; do kill -CONT "$pid" 2>/dev/null || true; kill "$pid" 2>/dev/null || true; done
@@ -26,20 +28,13 @@
 }
 
 start_platform() {
-  "$work/bin/standin" platform --address 127.0.0.1:2379 & pids+=($!)
+  local vms=""
+  for n in 1 2 3; do vms="$vms,vm-$n/${zones[$n]}/127.0.0.1:644$n"; done
+  "$work/bin/standin" platform --address 127.0.0.1:2379 --vms "$vms" & pids+=($!)
   platform_pid=$!
   wait_port 2379
 }
 
-zones=(none quetzaltenango guatemala coban)
-vm_pids=(none)
-
-# list_vm N puts VM N on the platform's list.
-list_vm() {
-  curl --silent --show-error --output /dev/null -X PUT "http://127.0.0.1:2379/v1/vms/vm-$1" \
-    -d "{\"zone\":\"${zones[$1]}\",\"address\":\"127.0.0.1:644$1\"}"
-}
-
 start_vm() {
   cat >"$work/vm-$1.json" <<JSON
 {
@@ -51,7 +46,6 @@
   "platform": "127.0.0.1:2379",
 }
 JSON
-  list_vm "$1"
   "$work/bin/amaranthsilld" --settings "$work/vm-$1.json" 2>>"$work/vm-$1.log" & pids+=($!)
   vm_pids[$1]=$!
   wait_port "643$1"
