--- a/cmd/amaranthsill/manifest.go
+++ b/cmd/amaranthsill/manifest.go
@@ -11,7 +11,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"amaranthsill/manifest"
-	"amaranthsill/platform"
+	"amaranthsill/store"
 	"amaranthsill/submission"
 )
 
@@ -120,7 +120,7 @@
 	ctx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
 	n := &submission.Submission{
-		Store:    &platform.Client{Address: s.address},
+		Store:    &store.Client{Address: s.address},
 		Identity: s.identity,
 		Text:     m.Text(),
 		Floor:    s.floor(ctx),
--- /dev/null
+++ b/cmd/amaranthsilld/edge.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-logr/logr"
+	"github.com/peterbourgon/ff/v3"
+
+	"amaranthsill/clock"
+	"amaranthsill/edge"
+	"amaranthsill/platform"
+)
+
+// runEdge runs an entry VM on the users' platform.
+func runEdge(args []string) int {
+	flags := flag.NewFlagSet("amaranthsilld edge", flag.ContinueOnError)
+	file := flags.String("node-file", "edge.json", "file with this VM's settings, JSON with comments")
+	err := ff.Parse(flags, args, ff.WithEnvVarPrefix("AMARANTHSILL"))
+	if errors.Is(err, flag.ErrHelp) {
+		return exitDone
+	}
+	if err != nil {
+		return exitUsage
+	}
+	settings, err := edge.ReadSettings(*file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	// Settings that change take effect at the next start.
+	signal.Ignore(syscall.SIGHUP)
+	log := logr.FromSlogHandler(slog.NewJSONHandler(os.Stdout, nil))
+	vm := &edge.VM{Settings: settings, Adapter: platform.NewAdapter(settings), Now: clock.Boot, Log: log}
+	if err := vm.Run(ctx); err != nil {
+		log.Error(err, "VM failed")
+		return exitFailed
+	}
+	return exitDone
+}
--- a/cmd/amaranthsilld/main.go
+++ b/cmd/amaranthsilld/main.go
@@ -29,6 +29,9 @@
 }
 
 func run(args []string) int {
+	if len(args) > 0 && args[0] == "edge" {
+		return runEdge(args[1:])
+	}
 	flags := flag.NewFlagSet("amaranthsilld", flag.ContinueOnError)
 	file := flags.String("settings", "vm.json", "file with this VM's settings, JSON with comments")
 	verbose := flags.Bool("verbose", false, "log details")
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -17,7 +17,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"amaranthsill/internal/standin"
-	"amaranthsill/platform"
+	"amaranthsill/store"
 )
 
 func main() {
@@ -91,8 +91,8 @@
 // errVMs reports a list of VMs that cannot be read.
 var errVMs = errors.New("write name/zone/address for each VM, separated by commas")
 
-func readVMs(s string) ([]platform.VM, error) {
-	out := []platform.VM{}
+func readVMs(s string) ([]store.VM, error) {
+	out := []store.VM{}
 	for part := range strings.SplitSeq(s, ",") {
 		if part == "" {
 			continue
@@ -101,7 +101,7 @@
 		if len(f) != 3 {
 			return nil, fmt.Errorf("read VM %q: %w", part, errVMs)
 		}
-		out = append(out, platform.VM{Name: f[0], Zone: f[1], Address: f[2]})
+		out = append(out, store.VM{Name: f[0], Zone: f[1], Address: f[2]})
 	}
 	return out, nil
 }
--- /dev/null
+++ b/edge/keep.go
@@ -0,0 +1,170 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"amaranthsill/store"
+	"amaranthsill/succession"
+)
+
+// The times of leases.
+const (
+	// confirmPause is the time between two confirmations of the record of
+	// leaders; three may be lost before a grant runs out.
+	confirmPause = 400 * time.Millisecond
+	// confirmsInFlight bounds the confirmations under way to a slow store.
+	confirmsInFlight = 3
+	// entryLife is how long a VM's entry outlives its last renewal.
+	entryLife = 8 * time.Second
+	// entryPause is the time between two renewals of the entry.
+	entryPause = 2500 * time.Millisecond
+	// repairSpread spreads the VMs that replace a lapsed lease.
+	repairSpread = 250 * time.Millisecond
+)
+
+// confirmer confirms the record of leaders again and again.
+type confirmer struct {
+	*VM
+	flights chan struct{}
+}
+
+func (c *confirmer) run(ctx context.Context) {
+	c.flights = make(chan struct{}, confirmsInFlight)
+	tick := time.NewTicker(confirmPause)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		select {
+		case c.flights <- struct{}{}:
+			go c.confirm(ctx)
+		default:
+		}
+	}
+}
+
+func (c *confirmer) confirm(ctx context.Context) {
+	defer func() { <-c.flights }()
+	l := c.grants.Record().Lease
+	if l == 0 {
+		return
+	}
+	sent := c.Now()
+	err := c.Adapter.Ledger.Renew(ctx, l)
+	switch {
+	case err == nil:
+		c.grants.Confirm(l, sent)
+		c.storeAnswered()
+	case errors.Is(err, store.ErrNoLease):
+		c.repair(ctx, l)
+	default:
+		c.storeFailed("confirming leaders", err)
+	}
+}
+
+// repair reads the record again whose lease has ended, and gives it another
+// lease if it still stands.
+func (c *confirmer) repair(ctx context.Context, l store.Lease) {
+	err := c.readRecord(ctx)
+	if err == nil && c.grants.Record().Lease == l {
+		pauseFor(ctx, rand.N(repairSpread))
+		if c.grants.Record().Lease == l {
+			err = c.mover.Renew(ctx, l)
+		}
+	}
+	if err != nil && !errors.Is(err, succession.ErrOvertaken) {
+		c.storeFailed("reading leaders", err)
+	}
+}
+
+func (v *VM) readRecord(ctx context.Context) error {
+	sent := v.Now()
+	i, _, err := v.Adapter.Ledger.Read(ctx, succession.RecordKey)
+	if err != nil {
+		return fmt.Errorf("read record of leaders: %w", err)
+	}
+	r, err := succession.DecodeRecord(i)
+	if err != nil {
+		return fmt.Errorf("read record of leaders: %w", err)
+	}
+	v.grants.ConfirmRecord(r, sent)
+	v.poke()
+	return nil
+}
+
+// registrar keeps this VM's entry in the store.
+type registrar struct {
+	*VM
+	lease store.Lease
+}
+
+func (r *registrar) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := r.step(ctx); err != nil {
+			r.storeFailed("registering", err)
+			pauseFor(ctx, followPause+rand.N(followPause))
+			continue
+		}
+		r.registered.Store(true)
+		r.wait(ctx)
+	}
+}
+
+// wait returns when the entry is due for renewal or was removed.
+func (r *registrar) wait(ctx context.Context) {
+	for left := entryPause; left > 0 && ctx.Err() == nil; left -= stewardPause {
+		pauseFor(ctx, stewardPause)
+		if r.directory.TakeOwnGone() {
+			r.Log.Info("own entry was removed; registering again")
+			r.lease = 0
+			return
+		}
+	}
+}
+
+func (r *registrar) step(ctx context.Context) error {
+	if r.lease != 0 {
+		err := r.Adapter.Ledger.Renew(ctx, r.lease)
+		if !errors.Is(err, store.ErrNoLease) {
+			return err
+		}
+		r.lease = 0
+	}
+	l, err := r.Adapter.Ledger.Grant(ctx, entryLife)
+	if err != nil {
+		return fmt.Errorf("register: %w", err)
+	}
+	text, err := json.Marshal(Peer{
+		Name:        r.Settings.VM(),
+		Zone:        r.Settings.Zone(),
+		Address:     r.Settings.Peers(),
+		Incarnation: r.incarnation,
+	})
+	if err != nil {
+		return fmt.Errorf("encode entry: %w", err)
+	}
+	put := store.Put{Key: vmPrefix + r.Settings.VM(), Value: text, Lease: l}
+	if _, err := r.Adapter.Ledger.Apply(ctx, store.Transaction{Puts: []store.Put{put}}); err != nil {
+		return fmt.Errorf("register: %w", err)
+	}
+	r.lease = l
+	return nil
+}
+
+// leave removes this VM's entry, so that others need not wait for it to lapse.
+func (r *registrar) leave(ctx context.Context) {
+	if r.lease == 0 {
+		return
+	}
+	if err := r.Adapter.Ledger.End(ctx, r.lease); err != nil {
+		r.Log.Info("own entry is left to lapse", "reason", err.Error())
+	}
+}
--- /dev/null
+++ b/edge/steward.go
@@ -0,0 +1,211 @@
+package edge
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"amaranthsill/pool"
+	"amaranthsill/succession"
+)
+
+// The times of a steward.
+const (
+	// stewardPause is the time between two looks at the groups.
+	stewardPause = 50 * time.Millisecond
+	// rankDelay is how much longer each VM of lower rank waits before it
+	// moves a leadership.
+	rankDelay = 150 * time.Millisecond
+	// movePause is the least time between two tries of one VM.
+	movePause = 400 * time.Millisecond
+	// probeAfter is how long the leader may owe an answer before a fresh
+	// connection is tried.
+	probeAfter = 250 * time.Millisecond
+	// refusedLimit is how long nobody may listen at the leader's address
+	// before it counts as failed; a process restarts within it.
+	refusedLimit = 350 * time.Millisecond
+	// silentLimit is how long the leader may not be reached before it counts
+	// as failed.
+	silentLimit = 300 * time.Millisecond
+	// readOnlyLimit is how long the leader may refuse writes.
+	readOnlyLimit = 500 * time.Millisecond
+	// spareConnections are left free at each target for control orders.
+	spareConnections = 2
+)
+
+// steward looks after the groups: connections, leaders, and who has to
+// lead next.
+type steward struct {
+	*VM
+	wards map[string]*ward
+	// missing is since when the record has lacked a group.
+	missing time.Duration
+	// introducing reports that first leaders are being recorded.
+	introducing atomic.Bool
+}
+
+// ward is what the steward remembers of a group.
+type ward struct {
+	lead succession.Lead
+	// since is when the lead was first seen.
+	since time.Duration
+	// cause and from are why and since when the leader has to be replaced.
+	cause  string
+	from   time.Duration
+	moving bool
+	tried  time.Duration
+}
+
+func (s *steward) run(ctx context.Context) {
+	s.wards = map[string]*ward{}
+	tick := time.NewTicker(stewardPause)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-s.poked:
+		}
+		s.settle()
+		s.look(ctx)
+	}
+}
+
+func (s *steward) look(ctx context.Context) {
+	s.directory.Expire()
+	c := s.catalog.Current()
+	if c == nil {
+		return
+	}
+	vms := max(len(s.directory.Peers()), 1)
+	for name, n := range c.Groups {
+		targets := s.directory.Targets(name)
+		if len(targets) == 0 {
+			continue
+		}
+		g := s.pool(name)
+		g.Configure(targets, (n.Connections-spareConnections)/vms)
+		s.lead(ctx, name, g)
+	}
+	s.introduce(ctx, c.Groups)
+	s.checkReady()
+}
+
+// lead hands the group its leader and watches it.
+func (s *steward) lead(ctx context.Context, name string, g *pool.Group) {
+	lead := s.grants.Lead(name)
+	w := s.wards[name]
+	now := s.Now()
+	if w == nil || w.lead != lead {
+		moving := w != nil && w.moving
+		w = &ward{lead: lead, since: now, moving: moving}
+		s.wards[name] = w
+	}
+	leader := lead.Target
+	if lead.Moving() {
+		leader = ""
+	}
+	g.SetLeader(leader)
+	if lead.Target == "" && !lead.Moving() {
+		return
+	}
+	cause := s.cause(w, g, now)
+	if cause == "" {
+		w.cause = ""
+		return
+	}
+	if w.cause == "" {
+		w.from = now
+		s.Log.Info("leader has to be replaced", "group", name, "leader", lead.Target, "cause", cause)
+	}
+	w.cause = cause
+	s.replace(ctx, name, w, now)
+}
+
+// cause returns why a group's leader has to be replaced; empty if it has not.
+func (s *steward) cause(w *ward, g *pool.Group, now time.Duration) string {
+	if w.lead.Moving() {
+		if now-w.since > succession.TakeOver {
+			return "the move was not finished"
+		}
+		return ""
+	}
+	t, known := g.Target(w.lead.Target)
+	if !known {
+		return "its entry is gone"
+	}
+	if t.Draining {
+		return "it is draining"
+	}
+	h := g.Health(t.ID)
+	if h.Unanswered > probeAfter || h.Failing > 0 {
+		g.Probe(t.ID)
+	}
+	switch {
+	case h.Failing > refusedLimit && h.Refused:
+		return "its address refuses connections"
+	case h.Failing > silentLimit && !h.Refused:
+		return "it does not answer over fresh connections"
+	case h.ReadOnly > readOnlyLimit:
+		return "it refuses writes"
+	default:
+		return ""
+	}
+}
+
+// replace moves the leadership once this VM's turn has come.
+func (s *steward) replace(ctx context.Context, name string, w *ward, now time.Duration) {
+	delay := time.Duration(s.rank(name)) * rankDelay
+	if w.moving || now-w.from < delay || w.tried != 0 && now-w.tried < movePause {
+		return
+	}
+	w.moving = true
+	w.tried = now
+	lead, cause := w.lead, w.cause
+	go func() {
+		err := s.mover.Move(ctx, name, lead, cause)
+		switch {
+		case errors.Is(err, succession.ErrOvertaken):
+			s.Log.V(1).Info("another VM moves the leadership", "group", name)
+		case err != nil:
+			s.Log.Error(err, "leadership was not moved", "group", name, "from", lead.Target, "cause", cause)
+		}
+		s.moved <- name
+		s.poke()
+	}()
+}
+
+// settle notes moves that have ended.
+func (s *steward) settle() {
+	for {
+		select {
+		case name := <-s.moved:
+			if w := s.wards[name]; w != nil {
+				w.moving = false
+				w.tried = s.Now()
+			}
+		default:
+			return
+		}
+	}
+}
+
+// rank returns this VM's place among those that may move a group's
+// leadership.
+func (s *steward) rank(group string) int {
+	peers := s.directory.Peers()
+	slices.SortFunc(peers, func(a, b Peer) int {
+		return cmp.Compare(xxhash.Sum64String(group+a.Name), xxhash.Sum64String(group+b.Name))
+	})
+	i := slices.IndexFunc(peers, func(p Peer) bool { return p.Name == s.Settings.VM() })
+	if i < 0 {
+		return len(peers)
+	}
+	return i
+}
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -22,7 +22,7 @@
 	"amaranthsill/caller"
 	"amaranthsill/entry"
 	"amaranthsill/internal/standin"
-	"amaranthsill/platform"
+	"amaranthsill/store"
 	"amaranthsill/submission"
 )
 
@@ -60,7 +60,7 @@
 		Kinds:       kinds,
 	}}
 	gomega.Expect(f.site.Start(ctx)).To(gomega.Succeed())
-	s := &submission.Submission{Store: &platform.Client{Address: f.site.PlatformAddress}, Text: []byte(f.site.Manifest())}
+	s := &submission.Submission{Store: &store.Client{Address: f.site.PlatformAddress}, Text: []byte(f.site.Manifest())}
 	outcome, err := s.Run(ctx)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	gomega.Expect(outcome).To(gomega.Equal(submission.Accepted{Version: 1, Current: 1}))
@@ -366,7 +366,7 @@
 		_, err = tx.Exec(ctx, "insert into paid (key, value) values ('last', 'x')")
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		f.site.Groups = []string{"choir"}
-		s := &submission.Submission{Store: &platform.Client{Address: f.site.PlatformAddress}, Text: []byte(f.site.Manifest())}
+		s := &submission.Submission{Store: &store.Client{Address: f.site.PlatformAddress}, Text: []byte(f.site.Manifest())}
 		_, err = s.Run(ctx)
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		f.awaitVersion(ctx, 2)
@@ -379,47 +379,47 @@
 })
 
 var _ = ginkgo.Describe("A platform that lost its keys", func() {
-	record := func(ctx context.Context, store platform.Store) platform.Record {
+	record := func(ctx context.Context, kept store.Store) store.Record {
 		for ctx.Err() == nil {
-			if e, err := store.Get(ctx, platform.ManifestKey); err == nil {
-				r, err := platform.DecodeRecord(e.Value())
+			if e, err := kept.Get(ctx, store.ManifestKey); err == nil {
+				r, err := store.DecodeRecord(e.Value())
 				gomega.Expect(err).NotTo(gomega.HaveOccurred())
 				return r
 			}
 			time.Sleep(20 * time.Millisecond)
 		}
-		return platform.Record{}
+		return store.Record{}
 	}
-	submit := func(ctx context.Context, store platform.Store, identity, text string) {
-		s := &submission.Submission{Store: store, Identity: identity, Text: []byte(text)}
+	submit := func(ctx context.Context, kept store.Store, identity, text string) {
+		s := &submission.Submission{Store: kept, Identity: identity, Text: []byte(text)}
 		outcome, err := s.Run(ctx)
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		gomega.Expect(outcome).To(gomega.BeAssignableToTypeOf(submission.Accepted{}))
 	}
 
 	// forgotten has version 2 in force everywhere, and a store without it.
-	forgotten := func() (context.Context, *fixture, platform.Store) {
+	forgotten := func() (context.Context, *fixture, store.Store) {
 		ctx, stop := context.WithCancel(context.Background())
 		ginkgo.DeferCleanup(stop)
 		f := start(ctx, 3)
-		store := &platform.Client{Address: f.site.PlatformAddress}
-		submit(ctx, store, "second", f.site.Manifest())
+		kept := &store.Client{Address: f.site.PlatformAddress}
+		submit(ctx, kept, "second", f.site.Manifest())
 		f.awaitVersion(ctx, 2)
 		put(ctx, f.site.PlatformAddress, "/v1/faults", `{"forget": true}`)
-		return ctx, f, store
+		return ctx, f, kept
 	}
 
 	ginkgo.It("gets the manifest in force back, and never an older one", func() {
-		ctx, _, store := forgotten()
-		gomega.Expect(record(ctx, store).Version()).To(gomega.Equal(uint64(2)))
+		ctx, _, kept := forgotten()
+		gomega.Expect(record(ctx, kept).Version()).To(gomega.Equal(uint64(2)))
 	})
 
 	ginkgo.It("does not revert a submission that it accepted before", func() {
-		ctx, f, store := forgotten()
+		ctx, f, kept := forgotten()
 		// Whether the VMs or the submission are first, it stays.
-		submit(ctx, store, "third", f.site.Manifest()+" ")
+		submit(ctx, kept, "third", f.site.Manifest()+" ")
 		f.awaitVersion(ctx, 3)
-		now := record(ctx, store)
+		now := record(ctx, kept)
 		gomega.Expect(now.Submission()).To(gomega.Equal("third"))
 		gomega.Expect(now.Version()).To(gomega.Equal(uint64(3)))
 	})
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -9,7 +9,7 @@
 	"amaranthsill/kernel"
 	"amaranthsill/manifest"
 	"amaranthsill/peer"
-	"amaranthsill/platform"
+	"amaranthsill/store"
 	"amaranthsill/roster"
 )
 
@@ -51,10 +51,10 @@
 // watch waits once for a change in the store and reports whether the store
 // answered.
 func (v *VM) watch(ctx context.Context, wait time.Duration) bool {
-	e, err := v.store.Watch(ctx, platform.ManifestKey, v.revision, wait)
+	e, err := v.store.Watch(ctx, store.ManifestKey, v.revision, wait)
 	switch {
-	case errors.Is(err, platform.ErrAbsent):
-		v.restore(ctx, platform.Entry{}, platform.Record{})
+	case errors.Is(err, store.ErrAbsent):
+		v.restore(ctx, store.Entry{}, store.Record{})
 		pause(ctx, retryPause)
 		return true
 	case err != nil:
@@ -66,7 +66,7 @@
 		return false
 	}
 	v.revision = e.Revision()
-	r, err := platform.DecodeRecord(e.Value())
+	r, err := store.DecodeRecord(e.Value())
 	if err != nil {
 		v.unreadable.Inc()
 		v.Log.Error(err, "stored manifest is unreadable; the one in force stays")
@@ -84,7 +84,7 @@
 // restore puts the manifest in force back into a store that has lost it, so
 // that an accepted configuration never reverts. If a submission was accepted
 // by the store that had lost it, that one gets the next version instead.
-func (v *VM) restore(ctx context.Context, e platform.Entry, stored platform.Record) {
+func (v *VM) restore(ctx context.Context, e store.Entry, stored store.Record) {
 	v.lock.Lock()
 	own := v.record
 	v.lock.Unlock()
@@ -100,7 +100,7 @@
 		v.Log.Error(err, "manifest in force cannot be encoded")
 		return
 	}
-	if _, err := v.store.Swap(ctx, platform.ManifestKey, e.Revision(), value); err != nil {
+	if _, err := v.store.Swap(ctx, store.ManifestKey, e.Revision(), value); err != nil {
 		v.Log.V(1).Info("manifest could not be restored", "error", err.Error())
 		return
 	}
@@ -109,7 +109,7 @@
 
 // adopt puts a record in force, unless it is no newer than the one in force
 // or breaks the rules; then the one in force stays.
-func (v *VM) adopt(ctx context.Context, r platform.Record) {
+func (v *VM) adopt(ctx context.Context, r store.Record) {
 	if r.Version() <= v.kernel.Record().Version {
 		return
 	}
@@ -144,7 +144,7 @@
 
 // adoptFromPeer takes over a record that another VM holds.
 func (v *VM) adoptFromPeer(ctx context.Context, _ string, value []byte) {
-	r, err := platform.DecodeRecord(value)
+	r, err := store.DecodeRecord(value)
 	if err != nil {
 		v.unreadable.Inc()
 		v.Log.Error(err, "peer's manifest is unreadable; the one in force stays")
--- a/entry/vm.go
+++ b/entry/vm.go
@@ -24,7 +24,7 @@
 	_ "amaranthsill/lease" // registers its driver
 	"amaranthsill/manifest"
 	"amaranthsill/peer"
-	"amaranthsill/platform"
+	"amaranthsill/store"
 	"amaranthsill/roster"
 	_ "amaranthsill/target" // registers its driver
 )
@@ -40,7 +40,7 @@
 	Limits group.Limits
 
 	kernel  *kernel.Kernel
-	store   platform.Store
+	store   store.Store
 	metrics *prometheus.Registry
 	callers *caller.Server
 	done    sync.WaitGroup
@@ -52,7 +52,7 @@
 	revision   uint64
 
 	lock   sync.Mutex
-	record platform.Record
+	record store.Record
 }
 
 // Run serves until the context ends and every request under way has ended.
@@ -103,7 +103,7 @@
 	}
 	v.metrics = prometheus.NewRegistry()
 	v.registerMetrics()
-	v.store = &platform.Client{
+	v.store = &store.Client{
 		Address: v.Settings.Platform().String(),
 		HTTP:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}},
 	}
--- /dev/null
+++ b/front/attempt.go
@@ -0,0 +1,308 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"amaranthsill/catalog"
+	"amaranthsill/pool"
+	"amaranthsill/query"
+)
+
+// The times and bounds of running a statement.
+const (
+	// busyPause is the time before a target that was full is tried again.
+	busyPause = 25 * time.Millisecond
+	// maxTries bounds the tries of one statement.
+	maxTries = 6
+	// sessionMargin is added to the age of a session's own commit, since the
+	// commit happened before it was acknowledged.
+	sessionMargin = 5 * time.Millisecond
+	// comeBack is when a caller may come back after a refusal.
+	comeBack = 250 * time.Millisecond
+)
+
+// attempt is one statement, or the opening of a transaction, on its way to a
+// target.
+type attempt struct {
+	session *session
+	route   *catalog.Route
+	group   *pool.Group
+	arrived time.Duration
+	until   time.Duration
+	leader  bool
+	tried   []string
+	tries   int
+	reason  string
+}
+
+func (s *session) newAttempt(r *catalog.Route, leader bool) (*attempt, *query.Reply) {
+	g, ok := s.front.Group(r.Group)
+	if !ok {
+		f := s.refuse(r, "no target of the group is registered")
+		return nil, &f
+	}
+	now := s.front.Now()
+	return &attempt{
+		session: s,
+		route:   r,
+		group:   g,
+		arrived: now,
+		until:   now + r.Timeout,
+		leader:  leader || r.Consistency == catalog.ConsistencyCurrent,
+	}, nil
+}
+
+// refuse promises that nothing ran, and says when to come back.
+func (s *session) refuse(r *catalog.Route, reason string) query.Reply {
+	s.front.Meter.refused(r, reason)
+	return s.failure(query.CodeBusy, fmt.Sprintf("%s; retry after %d ms", reason, comeBack.Milliseconds()))
+}
+
+// need says what the attempt needs of a target now.
+func (a *attempt) need() pool.Need {
+	n := pool.Need{
+		Leader:   a.leader,
+		Priority: a.route.Priority,
+		Until:    a.until,
+		Tried:    a.tried,
+		Mark:     a.session.state.Mark(),
+	}
+	if n.Leader {
+		return n
+	}
+	p, age, ok := a.group.Covering(a.arrived - a.route.Staleness)
+	if !ok {
+		n.Leader = true
+		return n
+	}
+	n.Floor, n.FloorAge = p, age
+	if a.route.Consistency == catalog.ConsistencySession && !p.Reaches(a.session.floor) {
+		n.Floor = a.session.floor
+		n.FloorAge = a.session.front.Now() - a.session.floorAt + sessionMargin
+	}
+	return n
+}
+
+// slot gets a connection for the next try, aligned with the session.
+func (a *attempt) slot(ctx context.Context, plan *query.Plan) (*pool.Slot, pool.Need, error) {
+	for {
+		n := a.need()
+		slot, err := a.group.Acquire(ctx, n)
+		if err != nil {
+			return nil, n, err
+		}
+		err = slot.Align(&a.session.state, plan, a.until)
+		if err == nil {
+			return slot, n, nil
+		}
+		slot.Release()
+		if !a.again(err.Error()) {
+			return nil, n, err
+		}
+	}
+}
+
+// again notes a try that did not run and reports whether another may follow.
+func (a *attempt) again(reason string) bool {
+	a.tries++
+	a.reason = reason
+	return a.tries < maxTries && a.session.front.Now() < a.until
+}
+
+// notRun takes in that a target turned an order away, and reports whether
+// another try may follow.
+func (a *attempt) notRun(ctx context.Context, slot *pool.Slot, n pool.Need, f *query.Failure) bool {
+	switch f.Code {
+	case query.CodeLagging:
+		a.group.Lagged(slot.Target(), n.FloorAge)
+		a.tried = append(a.tried, slot.Target())
+	case query.CodeBusy:
+		if n.Leader {
+			return a.again("target is full") && a.rest(ctx)
+		}
+		a.tried = append(a.tried, slot.Target())
+	case query.CodeReadOnly:
+		return a.again("target does not lead") && a.rest(ctx)
+	default:
+		a.tried = append(a.tried, slot.Target())
+	}
+	return a.again("target answered " + f.Code.String())
+}
+
+func (a *attempt) rest(ctx context.Context) bool {
+	select {
+	case <-time.After(busyPause):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// current returns nil once an answer of the slot's target may be released.
+// What needed the leader is released only while the target certainly leads;
+// other answers show their floor by the target's own check.
+func (a *attempt) current(ctx context.Context, slot *pool.Slot, n pool.Need) error {
+	if !n.Leader {
+		return nil
+	}
+	l := a.session.front.Leaders
+	if l.Holds(a.route.Group, slot.Target()) {
+		return nil
+	}
+	return l.Await(ctx, a.route.Group, slot.Target(), a.until)
+}
+
+// single runs a statement outside a transaction.
+func (s *session) single(ctx context.Context, q query.Query) query.Reply {
+	r, ok := s.route()
+	if !ok {
+		return s.failure(query.CodeUnknownDatabase, "the route was removed")
+	}
+	n, early := s.classify(q)
+	if early != nil {
+		return *early
+	}
+	a, early := s.newAttempt(r, n.write)
+	if early != nil {
+		return *early
+	}
+	reply := a.run(ctx, n)
+	s.front.Meter.ended(r, reply, s.front.Now()-a.arrived)
+	return reply
+}
+
+// run tries a statement on targets until one has answered it.
+func (a *attempt) run(ctx context.Context, n statement) query.Reply {
+	for {
+		slot, need, err := a.slot(ctx, n.plan)
+		if err != nil {
+			return a.giveUp(err)
+		}
+		reply, done := a.tryOn(ctx, slot, need, n)
+		if done {
+			return reply
+		}
+	}
+}
+
+func (a *attempt) giveUp(err error) query.Reply {
+	reason := "no target could take the statement"
+	if a.reason != "" {
+		reason = a.reason
+	} else if !errors.Is(err, pool.ErrNoTarget) {
+		reason = err.Error()
+	}
+	return a.session.refuse(a.route, reason)
+}
+
+// tryOn runs a statement on one target. The second result is false if it may
+// be tried again.
+func (a *attempt) tryOn(ctx context.Context, slot *pool.Slot, need pool.Need, n statement) (query.Reply, bool) {
+	answer, err := slot.Run(n.order(need.Floor), a.limit(n))
+	if err != nil {
+		slot.Release()
+		return a.lost(n, slot, err)
+	}
+	slot.Release()
+	if f := answer.Failure; f != nil {
+		return a.refusedBy(ctx, slot, need, n, answer.Reply)
+	}
+	if err := a.current(ctx, slot, need); err != nil {
+		return a.unconfirmed(n, err)
+	}
+	a.learn(slot, answer)
+	return a.success(n, answer), true
+}
+
+// limit is until when a target's answer is awaited. A read that has another
+// target left is not left to a silent one for its whole time.
+func (a *attempt) limit(n statement) time.Duration {
+	if n.write || a.tries >= maxTries-1 {
+		return a.until
+	}
+	now := a.session.front.Now()
+	return min(a.until, now+max((a.until-now)*6/10, minTry))
+}
+
+// minTry is the least time that a target gets for a read.
+const minTry = 300 * time.Millisecond
+
+func (n statement) order(after query.Position) pool.Order {
+	if n.plan == nil {
+		return pool.Forward{Query: n.query, After: after}
+	}
+	return pool.ForwardPlan{Query: n.query, Plan: *n.plan, Arguments: n.arguments, After: after}
+}
+
+// lost handles a connection that ended while a statement was under way.
+func (a *attempt) lost(n statement, slot *pool.Slot, err error) (query.Reply, bool) {
+	s := a.session
+	if n.write {
+		s.front.Meter.doubtful(a.route, n.query.ID, slot.Target(), err)
+		return s.failure(query.CodeInDoubt, "the target's answer was lost"), true
+	}
+	if !a.leader {
+		a.tried = append(a.tried, slot.Target())
+	}
+	if a.again("the target's answer was lost") {
+		return query.Reply{}, false
+	}
+	return s.refuse(a.route, a.reason), true
+}
+
+// refusedBy handles an answer without success.
+func (a *attempt) refusedBy(ctx context.Context, slot *pool.Slot, need pool.Need, n statement, r query.Reply) (query.Reply, bool) {
+	s := a.session
+	if r.Failure.Code.NotRun() {
+		if a.notRun(ctx, slot, need, r.Failure) {
+			return query.Reply{}, false
+		}
+		return s.refuse(a.route, a.reason), true
+	}
+	if !n.write && a.again("target answered "+r.Failure.Code.String()) {
+		a.tried = append(a.tried, slot.Target())
+		return query.Reply{}, false
+	}
+	return s.failure(r.Failure.Code, r.Failure.Detail), true
+}
+
+// unconfirmed handles an answer of a target that may have been deposed.
+func (a *attempt) unconfirmed(n statement, err error) (query.Reply, bool) {
+	s := a.session
+	if n.write {
+		s.front.Meter.doubtful(a.route, n.query.ID, "", err)
+		return s.failure(query.CodeInDoubt, "the target may have been deposed"), true
+	}
+	if a.again("the target was deposed") {
+		return query.Reply{}, false
+	}
+	return s.refuse(a.route, a.reason), true
+}
+
+// learn records the position that a leader's answer showed.
+func (a *attempt) learn(slot *pool.Slot, answer pool.Answer) {
+	if slot.Leader() && a.session.front.Leaders.Holds(a.route.Group, slot.Target()) {
+		a.group.Sample(answer.Sent, answer.Position)
+	}
+}
+
+func (a *attempt) success(n statement, answer pool.Answer) query.Reply {
+	s := a.session
+	if n.write {
+		s.wrote(answer.Position)
+	}
+	r := answer.Reply
+	r.State = query.StateIdle
+	return r
+}
+
+// wrote raises the session's floor to its own commit.
+func (s *session) wrote(p query.Position) {
+	if p.Reaches(s.floor) {
+		s.floor = p
+		s.floorAt = s.front.Now()
+	}
+}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"amaranthsill/platform"
+	"amaranthsill/store"
 )
 
 // Platform is a stand-in for the platform's key-value service and its list
@@ -20,10 +20,10 @@
 	// Lag is how long a change of the list of VMs stays unseen.
 	Lag time.Duration
 	// VMs are on the list from the start.
-	VMs []platform.VM
+	VMs []store.VM
 
 	lock    sync.Mutex
-	keys    map[string]platform.KeyBody
+	keys    map[string]store.KeyBody
 	changed chan struct{}
 	leases  map[string]lease
 	vms     map[string]listed
@@ -37,7 +37,7 @@
 }
 
 type listed struct {
-	vm platform.VM
+	vm store.VM
 	at time.Time
 }
 
@@ -52,7 +52,7 @@
 
 // Handler returns the service's routes.
 func (p *Platform) Handler() http.Handler {
-	p.keys = map[string]platform.KeyBody{}
+	p.keys = map[string]store.KeyBody{}
 	p.changed = make(chan struct{})
 	p.leases = map[string]lease{}
 	p.vms = map[string]listed{}
@@ -126,7 +126,7 @@
 }
 
 func (p *Platform) putKey(w http.ResponseWriter, r *http.Request) {
-	body := platform.KeyBody{}
+	body := store.KeyBody{}
 	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -148,7 +148,7 @@
 }
 
 func (p *Platform) putLease(w http.ResponseWriter, r *http.Request) {
-	body := platform.LeaseBody{}
+	body := store.LeaseBody{}
 	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -177,7 +177,7 @@
 
 func (p *Platform) getVMs(w http.ResponseWriter, _ *http.Request) {
 	p.lock.Lock()
-	vms := []platform.VM{}
+	vms := []store.VM{}
 	for _, name := range slices.Sorted(maps.Keys(p.vms)) {
 		if l := p.vms[name]; time.Since(l.at) >= p.Lag {
 			vms = append(vms, l.vm)
@@ -188,7 +188,7 @@
 }
 
 func (p *Platform) putVM(w http.ResponseWriter, r *http.Request) {
-	vm := platform.VM{}
+	vm := store.VM{}
 	if err := json.NewDecoder(r.Body).Decode(&vm); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -210,7 +210,7 @@
 	p.outage = time.Now().Add(time.Duration(body.Outage) * time.Millisecond)
 	p.lose = body.Lose
 	if body.Forget {
-		p.keys = map[string]platform.KeyBody{}
+		p.keys = map[string]store.KeyBody{}
 		close(p.changed)
 		p.changed = make(chan struct{})
 	}
--- a/kernel/driver.go
+++ b/kernel/driver.go
@@ -6,7 +6,7 @@
 	"sync"
 
 	"amaranthsill/group"
-	"amaranthsill/platform"
+	"amaranthsill/store"
 )
 
 // Driver carries out the actions of one kind of outside system.
@@ -19,7 +19,7 @@
 // Parts are the clients of outside systems that drivers share.
 type Parts struct {
 	// Store is the platform's key-value service.
-	Store platform.Store
+	Store store.Store
 	// Peers asks other VMs; nil if there are none.
 	Peers Peers
 }
--- a/lease/driver.go
+++ b/lease/driver.go
@@ -14,7 +14,7 @@
 
 	"amaranthsill/group"
 	"amaranthsill/kernel"
-	"amaranthsill/platform"
+	"amaranthsill/store"
 )
 
 // life is how long a promotion lease lasts unless it is released.
@@ -30,7 +30,7 @@
 }
 
 type driver struct {
-	store platform.Store
+	store store.Store
 }
 
 // Carry implements kernel.Driver.
@@ -54,7 +54,7 @@
 	err := d.store.Acquire(limited, name(g), attempt, life)
 	outcome := group.LeaseHeld
 	switch {
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrConflict):
 		outcome = group.LeaseDenied
 	case err != nil:
 		outcome = group.LeaseUnavailable
--- /dev/null
+++ b/pool/server.go
@@ -0,0 +1,174 @@
+package pool
+
+import (
+	"errors"
+	"math"
+	"time"
+
+	"amaranthsill/query"
+)
+
+// The times and weights by which a target is judged.
+const (
+	// assumedLatency stands in before a target's first answer.
+	assumedLatency = 30 * time.Millisecond
+	// latencyWeight is the share of a new answer in the average latency.
+	latencyWeight = 0.15
+	// forgetLatency is the half-life of a bad average without new answers, so
+	// that a target that was slow is tried again.
+	forgetLatency = time.Second
+	// leaderPenalty keeps reads off the primary, which alone takes writes.
+	leaderPenalty = 1.5
+	// distance is the round trip between availability zones, until measured.
+	distance = 40 * time.Millisecond
+	// firstBackoff and maxBackoff bound the pause after a failed dial.
+	firstBackoff = 50 * time.Millisecond
+	maxBackoff   = 500 * time.Millisecond
+	// silenceLimit is how long a statement may stay unanswered, with nothing
+	// else heard from its target, before reads avoid the target.
+	silenceLimit = 400 * time.Millisecond
+	// lagForget is the half-life of a replica's estimated lag.
+	lagForget = 500 * time.Millisecond
+	// lagMargin is added to a lag that a target's refusal showed.
+	lagMargin = 20 * time.Millisecond
+)
+
+// server is one target with this VM's connections to it.
+type server struct {
+	Target
+	gone    bool
+	idle    []*connection
+	open    int
+	dialing int
+	// wanted counts the waiters of one dispatch that would take a new
+	// connection.
+	wanted int
+	// pending holds when each statement under way was sent.
+	pending map[*Slot]time.Duration
+	heard   time.Duration
+	// latency averages the time of statements; base is the lowest seen.
+	latency  time.Duration
+	base     time.Duration
+	measured time.Duration
+	position query.Position
+	lag      time.Duration
+	lagSeen  time.Duration
+	// failing is when dials began to fail with nothing heard since; zero if
+	// they do not.
+	failing  time.Duration
+	failures int
+	// refused reports that the last failure was an answer of the machine.
+	refused  bool
+	retryAt  time.Duration
+	probing  bool
+	readOnly time.Duration
+}
+
+func newServer(t Target, now time.Duration) *server {
+	return &server{Target: t, pending: map[*Slot]time.Duration{}, heard: now}
+}
+
+// usable reports whether new work may go to the target at all.
+func (s *server) usable(now time.Duration) bool {
+	return !s.gone && !s.Draining && (s.failing == 0 || now >= s.retryAt)
+}
+
+// down reports whether the target could not be reached of late.
+func (s *server) down() bool { return s.failing != 0 }
+
+// silent reports whether statements go unanswered for suspiciously long.
+func (s *server) silent(now time.Duration) bool {
+	return s.unanswered(now) > silenceLimit
+}
+
+// unanswered returns for how long the target has owed an answer without
+// saying anything at all.
+func (s *server) unanswered(now time.Duration) time.Duration {
+	oldest := now
+	for _, t := range s.pending {
+		oldest = min(oldest, t)
+	}
+	return now - max(oldest, s.heard)
+}
+
+// cost estimates how long a new statement takes on the target.
+func (s *server) cost(now time.Duration, zone string) time.Duration {
+	c := s.expected(now)
+	if s.latency == 0 && s.Zone != zone {
+		c += distance
+	}
+	load := 1 + float64(len(s.pending))/float64(max(s.Slots, 1))
+	return time.Duration(float64(c) * load)
+}
+
+func (s *server) expected(now time.Duration) time.Duration {
+	if s.latency == 0 {
+		return assumedLatency
+	}
+	if s.latency <= s.base {
+		return s.latency
+	}
+	old := float64(now-s.measured) / float64(forgetLatency)
+	return s.base + time.Duration(float64(s.latency-s.base)*math.Exp2(-old))
+}
+
+// answered takes in a statement's latency.
+func (s *server) answered(now, took time.Duration) {
+	s.heard = now
+	s.alive()
+	if s.latency == 0 {
+		s.latency = took
+		s.base = took
+	}
+	s.latency += time.Duration(latencyWeight * float64(took-s.latency))
+	s.base = min(s.base, took)
+	s.measured = now
+}
+
+func (s *server) alive() {
+	s.failing = 0
+	s.failures = 0
+	s.refused = false
+}
+
+// showed takes in a position that the target's log had reached.
+func (s *server) showed(p query.Position, now, lag time.Duration) {
+	if p.Reaches(s.position) {
+		s.position = p
+	}
+	s.lag = (s.lagNow(now) + lag) / 2
+	s.lagSeen = now
+}
+
+func (s *server) lagNow(now time.Duration) time.Duration {
+	old := float64(now-s.lagSeen) / float64(lagForget)
+	return time.Duration(float64(s.lag) * math.Exp2(-old))
+}
+
+// lagged takes in that the target lacked a position of the given age.
+func (s *server) lagged(now, age time.Duration) {
+	s.lag = max(s.lagNow(now), age+age/2) + lagMargin
+	s.lagSeen = now
+}
+
+// shows reports whether the target probably shows a position of some age.
+func (s *server) shows(p query.Position, age, now time.Duration) bool {
+	return p.IsZero() || s.position.Reaches(p) || s.lagNow(now) <= age
+}
+
+// failed takes in a dial that did not succeed.
+func (s *server) failed(now time.Duration, err error) {
+	f := (*query.Failure)(nil)
+	if errors.As(err, &f) && f.Code == query.CodeTooManyConnections {
+		s.heard = now
+		s.retryAt = now + firstBackoff
+		return
+	}
+	if s.failing == 0 {
+		s.failing = max(now, 1)
+	}
+	s.failures++
+	s.refused = isRefusal(err)
+	pause := firstBackoff << min(s.failures-1, 8)
+	s.retryAt = now + min(pause, maxBackoff)
+}
--- a/platform/platform.go
+++ b/store/platform.go
@@ -1,4 +1,4 @@
-// Package platform is the client of the platform's key-value service: keys
+// Package store is the client of the platform's key-value service: keys
 // with compare-and-swap, leases, watches, and the list of VMs.
 //
 // Every call may fail after it took effect, because its answer was lost;
@@ -6,10 +6,10 @@
 //
 // # Usage
 //
-//	s := &platform.Client{Address: "127.0.0.1:2379"}
+//	s := &store.Client{Address: "127.0.0.1:2379"}
 //	entry, err := s.Get(ctx, "manifest")
 //	entry, err = s.Swap(ctx, "manifest", entry.Revision(), text)
-package platform
+package store
 
 import (
 	"context"
--- a/platform/record.go
+++ b/store/record.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"encoding/json"
--- a/submission/submission.go
+++ b/submission/submission.go
@@ -18,14 +18,14 @@
 	"fmt"
 	"time"
 
-	"amaranthsill/platform"
+	"amaranthsill/store"
 )
 
 // Submission is one try to put a manifest in force. Set the exported fields
 // before Run.
 type Submission struct {
 	// Store is the platform's key-value service.
-	Store platform.Store
+	Store store.Store
 	// Identity identifies the submission; repeating it does no harm. Empty
 	// means a fresh one.
 	Identity string
@@ -86,22 +86,22 @@
 
 // stored is a record and the revision that holds it.
 type stored struct {
-	record   platform.Record
+	record   store.Record
 	revision uint64
 }
 
 // read reads the record in the store until it answers.
 func (s *Submission) read(ctx context.Context) (stored, error) {
 	for {
-		e, err := s.Store.Get(ctx, platform.ManifestKey)
+		e, err := s.Store.Get(ctx, store.ManifestKey)
 		switch {
 		case err == nil:
-			r, err := platform.DecodeRecord(e.Value())
+			r, err := store.DecodeRecord(e.Value())
 			if err != nil {
 				return stored{}, fmt.Errorf("read stored manifest: %w", err)
 			}
 			return stored{record: r, revision: e.Revision()}, nil
-		case errors.Is(err, platform.ErrAbsent):
+		case errors.Is(err, store.ErrAbsent):
 			return stored{}, nil
 		case ctx.Err() != nil:
 			return stored{}, fmt.Errorf("read stored manifest: %w", err)
@@ -111,7 +111,7 @@
 }
 
 func (s *Submission) unread(err error) (Outcome, error) {
-	if errors.Is(err, platform.ErrRecord) {
+	if errors.Is(err, store.ErrRecord) {
 		return nil, err
 	}
 	return Unsettled{Cause: err}, nil
@@ -122,14 +122,14 @@
 func (s *Submission) swap(ctx context.Context, base stored) (Outcome, error) {
 	next := base.record.Next(s.Identity, s.Text)
 	if next.Version() <= s.Floor {
-		next = platform.NewRecord(s.Floor+1, s.Identity, s.Text)
+		next = store.NewRecord(s.Floor+1, s.Identity, s.Text)
 	}
 	value, err := next.Encode()
 	if err != nil {
 		return nil, fmt.Errorf("encode submission: %w", err)
 	}
 	for {
-		_, err := s.Store.Swap(ctx, platform.ManifestKey, base.revision, value)
+		_, err := s.Store.Swap(ctx, store.ManifestKey, base.revision, value)
 		if err == nil {
 			return Accepted{Version: next.Version(), Current: next.Version()}, nil
 		}
--- a/submission/submission_test.go
+++ b/submission/submission_test.go
@@ -14,7 +14,7 @@
 	"github.com/onsi/gomega"
 
 	"amaranthsill/internal/standin"
-	"amaranthsill/platform"
+	"amaranthsill/store"
 	"amaranthsill/submission"
 )
 
@@ -23,7 +23,7 @@
 	ginkgo.RunSpecs(t, "submission")
 }
 
-func newStore() (*platform.Client, func(string)) {
+func newStore() (*store.Client, func(string)) {
 	p := &standin.Platform{}
 	s := httptest.NewServer(p.Handler())
 	ginkgo.DeferCleanup(s.Close)
@@ -35,10 +35,10 @@
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		gomega.Expect(a.Body.Close()).To(gomega.Succeed())
 	}
-	return &platform.Client{Address: address}, fault
+	return &store.Client{Address: address}, fault
 }
 
-func submit(ctx context.Context, store platform.Store, identity string) submission.Outcome {
+func submit(ctx context.Context, store store.Store, identity string) submission.Outcome {
 	s := &submission.Submission{Store: store, Identity: identity, Text: []byte(identity), Pause: time.Millisecond}
 	o, err := s.Run(ctx)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
--- /dev/null
+++ b/succession/mover.go
@@ -0,0 +1,629 @@
+package succession
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"amaranthsill/pool"
+	"amaranthsill/query"
+	"amaranthsill/store"
+)
+
+// The errors of a Promoter and of a Mover.
+var (
+	// ErrNoAnswer reports a promotion whose call got no answer; it may take
+	// effect.
+	ErrNoAnswer = errors.New("promotion got no answer")
+	// ErrRejected reports a promotion that the platform refused, since the
+	// target does not run.
+	ErrRejected = errors.New("promotion was rejected")
+	// ErrBusy reports a promotion that the platform turned away undone.
+	ErrBusy = errors.New("promotion was turned away")
+	// ErrOvertaken reports that another VM changed the record meanwhile.
+	ErrOvertaken = errors.New("another VM changed the record of leaders")
+	// ErrNoCandidate reports that no target can be promoted yet.
+	ErrNoCandidate = errors.New("no target can be promoted")
+	// ErrLate reports that a move took so long that others may take it over.
+	ErrLate = errors.New("move of the leadership took too long")
+)
+
+// The times of a move.
+const (
+	// grantMargin covers the difference in rate between two VMs' clocks over
+	// the length of a grant.
+	grantMargin = 50 * time.Millisecond
+	// callWindow is how long after its write of the record a VM may still
+	// call a promotion.
+	callWindow = 4 * time.Second
+	// TakeOver is how long a move must have stood unchanged before another VM
+	// takes it over: the window, the time of one call, and a margin for the
+	// rates of two clocks.
+	TakeOver = callWindow + promoteLimit + 500*time.Millisecond
+	// promoteLimit bounds one call to the platform.
+	promoteLimit = 1500 * time.Millisecond
+	// orderLimit bounds one order to a target: round trips between zones and
+	// a queue of statements there.
+	orderLimit = 700 * time.Millisecond
+	// stepDownLimit is how long an unreachable leader holds up a move before
+	// the grants are waited out.
+	stepDownLimit = 500 * time.Millisecond
+	// catchUpLimit is how long a planned move waits for a replica to receive
+	// the old leader's last commit.
+	catchUpLimit = time.Second
+	// retryPause is the time between two tries of a step.
+	retryPause = 30 * time.Millisecond
+	// settleLimit bounds the wait for a promoted target to lead.
+	settleLimit = 1500 * time.Millisecond
+	// writeLimit bounds the writing of a move's end.
+	writeLimit = 10 * time.Second
+	// leaseLife is how long the record's lease outlives the last renewal; it
+	// only has to be longer than the grants.
+	leaseLife = time.Minute
+)
+
+// Promoter asks the platform to make a target its group's primary.
+type Promoter interface {
+	// Promote returns an error that wraps ErrNoAnswer, ErrRejected or ErrBusy.
+	Promote(ctx context.Context, group, target string, token uint64) error
+}
+
+// Targets gives orders to a group's targets.
+type Targets interface {
+	// Candidates returns the registered targets of a group.
+	Candidates(group string) []pool.Target
+	// Order runs a control order on a target over a connection of its own.
+	Order(ctx context.Context, group, target string, o pool.Order) (pool.Report, error)
+}
+
+// Fleet reaches the other VMs.
+type Fleet interface {
+	// Yield shows a record to all VMs that may rely on an older one and
+	// returns nil once every one of them has taken it in.
+	Yield(ctx context.Context, r Record) error
+}
+
+// Mover moves leaderships. Set the exported fields before the first call.
+type Mover struct {
+	// VM names this VM.
+	VM string
+	// Incarnation differs for each start of the VM.
+	Incarnation string
+	Ledger      store.Ledger
+	Grants      *Grants
+	Promoter    Promoter
+	Targets     Targets
+	Fleet       Fleet
+	// Synchronous returns how many replicas hold an acknowledged commit.
+	Synchronous func(group string) int
+	// Now is a clock that counts suspended time.
+	Now func() time.Duration
+	Log logr.Logger
+
+	lock   sync.Mutex
+	writes int
+	// ended are the leases that this VM knows to have ended.
+	ended map[store.Lease]bool
+}
+
+// move is one attempt to move a group's leadership.
+type move struct {
+	*Mover
+	group  string
+	reason string
+	record Record
+	token  uint64
+	begun  time.Duration
+	old    string
+	// last is the old leader's last position, if it stepped down.
+	last    query.Position
+	stepped bool
+	// highest is the highest term that any target reported.
+	highest uint64
+}
+
+// Start writes the first record, or adds groups to it that it lacks. Leaders
+// are the targets that say that they lead.
+func (m *Mover) Start(ctx context.Context, leaders map[string]string) error {
+	r, err := m.read(ctx)
+	if err != nil && !errors.Is(err, store.ErrAbsent) {
+		return err
+	}
+	missing := false
+	next := r
+	for group, target := range leaders {
+		if _, ok := r.Leads[group]; !ok {
+			next = next.With(group, Lead{Target: target})
+			missing = true
+		}
+	}
+	if !missing {
+		return nil
+	}
+	_, err = m.write(ctx, r, next, false)
+	return err
+}
+
+// Renew replaces a record's lease that has ended, so that it can be confirmed
+// again.
+func (m *Mover) Renew(ctx context.Context, l store.Lease) error {
+	r, err := m.read(ctx)
+	if err != nil || r.Lease != l {
+		return err
+	}
+	_, err = m.write(ctx, r, r, false)
+	return err
+}
+
+// Move moves a group's leadership away from a target, or takes over a move
+// that another VM did not finish. The reason is for the log.
+func (m *Mover) Move(ctx context.Context, group string, from Lead, reason string) error {
+	v := &move{Mover: m, group: group, reason: reason, old: from.Target}
+	err := v.claim(ctx, from)
+	if err != nil {
+		return fmt.Errorf("claim leadership of %s: %w", group, err)
+	}
+	m.Log.Info("leadership is being moved", "group", group, "from", from.Target, "reason", reason, "token", v.token, "record", v.record.Revision)
+	if err := v.run(ctx, from); err != nil {
+		return fmt.Errorf("move leadership of %s: %w", group, err)
+	}
+	return nil
+}
+
+func (v *move) run(ctx context.Context, from Lead) error {
+	fenced, err := v.fence(ctx)
+	if err != nil {
+		return err
+	}
+	v.Log.Info("old leader can acknowledge nothing more", "group", v.group, "from", from.Target, "how", fenced, "took", (v.Now() - v.begun).String())
+	target, err := v.promote(ctx)
+	if err != nil {
+		return err
+	}
+	if err := v.finish(ctx, target); err != nil {
+		return err
+	}
+	v.Log.Info("leadership moved", "group", v.group, "from", from.Target, "to", target, "took", (v.Now() - v.begun).String())
+	return nil
+}
+
+// claim writes that this VM moves the leadership.
+func (v *move) claim(ctx context.Context, from Lead) error {
+	r, err := v.read(ctx)
+	if err != nil {
+		return err
+	}
+	if r.Leads[v.group] != from {
+		return ErrOvertaken
+	}
+	v.begun = v.Now()
+	lead := Lead{Target: from.Target, Mover: v.writer()}
+	v.record, err = v.write(ctx, r, r.With(v.group, lead), true)
+	if err != nil {
+		return err
+	}
+	duty, _, err := v.Ledger.Read(ctx, DutyKey)
+	if err != nil {
+		return fmt.Errorf("read token: %w", err)
+	}
+	if string(duty.Value) != v.holder() {
+		return ErrOvertaken
+	}
+	v.token = duty.Revision
+	return nil
+}
+
+func (m *Mover) holder() string { return m.VM + "/" + m.Incarnation }
+
+// writer returns an identity for one write.
+func (m *Mover) writer() string {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	m.writes++
+	return fmt.Sprintf("%s/%d", m.holder(), m.writes)
+}
+
+// read returns the record that the store holds now.
+func (m *Mover) read(ctx context.Context) (Record, error) {
+	sent := m.Now()
+	i, _, err := m.Ledger.Read(ctx, RecordKey)
+	if err != nil {
+		return Record{}, fmt.Errorf("read record of leaders: %w", err)
+	}
+	r, err := DecodeRecord(i)
+	if err != nil {
+		return Record{}, err
+	}
+	m.Grants.ConfirmRecord(r, sent)
+	return r, nil
+}
+
+// write replaces the record under a new lease and ends the old lease, so that
+// VMs with the old record notice. With the duty, the VM also becomes the one
+// that may promote.
+func (m *Mover) write(ctx context.Context, old, next Record, duty bool) (Record, error) {
+	l, err := m.Ledger.Grant(ctx, leaseLife)
+	if err != nil {
+		return Record{}, fmt.Errorf("open lease for record: %w", err)
+	}
+	next.Lease = l
+	next.Former = m.former(old)
+	next.Writer = m.writer()
+	text, err := next.Encode()
+	if err != nil {
+		return Record{}, err
+	}
+	t := store.Transaction{
+		Conditions: []store.Condition{{Key: RecordKey, Revision: old.Revision}},
+		Puts:       []store.Put{{Key: RecordKey, Value: text}},
+	}
+	if duty {
+		if err := m.addDuty(ctx, &t); err != nil {
+			return Record{}, err
+		}
+	}
+	sent := m.Now()
+	next.Revision, err = m.Ledger.Apply(ctx, t)
+	if err != nil {
+		next, err = m.settle(ctx, next, err)
+	}
+	if err != nil {
+		// The lease of a record that was not written ends on its own.
+		return Record{}, err
+	}
+	m.Grants.ConfirmRecord(next, sent)
+	for _, f := range next.Former {
+		go m.endLease(f)
+	}
+	return next, nil
+}
+
+// former returns the leases of a record and its predecessors that are not
+// known to have ended.
+func (m *Mover) former(old Record) []store.Lease {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	list := []store.Lease{}
+	for _, l := range append(slices.Clone(old.Former), old.Lease) {
+		if l != 0 && !m.ended[l] {
+			list = append(list, l)
+		}
+	}
+	return list
+}
+
+// end ends a lease and remembers it.
+func (m *Mover) end(ctx context.Context, l store.Lease) error {
+	if err := m.Ledger.End(ctx, l); err != nil {
+		return fmt.Errorf("end lease of an old record: %w", err)
+	}
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	if m.ended == nil {
+		m.ended = map[store.Lease]bool{}
+	}
+	m.ended[l] = true
+	return nil
+}
+
+// addDuty makes this VM the holder of the duty, unless it is already.
+func (m *Mover) addDuty(ctx context.Context, t *store.Transaction) error {
+	i, _, err := m.Ledger.Read(ctx, DutyKey)
+	if err != nil && !errors.Is(err, store.ErrAbsent) {
+		return fmt.Errorf("read holder of the duty: %w", err)
+	}
+	t.Conditions = append(t.Conditions, store.Condition{Key: DutyKey, Revision: i.Revision})
+	if string(i.Value) != m.holder() {
+		t.Puts = append(t.Puts, store.Put{Key: DutyKey, Value: []byte(m.holder())})
+	}
+	return nil
+}
+
+// settle finds out whether a write took effect whose answer was not a
+// success.
+func (m *Mover) settle(ctx context.Context, next Record, cause error) (Record, error) {
+	if errors.Is(cause, store.ErrRefused) || errors.Is(cause, store.ErrNoLease) {
+		return Record{}, cause
+	}
+	for range 3 {
+		r, err := m.read(ctx)
+		switch {
+		case err == nil && r.Writer == next.Writer:
+			return r, nil
+		case err == nil && r.Revision > 0 && errors.Is(cause, store.ErrConflict):
+			return Record{}, fmt.Errorf("write record of leaders: %w", ErrOvertaken)
+		}
+		if err := sleep(ctx, retryPause); err != nil {
+			return Record{}, err
+		}
+	}
+	return Record{}, cause
+}
+
+// endLease tells VMs with an older record that it no longer stands. It is
+// only needed to make them notice early.
+func (m *Mover) endLease(l store.Lease) {
+	ctx, cancel := context.WithTimeout(context.Background(), writeLimit)
+	defer cancel()
+	for ctx.Err() == nil {
+		err := m.end(ctx, l)
+		if err == nil {
+			return
+		}
+		m.Log.V(1).Info("lease of an old record is not ended yet", "reason", err.Error())
+		if sleep(ctx, 10*retryPause) != nil {
+			return
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("wait: %w", ctx.Err())
+	}
+}
+
+// fence returns once no VM can release an answer of the old leader, and says
+// what made sure of it.
+func (v *move) fence(ctx context.Context) (string, error) {
+	done := make(chan string, 3)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		if v.stepDown(ctx) == nil {
+			done <- "it stepped down"
+		}
+	}()
+	go func() {
+		err := v.Fleet.Yield(ctx, v.record)
+		if err != nil {
+			v.Log.Info("not every VM has taken in that the leadership moves", "group", v.group, "reason", err.Error())
+			return
+		}
+		// The old leader is given a moment to step down, which loses nothing.
+		if sleep(ctx, stepDownLimit-(v.Now()-v.begun)) == nil {
+			done <- "every VM yielded"
+		}
+	}()
+	go func() {
+		if v.waitOut(ctx) == nil {
+			done <- "all grants ran out"
+		}
+	}()
+	select {
+	case how := <-done:
+		return how, nil
+	case <-ctx.Done():
+		return "", fmt.Errorf("fence old leader: %w", ctx.Err())
+	}
+}
+
+// waitOut waits until no VM can rely on a record before this move's. The
+// leases of those records must have ended first, or VMs could still renew
+// them.
+func (v *move) waitOut(ctx context.Context) error {
+	for _, l := range v.record.Former {
+		for v.end(ctx, l) != nil {
+			if err := sleep(ctx, retryPause); err != nil {
+				return err
+			}
+		}
+	}
+	return sleep(ctx, v.Grants.Length+grantMargin)
+}
+
+// stepDown makes the old leader a replica, which is the surest fence.
+func (v *move) stepDown(ctx context.Context) error {
+	if v.old == "" {
+		return ErrNoCandidate
+	}
+	for ctx.Err() == nil {
+		r, err := v.order(ctx, v.old, pool.Status{})
+		if err == nil && r.Role == pool.RolePrimary {
+			r, err = v.order(ctx, v.old, pool.StepDown{Term: r.Term + 1})
+		}
+		if err == nil && r.Role == pool.RoleReplica {
+			v.lock.Lock()
+			v.stepped = true
+			v.last = r.Received
+			v.lock.Unlock()
+			return nil
+		}
+		if err := sleep(ctx, retryPause); err != nil {
+			return err
+		}
+	}
+	return fmt.Errorf("step down %s: %w", v.old, ctx.Err())
+}
+
+func (v *move) order(ctx context.Context, target string, o pool.Order) (pool.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderLimit)
+	defer cancel()
+	r, err := v.Targets.Order(ctx, v.group, target, o)
+	if err != nil {
+		return pool.Report{}, fmt.Errorf("order to %s: %w", target, err)
+	}
+	v.lock.Lock()
+	v.highest = max(v.highest, r.Term)
+	v.lock.Unlock()
+	return r, nil
+}
+
+// promote asks the platform until a target leads.
+func (v *move) promote(ctx context.Context) (string, error) {
+	for {
+		if v.Now()-v.begun > callWindow {
+			return "", ErrLate
+		}
+		target, err := v.candidate(ctx)
+		if err == nil {
+			err = v.call(ctx, target)
+		}
+		if err == nil {
+			return target, nil
+		}
+		v.Log.Info("promotion did not succeed yet", "group", v.group, "target", target, "reason", err.Error())
+		if err := sleep(ctx, 2*retryPause); err != nil {
+			return "", err
+		}
+	}
+}
+
+// ranked is a target with its account of itself.
+type ranked struct {
+	pool.Target
+	pool.Report
+}
+
+// candidate returns the target whose log reaches furthest.
+func (v *move) candidate(ctx context.Context) (string, error) {
+	deadline := v.Now() + catchUpLimit
+	for {
+		reports := v.ask(ctx)
+		if len(reports) == 0 {
+			return "", ErrNoCandidate
+		}
+		best := slices.MaxFunc(reports, compareRanked)
+		v.lock.Lock()
+		enough := !v.stepped || best.Received.Reaches(v.last)
+		v.lock.Unlock()
+		if enough {
+			return best.ID, nil
+		}
+		if v.Now() > deadline {
+			return v.keeps(best), nil
+		}
+		if err := sleep(ctx, retryPause); err != nil {
+			return "", err
+		}
+	}
+}
+
+// compareRanked prefers targets that stay, then the longer log.
+func compareRanked(a, b ranked) int {
+	if a.Target.Draining != b.Target.Draining {
+		if a.Target.Draining {
+			return -1
+		}
+		return 1
+	}
+	return a.Received.Compare(b.Received)
+}
+
+// ask returns the accounts of the targets that answer. The old leader counts
+// only if nothing else is left.
+func (v *move) ask(ctx context.Context) []ranked {
+	targets := v.Targets.Candidates(v.group)
+	answers := make(chan ranked, len(targets))
+	wait := sync.WaitGroup{}
+	for _, t := range targets {
+		wait.Go(func() {
+			r, err := v.order(ctx, t.ID, pool.Status{})
+			if err != nil {
+				v.Log.Info("target gave no status", "group", v.group, "target", t.ID, "reason", err.Error())
+				return
+			}
+			answers <- ranked{Target: t, Report: r}
+		})
+	}
+	wait.Wait()
+	close(answers)
+	others, old := []ranked{}, []ranked{}
+	for r := range answers {
+		if r.ID == v.old {
+			old = append(old, r)
+			continue
+		}
+		others = append(others, r)
+	}
+	if len(others) == 0 {
+		return old
+	}
+	return others
+}
+
+// keeps returns the old leader if it alone holds what it acknowledged and may
+// go on, so that promoting it again loses nothing.
+func (v *move) keeps(best ranked) string {
+	t := v.Targets.Candidates(v.group)
+	i := slices.IndexFunc(t, func(t pool.Target) bool { return t.ID == v.old })
+	if i < 0 || t[i].Draining {
+		return best.ID
+	}
+	return v.old
+}
+
+// call asks the platform to promote a target and waits until it leads. The
+// window is checked right before each call, on a clock that counts suspended
+// time, since another VM may have taken the move over after it.
+func (v *move) call(ctx context.Context, target string) error {
+	deadline := v.Now() + settleLimit
+	for {
+		if v.Now()-v.begun > callWindow {
+			return ErrLate
+		}
+		err := v.callOnce(ctx, target)
+		if err == nil {
+			return v.settled(ctx, target)
+		}
+		if errors.Is(err, ErrRejected) || v.Now() > deadline {
+			return err
+		}
+		if err := sleep(ctx, retryPause); err != nil {
+			return err
+		}
+	}
+}
+
+func (v *move) callOnce(ctx context.Context, target string) error {
+	ctx, cancel := context.WithTimeout(ctx, promoteLimit)
+	defer cancel()
+	return v.Promoter.Promote(ctx, v.group, target, v.token)
+}
+
+// settled waits until a promoted target says that it leads.
+func (v *move) settled(ctx context.Context, target string) error {
+	deadline := v.Now() + settleLimit
+	for v.Now() < deadline {
+		r, err := v.order(ctx, target, pool.Status{})
+		if err == nil && r.Role == pool.RolePrimary {
+			return nil
+		}
+		if err := sleep(ctx, retryPause); err != nil {
+			return err
+		}
+	}
+	return fmt.Errorf("%s does not lead after its promotion: %w", target, ErrNoAnswer)
+}
+
+// finish writes who leads now.
+func (v *move) finish(ctx context.Context, target string) error {
+	ctx, cancel := context.WithTimeout(ctx, writeLimit)
+	defer cancel()
+	for {
+		r, err := v.read(ctx)
+		if err == nil {
+			if r.Leads[v.group].Mover != v.record.Leads[v.group].Mover {
+				return ErrOvertaken
+			}
+			_, err = v.write(ctx, r, r.With(v.group, Lead{Target: target}), false)
+		}
+		if err == nil {
+			return nil
+		}
+		v.Log.Info("new leader is not recorded yet", "group", v.group, "target", target, "reason", err.Error())
+		if err := sleep(ctx, 2*retryPause); err != nil {
+			return err
+		}
+	}
+}
