--- a/entry/follow.go
+++ b/entry/follow.go
@@ -9,8 +9,8 @@
 	"amaranthsill/kernel"
 	"amaranthsill/manifest"
 	"amaranthsill/peer"
-	"amaranthsill/store"
 	"amaranthsill/roster"
+	"amaranthsill/store"
 )
 
 // The times of calls to the platform.
--- a/entry/vm.go
+++ b/entry/vm.go
@@ -24,8 +24,8 @@
 	_ "amaranthsill/lease" // registers its driver
 	"amaranthsill/manifest"
 	"amaranthsill/peer"
-	"amaranthsill/store"
 	"amaranthsill/roster"
+	"amaranthsill/store"
 	_ "amaranthsill/target" // registers its driver
 )
 
