Ask peers while the store is away, and share connections by zone

Ruled out: longer grants (they lengthen every promotion of an unreachable primary).

Change: VMs recall from one another what the store told them, vouch for the record while the store answers none of them, and yield before a promotion. Connections are divided by zone, then by VM. A statement looks for a target in seven tenths of its time and is sent only under a grant. Callers are accepted once the VM knows what it serves. Changes are followed in steps of 2 s.

--- a/edge/control.go
+++ b/edge/control.go
@@ -113,7 +113,7 @@
 
 // checkReady makes the VM ready once it knows what it serves.
 func (s *steward) checkReady() {
-	if s.ready.Load() {
+	if s.informed {
 		return
 	}
 	c := s.catalog.Current()
@@ -126,6 +126,7 @@
 			return
 		}
 	}
-	s.ready.Store(true)
+	s.informed = true
+	close(s.readied)
 	s.Log.Info("VM is ready", "version", c.Version, "leaders", s.grants.Record().Revision)
 }
--- a/edge/directory.go
+++ b/edge/directory.go
@@ -68,8 +68,10 @@
 	Log  logr.Logger
 
 	lock sync.Mutex
-	// revisions hold the newest revision seen of each key.
-	revisions map[string]uint64
+	// items hold the newest state seen of each key, removed ones too.
+	items map[string]store.Item
+	// newest is the highest revision seen.
+	newest uint64
 	targets   map[string]*registered[pool.Target]
 	peers     map[string]*registered[Peer]
 	// ownGone reports that this VM's entry was removed.
@@ -85,8 +87,8 @@
 }
 
 func (d *Directory) init() {
-	if d.revisions == nil {
-		d.revisions = map[string]uint64{}
+	if d.items == nil {
+		d.items = map[string]store.Item{}
 		d.targets = map[string]*registered[pool.Target]{}
 		d.peers = map[string]*registered[Peer]{}
 	}
@@ -124,10 +126,11 @@
 }
 
 func (d *Directory) take(i store.Item) {
-	if i.Revision != 0 && i.Revision <= d.revisions[i.Key] {
+	if i.Revision <= d.items[i.Key].Revision {
 		return
 	}
-	d.revisions[i.Key] = i.Revision
+	d.items[i.Key] = i
+	d.newest = max(d.newest, i.Revision)
 	if id, ok := d.Adapter.TargetID(i.Key); ok {
 		d.takeTarget(id, i)
 		return
@@ -231,6 +234,26 @@
 	}
 }
 
+// Since returns the newest items above a revision.
+func (d *Directory) Since(revision uint64) []store.Item {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	list := []store.Item{}
+	for _, i := range d.items {
+		if i.Revision > revision {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+// Newest returns the highest revision seen.
+func (d *Directory) Newest() uint64 {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	return d.newest
+}
+
 // Expire forgets what vanished long enough ago.
 func (d *Directory) Expire() {
 	d.lock.Lock()
@@ -242,6 +265,7 @@
 			delete(d.targets, id)
 		}
 	}
+	d.forget()
 	for name, p := range d.peers {
 		if p.absent != 0 && now-p.absent > vmMemory {
 			d.Log.Info("VM is taken as gone", "peer", name)
@@ -250,6 +274,19 @@
 	}
 }
 
+// removedKept is how many revisions a removed key is remembered, so that
+// peers hear of the removal.
+const removedKept = 4096
+
+// forget drops removed keys of long ago.
+func (d *Directory) forget() {
+	for key, i := range d.items {
+		if i.Deleted && i.Revision+removedKept < d.newest {
+			delete(d.items, key)
+		}
+	}
+}
+
 // Targets returns the targets of a group that are in use.
 func (d *Directory) Targets(group string) []pool.Target {
 	d.lock.Lock()
@@ -292,6 +329,13 @@
 	return list
 }
 
+// Count returns how many VMs may be running.
+func (d *Directory) Count() int {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	return len(d.peers)
+}
+
 // TakeOwnGone reports once that this VM's entry was removed.
 func (d *Directory) TakeOwnGone() bool {
 	d.lock.Lock()
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -3,23 +3,221 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
 	"net/http"
+	"slices"
+	"sync"
+	"time"
 
+	"connectrpc.com/connect"
+
+	"amaranthsill/peer/peerpb"
+	"amaranthsill/peer/peerpb/peerpbconnect"
+	"amaranthsill/store"
 	"amaranthsill/succession"
 )
 
-// errNotAsked reports VMs that were not asked.
-var errNotAsked = errors.New("other VMs are not asked yet")
+// The times of calls between VMs.
+const (
+	// yieldLimit bounds the wait for one VM's answer to a yield: two round
+	// trips between zones and a frozen moment.
+	yieldLimit = 400 * time.Millisecond
+	// recallLimit bounds one call for what another VM knows.
+	recallLimit = 400 * time.Millisecond
+	// recallPause is the time between two rounds of such calls.
+	recallPause = 300 * time.Millisecond
+	// recallAfter is how long the store may go without confirming the record
+	// before peers are asked.
+	recallAfter = 700 * time.Millisecond
+	// peerConnect bounds the opening of a connection to a VM.
+	peerConnect = 400 * time.Millisecond
+	// peerIdle is how long an unused connection to a VM is kept.
+	peerIdle = 10 * time.Second
+	// maxPeerMessage holds a configuration of a megabyte with room.
+	maxPeerMessage = 8 << 20
+	// knownAfter is how long a VM must have been registered before all others
+	// are taken to know it: OutageLength and the time in which a change in
+	// the store is noticed, with room.
+	knownAfter = 15 * time.Second
+)
 
-// fleet reaches the other VMs.
-type fleet struct{ *VM }
+// fleet reaches the other VMs and answers them.
+type fleet struct {
+	*VM
+	http *http.Client
+}
 
-// Yield implements succession.Fleet.
-func (f *fleet) Yield(_ context.Context, _ succession.Record) error {
-	if len(f.directory.Peers()) <= 1 {
-		return nil
+func newFleet(v *VM) *fleet {
+	d := &net.Dialer{Timeout: peerConnect}
+	return &fleet{VM: v, http: &http.Client{Transport: &http.Transport{
+		DialContext:        d.DialContext,
+		IdleConnTimeout:    peerIdle,
+		DisableCompression: true,
+	}}}
+}
+
+func (f *fleet) client(address string) peerpbconnect.FleetClient {
+	return peerpbconnect.NewFleetClient(f.http, "http://"+address, connect.WithReadMaxBytes(maxPeerMessage))
+}
+
+// handler returns what answers other VMs.
+func (f *fleet) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(peerpbconnect.NewFleetHandler(server{f}, connect.WithReadMaxBytes(maxPeerMessage)))
+	return mux
+}
+
+// others returns the other VMs that may be running.
+func (f *fleet) others() []Peer {
+	return slices.DeleteFunc(f.directory.Peers(), func(p Peer) bool { return p.Name == f.Settings.VM() })
+}
+
+// errSilentVM reports a VM that did not answer.
+var errSilentVM = errors.New("VM did not answer")
+
+// Yield implements succession.Fleet. A VM that does not answer at once is
+// asked again until the context ends.
+func (f *fleet) Yield(ctx context.Context, r succession.Record) error {
+	text, err := r.Encode()
+	if err != nil {
+		return err
 	}
-	return errNotAsked
+	q := &peerpb.YieldRequest{Record: &peerpb.Item{Key: succession.RecordKey, Value: text, Revision: r.Revision}}
+	wait := sync.WaitGroup{}
+	for _, p := range f.others() {
+		wait.Go(func() { f.yieldOne(ctx, p, q) })
+	}
+	wait.Wait()
+	if ctx.Err() != nil {
+		return fmt.Errorf("show record to other VMs: %w", errSilentVM)
+	}
+	return nil
+}
+
+func (f *fleet) yieldOne(ctx context.Context, p Peer, q *peerpb.YieldRequest) {
+	for ctx.Err() == nil {
+		limited, cancel := context.WithTimeout(ctx, yieldLimit)
+		_, err := f.client(p.Address).Yield(limited, connect.NewRequest(q))
+		cancel()
+		if err == nil {
+			return
+		}
+		f.Log.V(1).Info("VM has not yielded yet", "peer", p.Name, "reason", err.Error())
+		pauseFor(ctx, yieldLimit/8)
+	}
+}
+
+// takeRecord takes in a record that another VM shows.
+func (f *fleet) takeRecord(i *peerpb.Item) error {
+	r, err := succession.DecodeRecord(itemOf(i))
+	if err != nil {
+		return connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	f.grants.Observe(r)
+	f.poke()
+	return nil
 }
 
-func (v *VM) peerHandler() http.Handler { return http.NewServeMux() }
+// server answers other VMs.
+type server struct{ *fleet }
+
+var _ peerpbconnect.FleetHandler = server{}
+
+// Yield implements peerpbconnect.FleetHandler.
+func (s server) Yield(_ context.Context, q *connect.Request[peerpb.YieldRequest]) (*connect.Response[peerpb.YieldResponse], error) {
+	if err := s.takeRecord(q.Msg.GetRecord()); err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&peerpb.YieldResponse{}), nil
+}
+
+// Witness implements peerpbconnect.FleetHandler.
+func (s server) Witness(_ context.Context, q *connect.Request[peerpb.WitnessRequest]) (*connect.Response[peerpb.WitnessResponse], error) {
+	g, ok := s.knownPool(q.Msg.GetGroup())
+	hears := ok && hears(g.Health(q.Msg.GetTarget()))
+	return connect.NewResponse(&peerpb.WitnessResponse{Hears: hears}), nil
+}
+
+// Recall implements peerpbconnect.FleetHandler.
+func (s server) Recall(_ context.Context, q *connect.Request[peerpb.RecallRequest]) (*connect.Response[peerpb.RecallResponse], error) {
+	// What promises that nothing moves is read first, so that a move that
+	// begins meanwhile began after the question.
+	resting := s.mover.Resting()
+	revision, stored, ever := s.grants.Stored()
+	age := int64(-1)
+	if ever {
+		age = (s.Now() - stored).Milliseconds() + 1
+	}
+	r := &peerpb.RecallResponse{Record: revision, Age: age, Resting: resting, Incarnation: s.incarnation}
+	for _, i := range s.directory.Since(q.Msg.GetSince()) {
+		r.Items = append(r.Items, &peerpb.Item{Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted})
+	}
+	return connect.NewResponse(r), nil
+}
+
+func itemOf(i *peerpb.Item) store.Item {
+	return store.Item{Key: i.GetKey(), Value: i.GetValue(), Revision: i.GetRevision(), Deleted: i.GetDeleted()}
+}
+
+// recaller asks other VMs while the store does not answer this one.
+type recaller struct{ *fleet }
+
+func (r *recaller) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pauseFor(ctx, recallPause+rand.N(recallPause/4))
+		_, stored, ever := r.grants.Stored()
+		if ever && r.Now()-stored < recallAfter {
+			continue
+		}
+		r.round(ctx)
+	}
+}
+
+// round asks all other VMs once. A confirmation that one of them had from the
+// store counts here as well; if none had one lately, and none of them moves a
+// leadership or knows more, they vouch for the record.
+func (r *recaller) round(ctx context.Context) {
+	sent := r.Now()
+	others := r.others()
+	answers := make([]*peerpb.RecallResponse, len(others))
+	wait := sync.WaitGroup{}
+	for i, p := range others {
+		wait.Go(func() { answers[i] = r.ask(ctx, p.Address, sent) })
+	}
+	if len(others) == 0 {
+		for _, address := range r.Settings.Seeds() {
+			wait.Go(func() { r.ask(ctx, address, sent) })
+		}
+	}
+	wait.Wait()
+	r.poke()
+	revision, _, _ := r.grants.Stored()
+	for _, a := range answers {
+		if a == nil || !a.GetResting() || a.GetRecord() > revision {
+			return
+		}
+	}
+	if len(others) > 0 && r.mover.Resting() {
+		r.grants.Vouch(revision, sent)
+	}
+}
+
+// ask takes in what one VM knows; nil if it does not answer.
+func (r *recaller) ask(ctx context.Context, address string, sent time.Duration) *peerpb.RecallResponse {
+	ctx, cancel := context.WithTimeout(ctx, recallLimit)
+	defer cancel()
+	a, err := r.client(address).Recall(ctx, connect.NewRequest(&peerpb.RecallRequest{Since: r.directory.Newest()}))
+	if err != nil {
+		r.Log.V(1).Info("VM did not answer", "address", address, "reason", err.Error())
+		return nil
+	}
+	for _, i := range a.Msg.GetItems() {
+		r.directory.Take(itemOf(i))
+	}
+	if a.Msg.GetAge() >= 0 {
+		r.grants.ConfirmRevision(a.Msg.GetRecord(), sent-time.Duration(a.Msg.GetAge())*time.Millisecond)
+	}
+	return a.Msg
+}
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -12,9 +12,10 @@
 
 // The times of following the store.
 const (
-	// followWait is how long one call waits for changes. A connection that
-	// went silent is noticed after it.
-	followWait = 8 * time.Second
+	// followWait is how long one call waits for changes. A watch that was
+	// dropped without a word is noticed after it, and a configuration has to
+	// be in force within 4 s.
+	followWait = 2 * time.Second
 	// followPause is the pause after a call that failed; jitter doubles it
 	// at most.
 	followPause = 150 * time.Millisecond
--- a/edge/keep.go
+++ b/edge/keep.go
@@ -156,6 +156,7 @@
 		return fmt.Errorf("register: %w", err)
 	}
 	r.lease = l
+	r.since.Store(int64(r.Now()))
 	return nil
 }
 
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -30,6 +30,7 @@
 	seeds   []string
 	memory  int
 	grace   time.Duration
+	first   bool
 }
 
 // VM returns the VM's name.
@@ -65,6 +66,9 @@
 // Grace returns how long the VM may take to stop.
 func (s Settings) Grace() time.Duration { return s.grace }
 
+// First reports whether the whole system starts for the first time.
+func (s Settings) First() bool { return s.first }
+
 // ReadSettings reads a settings file, JSON with comments. Its error names the
 // line and what to write instead.
 func ReadSettings(file string) (Settings, error) {
@@ -92,6 +96,7 @@
 		"metrics": func(f strict.Field) error { return f.Address(&s.metrics) },
 		"store":   func(f strict.Field) error { return f.Address(&s.store) },
 		"duty":    func(f strict.Field) error { return f.Address(&s.duty) },
+		"first":   func(f strict.Field) error { return f.Flag(&s.first) },
 		"memory":  func(f strict.Field) error { return f.Count(&s.memory, 1, maxMemory) },
 		"grace":   func(f strict.Field) error { return f.Duration(&s.grace, minGrace, maxGrace) },
 		"seeds": func(f strict.Field) error {
--- a/edge/steward.go
+++ b/edge/steward.go
@@ -45,6 +45,8 @@
 	wards map[string]*ward
 	// missing is since when the record has lacked a group.
 	missing time.Duration
+	// informed reports that the VM knows what it serves.
+	informed bool
 	// introducing reports that first leaders are being recorded.
 	introducing atomic.Bool
 }
@@ -83,20 +85,38 @@
 	if c == nil {
 		return
 	}
-	vms := max(len(s.directory.Peers()), 1)
 	for name, n := range c.Groups {
 		targets := s.directory.Targets(name)
 		if len(targets) == 0 {
 			continue
 		}
 		g := s.pool(name)
-		g.Configure(targets, (n.Connections-spareConnections)/vms)
+		g.Configure(targets, s.budget(n.Connections))
 		s.lead(ctx, name, g)
 	}
 	s.introduce(ctx, c.Groups)
 	s.checkReady()
 }
 
+// settleTime is how long after its start a VM may not yet see all others.
+const settleTime = 10 * time.Second
+
+// budget returns how many connections to one target this VM may hold. Callers
+// come to the VMs of their own zone, so each zone has the same share, and each
+// VM in it.
+func (s *steward) budget(limit int) int {
+	zones := map[string]int{}
+	peers := s.directory.Peers()
+	for _, p := range peers {
+		zones[p.Zone]++
+	}
+	left := limit - spareConnections
+	if missing := s.grants.Record().VMs - len(peers); missing > 0 && s.Now()-s.begun < settleTime {
+		return left / (len(peers) + missing)
+	}
+	return left / max(len(zones), 1) / max(zones[s.Settings.Zone()], 1)
+}
+
 // lead hands the group its leader and watches it.
 func (s *steward) lead(ctx context.Context, name string, g *pool.Group) {
 	lead := s.grants.Lead(name)
@@ -159,6 +179,14 @@
 	}
 }
 
+// recently is how long ago a target may have answered to count as heard.
+const recently = 500 * time.Millisecond
+
+// hears reports whether a VM reaches a target, as far as it has tried.
+func hears(h pool.Health) bool {
+	return h.Failing == 0 && h.Unanswered < recently
+}
+
 // replace moves the leadership once this VM's turn has come.
 func (s *steward) replace(ctx context.Context, name string, w *ward, now time.Duration) {
 	delay := time.Duration(s.rank(name)) * rankDelay
--- a/edge/vm.go
+++ b/edge/vm.go
@@ -54,12 +54,18 @@
 	grants      *succession.Grants
 	directory   *Directory
 	mover       *succession.Mover
+	fleet       *fleet
 	front       *front.Front
 	metrics     *prometheus.Registry
 	poked       chan struct{}
 	moved       chan string
 	registered  atomic.Bool
+	// since is when the VM was last registered, in nanoseconds since boot.
+	since atomic.Int64
 	ready       atomic.Bool
+	readied     chan struct{}
+	callers     net.Listener
+	begun       time.Duration
 	stopping    atomic.Bool
 
 	lock    sync.Mutex
@@ -83,11 +89,15 @@
 	go (&follower{VM: v}).run(work)
 	go (&confirmer{VM: v}).run(work)
 	go r.run(work)
+	go (&recaller{fleet: v.fleet}).run(work)
 	go (&steward{VM: v}).run(work)
 	v.serveHTTP(listeners)
-	go v.serveCallers(work, listeners.callers)
+	v.begun = v.Now()
+	if v.awaitReady(ctx) {
+		v.serveCallers(work)
+	}
 	<-ctx.Done()
-	v.stop(work, listeners, r)
+	v.stop(work, r)
 	v.Log.Info("VM stopped", "vm", v.Settings.VM())
 	return nil
 }
@@ -97,6 +107,7 @@
 	debug.SetGCPercent(heapGrowth)
 	v.incarnation = strconv.FormatInt(time.Now().UnixNano(), 36)
 	v.groups = map[string]*pool.Group{}
+	v.readied = make(chan struct{})
 	v.poked = make(chan struct{}, 1)
 	v.moved = make(chan string, maxGroups)
 	v.catalog = &catalog.Catalog{}
@@ -109,6 +120,7 @@
 		Now:     v.Now,
 		Log:     v.Log,
 	}
+	v.fleet = newFleet(v)
 	v.mover = &succession.Mover{
 		VM:          v.Settings.VM(),
 		Incarnation: v.incarnation,
@@ -116,7 +128,9 @@
 		Grants:      v.grants,
 		Promoter:    v.Adapter.Promoter,
 		Targets:     &controls{VM: v},
-		Fleet:       &fleet{VM: v},
+		Fleet:       v.fleet,
+		Known:       v.known,
+		VMs:         v.directory.Count,
 		Now:         v.Now,
 		Log:         v.Log,
 	}
@@ -137,7 +151,7 @@
 
 // listeners are the sockets on which a VM is reached.
 type listeners struct {
-	callers, ready, peers, metrics net.Listener
+	ready, peers, metrics net.Listener
 }
 
 func (v *VM) listen() (listeners, error) {
@@ -146,7 +160,6 @@
 		into    *net.Listener
 		address string
 	}{
-		{&l.callers, v.Settings.Callers()},
 		{&l.ready, v.Settings.Ready()},
 		{&l.peers, v.Settings.Peers()},
 		{&l.metrics, v.Settings.Metrics()},
@@ -166,7 +179,7 @@
 	metrics.Handle("/metrics", promhttp.HandlerFor(v.metrics, promhttp.HandlerOpts{}))
 	v.serve(l.ready, ready)
 	v.serve(l.metrics, metrics)
-	v.serve(l.peers, v.peerHandler())
+	v.serve(l.peers, v.fleet.handler())
 }
 
 func (v *VM) serve(l net.Listener, h http.Handler) {
@@ -179,10 +192,30 @@
 	}()
 }
 
-func (v *VM) serveCallers(ctx context.Context, l net.Listener) {
-	if err := v.front.Serve(ctx, l); err != nil {
-		v.Log.Error(err, "serving callers ended")
+// awaitReady waits until the VM knows what it serves. Before that nobody
+// listens, so that callers turn to another VM at once.
+func (v *VM) awaitReady(ctx context.Context) bool {
+	select {
+	case <-v.readied:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (v *VM) serveCallers(ctx context.Context) {
+	l, err := net.Listen("tcp4", v.Settings.Callers())
+	if err != nil {
+		v.Log.Error(err, "callers cannot be accepted")
+		return
 	}
+	v.callers = l
+	v.ready.Store(true)
+	go func() {
+		if err := v.front.Serve(ctx, l); err != nil {
+			v.Log.Error(err, "serving callers ended")
+		}
+	}()
 }
 
 // answerReady tells the balancer whether to send callers.
@@ -196,12 +229,15 @@
 
 // stop takes the VM out of rotation, lets sessions end between their
 // operations, and cuts transactions that last too long.
-func (v *VM) stop(ctx context.Context, l listeners, r *registrar) {
+func (v *VM) stop(ctx context.Context, r *registrar) {
 	begun := v.Now()
 	v.stopping.Store(true)
 	v.Log.Info("VM stops", "sessions", v.front.Sessions())
 	pauseFor(ctx, min(outOfRotation, v.Settings.Grace()*2/5))
-	_ = l.callers.Close()
+	if v.callers != nil {
+		// A listener that fails to close ends with the process.
+		_ = v.callers.Close()
+	}
 	half := v.Settings.Grace()/2 - (v.Now() - begun)
 	time.AfterFunc(max(half, 0), v.front.Cut)
 	left := v.Settings.Grace()*8/10 - (v.Now() - begun)
@@ -214,6 +250,15 @@
 	r.leave(bye)
 }
 
+// known reports whether all other VMs know of this one. When the whole system
+// starts for the first time, no VM can have an older view.
+func (v *VM) known() bool {
+	if !v.registered.Load() {
+		return false
+	}
+	return v.Settings.First() || v.Now()-time.Duration(v.since.Load()) > knownAfter
+}
+
 // poke makes the steward look at once.
 func (v *VM) poke() {
 	select {
--- a/front/attempt.go
+++ b/front/attempt.go
@@ -13,6 +13,10 @@
 
 // The times and bounds of running a statement.
 const (
+	// dispatchShare is the share of a statement's time in which a target has
+	// to be found; the rest is for the target's work, so that a statement is
+	// not sent that cannot be answered in time.
+	dispatchShare = 0.7
 	// busyPause is the time before a target that was full is tried again.
 	busyPause = 25 * time.Millisecond
 	// maxTries bounds the tries of one statement.
@@ -31,8 +35,11 @@
 	route   *catalog.Route
 	group   *pool.Group
 	arrived time.Duration
-	until   time.Duration
-	leader  bool
+	// dispatch is until when a target is looked for, and until is when the
+	// statement's time is over.
+	dispatch time.Duration
+	until    time.Duration
+	leader   bool
 	tried   []string
 	tries   int
 	reason  string
@@ -46,12 +53,13 @@
 	}
 	now := s.front.Now()
 	return &attempt{
-		session: s,
-		route:   r,
-		group:   g,
-		arrived: now,
-		until:   now + r.Timeout,
-		leader:  leader || r.Consistency == catalog.ConsistencyCurrent,
+		session:  s,
+		route:    r,
+		group:    g,
+		arrived:  now,
+		dispatch: now + time.Duration(dispatchShare*float64(r.Timeout)),
+		until:    now + r.Timeout,
+		leader:   leader || r.Consistency == catalog.ConsistencyCurrent,
 	}, nil
 }
 
@@ -66,7 +74,7 @@
 	n := pool.Need{
 		Leader:   a.leader,
 		Priority: a.route.Priority,
-		Until:    a.until,
+		Until:    a.dispatch,
 		Tried:    a.tried,
 		Mark:     a.session.state.Mark(),
 	}
@@ -94,22 +102,39 @@
 		if err != nil {
 			return nil, n, err
 		}
+		if err := a.confirmed(ctx, slot, n); err != nil {
+			slot.Release()
+			if !a.again("no VM could confirm who leads") {
+				return nil, n, err
+			}
+			continue
+		}
 		err = slot.Align(&a.session.state, plan, a.until)
 		if err == nil {
 			return slot, n, nil
 		}
 		slot.Release()
-		if !a.again(err.Error()) {
+		if !a.again("the session could not be set up on a target") {
 			return nil, n, err
 		}
 	}
 }
 
+// confirmed returns nil once a target that is needed as the leader certainly
+// leads, so that nothing is sent whose answer could not be released.
+func (a *attempt) confirmed(ctx context.Context, slot *pool.Slot, n pool.Need) error {
+	l := a.session.front.Leaders
+	if !n.Leader || l.Holds(a.route.Group, slot.Target()) {
+		return nil
+	}
+	return l.Await(ctx, a.route.Group, slot.Target(), a.dispatch)
+}
+
 // again notes a try that did not run and reports whether another may follow.
 func (a *attempt) again(reason string) bool {
 	a.tries++
 	a.reason = reason
-	return a.tries < maxTries && a.session.front.Now() < a.until
+	return a.tries < maxTries && a.session.front.Now() < a.dispatch
 }
 
 // notRun takes in that a target turned an order away, and reports whether
--- a/succession/grants.go
+++ b/succession/grants.go
@@ -15,6 +15,11 @@
 // promotion waits for VMs that cannot be asked.
 const GrantLength = 1500 * time.Millisecond
 
+// OutageLength is how long VMs may vouch for one another while none of them
+// reaches the store, counted from the last confirmation by the store itself.
+// It covers the outages of some seconds that the platform has.
+const OutageLength = 8 * time.Second
+
 // The errors of Grants.Await.
 var (
 	// ErrMoved reports that the target no longer leads its group.
@@ -32,8 +37,11 @@
 	Now func() time.Duration
 
 	lock      sync.Mutex
-	record    Record
+	record Record
+	// confirmed is when the record was last confirmed, by whatever means, and
+	// stored when the store itself last did.
 	confirmed time.Duration
+	stored    time.Duration
 	ever      bool
 	changed   chan struct{}
 }
@@ -75,7 +83,37 @@
 	}
 }
 
+// ConfirmRevision takes in that another VM had a record of this revision
+// confirmed by the store at or after a time.
+func (g *Grants) ConfirmRevision(revision uint64, at time.Duration) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	if revision == g.record.Revision {
+		g.confirm(at)
+	}
+}
+
+// Vouch takes in that at or after sent every other VM neither knew of a newer
+// record than this revision nor was moving a leadership. It counts only for a
+// while after the store's own last confirmation.
+func (g *Grants) Vouch(revision uint64, sent time.Duration) bool {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	if revision != g.record.Revision || !g.ever || sent-g.stored > OutageLength-g.Length {
+		return false
+	}
+	g.extend(sent)
+	return true
+}
+
 func (g *Grants) confirm(sent time.Duration) {
+	if !g.ever || sent > g.stored {
+		g.stored = sent
+	}
+	g.extend(sent)
+}
+
+func (g *Grants) extend(sent time.Duration) {
 	if g.ever && sent <= g.confirmed {
 		return
 	}
@@ -99,11 +137,12 @@
 	return g.record
 }
 
-// Confirmed returns when the record was last confirmed; false if never.
-func (g *Grants) Confirmed() (time.Duration, bool) {
+// Stored returns the revision of the newest known record and when the store
+// itself last confirmed it; false if never.
+func (g *Grants) Stored() (uint64, time.Duration, bool) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
-	return g.confirmed, g.ever
+	return g.record.Revision, g.stored, g.ever
 }
 
 // Lead returns who leads a group, as far as known.
--- a/succession/mover.go
+++ b/succession/mover.go
@@ -99,14 +99,19 @@
 	Promoter    Promoter
 	Targets     Targets
 	Fleet       Fleet
-	// Synchronous returns how many replicas hold an acknowledged commit.
-	Synchronous func(group string) int
+	// VMs returns how many VMs there are, as far as this one knows.
+	VMs func() int
+	// Known reports whether all VMs that run know of this one, so that none
+	// vouches for a record without asking it.
+	Known func() bool
 	// Now is a clock that counts suspended time.
 	Now func() time.Duration
 	Log logr.Logger
 
 	lock   sync.Mutex
 	writes int
+	// moves counts the moves under way.
+	moves int
 	// ended are the leases that this VM knows to have ended.
 	ended map[store.Lease]bool
 }
@@ -115,7 +120,6 @@
 type move struct {
 	*Mover
 	group  string
-	reason string
 	record Record
 	token  uint64
 	begun  time.Duration
@@ -163,7 +167,9 @@
 // Move moves a group's leadership away from a target, or takes over a move
 // that another VM did not finish. The reason is for the log.
 func (m *Mover) Move(ctx context.Context, group string, from Lead, reason string) error {
-	v := &move{Mover: m, group: group, reason: reason, old: from.Target}
+	m.count(1)
+	defer m.count(-1)
+	v := &move{Mover: m, group: group, old: from.Target}
 	err := v.claim(ctx, from)
 	if err != nil {
 		return fmt.Errorf("claim leadership of %s: %w", group, err)
@@ -175,6 +181,19 @@
 	return nil
 }
 
+func (m *Mover) count(n int) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	m.moves += n
+}
+
+// Resting reports whether no move is under way.
+func (m *Mover) Resting() bool {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	return m.moves == 0
+}
+
 func (v *move) run(ctx context.Context, from Lead) error {
 	fenced, err := v.fence(ctx)
 	if err != nil {
@@ -253,6 +272,7 @@
 	}
 	next.Lease = l
 	next.Former = m.former(old)
+	next.VMs = m.VMs()
 	next.Writer = m.writer()
 	text, err := next.Encode()
 	if err != nil {
@@ -385,7 +405,7 @@
 		}
 	}()
 	go func() {
-		err := v.Fleet.Yield(ctx, v.record)
+		err := v.yield(ctx)
 		if err != nil {
 			v.Log.Info("not every VM has taken in that the leadership moves", "group", v.group, "reason", err.Error())
 			return
@@ -408,6 +428,17 @@
 	}
 }
 
+// yield asks every VM to rely on no older record.
+func (v *move) yield(ctx context.Context) error {
+	if !v.Known() {
+		return errUnknown
+	}
+	return v.Fleet.Yield(ctx, v.record)
+}
+
+// errUnknown reports that VMs may run that this one does not know.
+var errUnknown = errors.New("this VM has not been registered for long enough")
+
 // waitOut waits until no VM can rely on a record before this move's. The
 // leases of those records must have ended first, or VMs could still renew
 // them.
@@ -419,6 +450,10 @@
 			}
 		}
 	}
+	if !v.Known() {
+		// Others may vouch for one another without asking this VM.
+		return sleep(ctx, OutageLength+grantMargin)
+	}
 	return sleep(ctx, v.Grants.Length+grantMargin)
 }
 
@@ -523,7 +558,21 @@
 // ask returns the accounts of the targets that answer. The old leader counts
 // only if nothing else is left.
 func (v *move) ask(ctx context.Context) []ranked {
-	targets := v.Targets.Candidates(v.group)
+	old, others := []pool.Target{}, []pool.Target{}
+	for _, t := range v.Targets.Candidates(v.group) {
+		if t.ID == v.old {
+			old = append(old, t)
+			continue
+		}
+		others = append(others, t)
+	}
+	if reports := v.askAll(ctx, others); len(reports) > 0 {
+		return reports
+	}
+	return v.askAll(ctx, old)
+}
+
+func (v *move) askAll(ctx context.Context, targets []pool.Target) []ranked {
 	answers := make(chan ranked, len(targets))
 	wait := sync.WaitGroup{}
 	for _, t := range targets {
@@ -538,18 +587,11 @@
 	}
 	wait.Wait()
 	close(answers)
-	others, old := []ranked{}, []ranked{}
+	reports := []ranked{}
 	for r := range answers {
-		if r.ID == v.old {
-			old = append(old, r)
-			continue
-		}
-		others = append(others, r)
-	}
-	if len(others) == 0 {
-		return old
+		reports = append(reports, r)
 	}
-	return others
+	return reports
 }
 
 // keeps returns the old leader if it alone holds what it acknowledged and may
--- a/succession/record.go
+++ b/succession/record.go
@@ -59,6 +59,8 @@
 	Former []store.Lease `json:"former,omitempty"`
 	// Leads are keyed by group.
 	Leads map[string]Lead `json:"leads"`
+	// VMs is how many VMs the writer knew of.
+	VMs int `json:"vms,omitempty"`
 	// Writer identifies the write, so that a writer whose answer was lost
 	// recognises its own.
 	Writer string `json:"writer"`
