Divide connections among VMs by demand; log what refuses

Ruled out: holding back statements by priority; the targets' slots were free.

Change: VMs claim connections every 250 ms from the first VM in an agreed order; more is granted only out of what no other may be using. Idle connections are closed after 2 s, an answer is given up once three later ones have come. Refused statements are logged with what decided, at a bounded rate (package logline).

--- a/cmd/amaranthsilld/edge.go
+++ b/cmd/amaranthsilld/edge.go
@@ -5,16 +5,15 @@
 	"errors"
 	"flag"
 	"fmt"
-	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
 
-	"github.com/go-logr/logr"
 	"github.com/peterbourgon/ff/v3"
 
 	"amaranthsill/clock"
 	"amaranthsill/edge"
+	"amaranthsill/logline"
 	"amaranthsill/platform"
 )
 
@@ -38,7 +37,9 @@
 	defer stop()
 	// Settings that change take effect at the next start.
 	signal.Ignore(syscall.SIGHUP)
-	log := logr.FromSlogHandler(slog.NewJSONHandler(os.Stdout, nil))
+	lines := logline.NewWriter(os.Stdout)
+	defer lines.Close()
+	log := logline.New(lines)
 	vm := &edge.VM{Settings: settings, Adapter: platform.NewAdapter(settings), Now: clock.Boot, Log: log}
 	if err := vm.Run(ctx); err != nil {
 		log.Error(err, "VM failed")
--- a/edge/directory.go
+++ b/edge/directory.go
@@ -71,9 +71,9 @@
 	// items hold the newest state seen of each key, removed ones too.
 	items map[string]store.Item
 	// newest is the highest revision seen.
-	newest uint64
-	targets   map[string]*registered[pool.Target]
-	peers     map[string]*registered[Peer]
+	newest  uint64
+	targets map[string]*registered[pool.Target]
+	peers   map[string]*registered[Peer]
 	// ownGone reports that this VM's entry was removed.
 	ownGone bool
 }
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -15,6 +15,7 @@
 
 	"amaranthsill/peer/peerpb"
 	"amaranthsill/peer/peerpb/peerpbconnect"
+	"amaranthsill/pool"
 	"amaranthsill/store"
 	"amaranthsill/succession"
 )
@@ -47,6 +48,9 @@
 type fleet struct {
 	*VM
 	http *http.Client
+
+	lock   sync.Mutex
+	shares pool.Shares
 }
 
 func newFleet(v *VM) *fleet {
--- a/edge/steward.go
+++ b/edge/steward.go
@@ -104,17 +104,26 @@
 // budget returns how many connections to one target this VM may hold. Callers
 // come to the VMs of their own zone, so each zone has the same share, and each
 // VM in it.
-func (s *steward) budget(limit int) int {
+func (v *VM) budget(limit int) int {
 	zones := map[string]int{}
-	peers := s.directory.Peers()
+	peers := v.directory.Peers()
 	for _, p := range peers {
 		zones[p.Zone]++
 	}
 	left := limit - spareConnections
-	if missing := s.grants.Record().VMs - len(peers); missing > 0 && s.Now()-s.begun < settleTime {
-		return left / (len(peers) + missing)
+	if n := v.missing(); n > len(peers) {
+		return left / n
 	}
-	return left / max(len(zones), 1) / max(zones[s.Settings.Zone()], 1)
+	return left / max(len(zones), 1) / max(zones[v.Settings.Zone()], 1)
+}
+
+// missing returns how many VMs there were, while those that start with this
+// one may not be registered yet.
+func (v *VM) missing() int {
+	if v.Now()-v.begun > settleTime {
+		return 0
+	}
+	return v.grants.Record().VMs
 }
 
 // lead hands the group its leader and watches it.
@@ -226,14 +235,21 @@
 
 // rank returns this VM's place among those that may move a group's
 // leadership.
-func (s *steward) rank(group string) int {
-	peers := s.directory.Peers()
-	slices.SortFunc(peers, func(a, b Peer) int {
-		return cmp.Compare(xxhash.Sum64String(group+a.Name), xxhash.Sum64String(group+b.Name))
-	})
-	i := slices.IndexFunc(peers, func(p Peer) bool { return p.Name == s.Settings.VM() })
+func (v *VM) rank(group string) int {
+	order := v.order(group)
+	i := slices.IndexFunc(order, func(p Peer) bool { return p.Name == v.Settings.VM() })
 	if i < 0 {
-		return len(peers)
+		return len(order)
 	}
 	return i
 }
+
+// order returns the VMs in an order that all of them agree on and that
+// differs from key to key.
+func (v *VM) order(key string) []Peer {
+	peers := v.directory.Peers()
+	slices.SortFunc(peers, func(a, b Peer) int {
+		return cmp.Compare(xxhash.Sum64String(key+a.Name), xxhash.Sum64String(key+b.Name))
+	})
+	return peers
+}
--- a/edge/vm.go
+++ b/edge/vm.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -61,12 +62,12 @@
 	moved       chan string
 	registered  atomic.Bool
 	// since is when the VM was last registered, in nanoseconds since boot.
-	since atomic.Int64
-	ready       atomic.Bool
-	readied     chan struct{}
-	callers     net.Listener
-	begun       time.Duration
-	stopping    atomic.Bool
+	since    atomic.Int64
+	ready    atomic.Bool
+	readied  chan struct{}
+	callers  net.Listener
+	begun    time.Duration
+	stopping atomic.Bool
 
 	lock    sync.Mutex
 	groups  map[string]*pool.Group
@@ -90,6 +91,7 @@
 	go (&confirmer{VM: v}).run(work)
 	go r.run(work)
 	go (&recaller{fleet: v.fleet}).run(work)
+	go (&claimer{fleet: v.fleet}).run(work)
 	go (&steward{VM: v}).run(work)
 	v.serveHTTP(listeners)
 	v.begun = v.Now()
@@ -279,6 +281,13 @@
 	return g
 }
 
+// pools returns the pools by group.
+func (v *VM) pools() map[string]*pool.Group {
+	v.lock.Lock()
+	defer v.lock.Unlock()
+	return maps.Clone(v.groups)
+}
+
 func (v *VM) knownPool(name string) (*pool.Group, bool) {
 	v.lock.Lock()
 	defer v.lock.Unlock()
--- a/front/attempt.go
+++ b/front/attempt.go
@@ -32,6 +32,8 @@
 // target.
 type attempt struct {
 	session *session
+	// id is the request's, for logs.
+	id      string
 	route   *catalog.Route
 	group   *pool.Group
 	arrived time.Duration
@@ -40,12 +42,12 @@
 	dispatch time.Duration
 	until    time.Duration
 	leader   bool
-	tried   []string
-	tries   int
-	reason  string
+	tried    []string
+	tries    int
+	reason   string
 }
 
-func (s *session) newAttempt(r *catalog.Route, leader bool) (*attempt, *query.Reply) {
+func (s *session) newAttempt(id string, r *catalog.Route, leader bool) (*attempt, *query.Reply) {
 	g, ok := s.front.Group(r.Group)
 	if !ok {
 		f := s.refuse(r, "no target of the group is registered")
@@ -54,6 +56,7 @@
 	now := s.front.Now()
 	return &attempt{
 		session:  s,
+		id:       id,
 		route:    r,
 		group:    g,
 		arrived:  now,
@@ -65,7 +68,6 @@
 
 // refuse promises that nothing ran, and says when to come back.
 func (s *session) refuse(r *catalog.Route, reason string) query.Reply {
-	s.front.Meter.refused(r, reason)
 	return s.failure(query.CodeBusy, fmt.Sprintf("%s; retry after %d ms", reason, comeBack.Milliseconds()))
 }
 
@@ -190,7 +192,7 @@
 	if early != nil {
 		return *early
 	}
-	a, early := s.newAttempt(r, n.write)
+	a, early := s.newAttempt(q.ID, r, n.write)
 	if early != nil {
 		return *early
 	}
@@ -214,13 +216,20 @@
 }
 
 func (a *attempt) giveUp(err error) query.Reply {
-	reason := "no target could take the statement"
-	if a.reason != "" {
-		reason = a.reason
-	} else if !errors.Is(err, pool.ErrNoTarget) {
-		reason = err.Error()
+	if a.reason == "" {
+		a.reason = "no target could take the statement"
 	}
-	return a.session.refuse(a.route, reason)
+	if !errors.Is(err, pool.ErrNoTarget) {
+		a.reason = err.Error()
+	}
+	return a.refuse()
+}
+
+// refuse gives up on a statement that did not run.
+func (a *attempt) refuse() query.Reply {
+	f := a.session.front
+	f.Meter.refused(a.route, a.id, a.reason, f.Now()-a.arrived, a.tries, a.group.Describe(a.leader))
+	return a.session.refuse(a.route, a.reason)
 }
 
 // tryOn runs a statement on one target. The second result is false if it may
@@ -275,7 +284,7 @@
 	if a.again("the target's answer was lost") {
 		return query.Reply{}, false
 	}
-	return s.refuse(a.route, a.reason), true
+	return a.refuse(), true
 }
 
 // refusedBy handles an answer without success.
@@ -285,7 +294,7 @@
 		if a.notRun(ctx, slot, need, r.Failure) {
 			return query.Reply{}, false
 		}
-		return s.refuse(a.route, a.reason), true
+		return a.refuse(), true
 	}
 	if !n.write && a.again("target answered "+r.Failure.Code.String()) {
 		a.tried = append(a.tried, slot.Target())
@@ -304,7 +313,7 @@
 	if a.again("the target was deposed") {
 		return query.Reply{}, false
 	}
-	return s.refuse(a.route, a.reason), true
+	return a.refuse(), true
 }
 
 // learn records the position that a leader's answer showed.
--- a/front/meter.go
+++ b/front/meter.go
@@ -66,9 +66,10 @@
 	}
 }
 
-func (m *Meter) refused(r *catalog.Route, reason string) {
+func (m *Meter) refused(r *catalog.Route, id, reason string, waited time.Duration, tries int, targets string) {
 	m.refusals.WithLabelValues(r.Name).Inc()
-	m.log.V(1).Info("statement refused as not run", "route", r.Name, "reason", reason)
+	m.log.Info("statement refused as not run", "request", id, "route", r.Name, "group", r.Group,
+		"reason", reason, "waited", waited.String(), "tries", tries, "targets", targets)
 }
 
 func (m *Meter) doubtful(r *catalog.Route, id, target string, err error) {
--- a/front/transaction.go
+++ b/front/transaction.go
@@ -119,7 +119,7 @@
 		return *early
 	}
 	if t.slot == nil {
-		if r := t.start(ctx); r != nil {
+		if r := t.start(ctx, q.ID); r != nil {
 			return *r
 		}
 	}
@@ -131,9 +131,8 @@
 }
 
 // start opens the transaction on a target.
-func (t *transaction) start(ctx context.Context) *query.Reply {
-	s := t.session
-	a, early := s.newAttempt(t.route, !t.readOnly)
+func (t *transaction) start(ctx context.Context, id string) *query.Reply {
+	a, early := t.session.newAttempt(id, t.route, !t.readOnly)
 	if early != nil {
 		return t.refused(*early)
 	}
@@ -155,14 +154,14 @@
 				a.tried = append(a.tried, slot.Target())
 			}
 			if !a.again("the target's answer was lost") {
-				return t.refused(s.refuse(t.route, a.reason))
+				return t.refused(a.refuse())
 			}
 		case answer.Failure.Code.NotRun():
 			if !a.notRun(ctx, slot, need, answer.Failure) {
-				return t.refused(s.refuse(t.route, a.reason))
+				return t.refused(a.refuse())
 			}
 		case !a.again("target answered " + answer.Failure.Code.String()):
-			return t.refused(s.refuse(t.route, a.reason))
+			return t.refused(a.refuse())
 		}
 	}
 }
@@ -233,7 +232,7 @@
 		return s.failure(query.CodeAborted, reason)
 	}
 	if t.slot == nil {
-		if r := t.start(ctx); r != nil {
+		if r := t.start(ctx, q.ID); r != nil {
 			s.tx = nil
 			r.State = query.StateIdle
 			return *r
--- a/peer/peerpb/peerpbconnect/fleet.connect.go
+++ b/peer/peerpb/peerpbconnect/fleet.connect.go
@@ -41,6 +41,8 @@
 	FleetYieldProcedure = "/amaranthsill.peer.Fleet/Yield"
 	// FleetWitnessProcedure is the fully-qualified name of the Fleet's Witness RPC.
 	FleetWitnessProcedure = "/amaranthsill.peer.Fleet/Witness"
+	// FleetDivideProcedure is the fully-qualified name of the Fleet's Divide RPC.
+	FleetDivideProcedure = "/amaranthsill.peer.Fleet/Divide"
 )
 
 // FleetClient is a client for the amaranthsill.peer.Fleet service.
@@ -52,6 +54,9 @@
 	Yield(context.Context, *connect.Request[peerpb.YieldRequest]) (*connect.Response[peerpb.YieldResponse], error)
 	// Witness tells whether the VM hears a target.
 	Witness(context.Context, *connect.Request[peerpb.WitnessRequest]) (*connect.Response[peerpb.WitnessResponse], error)
+	// Divide takes in what a VM wants of the targets' connections and returns
+	// its part. Only the VM that divides for all answers.
+	Divide(context.Context, *connect.Request[peerpb.DivideRequest]) (*connect.Response[peerpb.DivideResponse], error)
 }
 
 // NewFleetClient constructs a client for the amaranthsill.peer.Fleet service. By default, it uses
@@ -83,6 +88,12 @@
 			connect.WithSchema(fleetMethods.ByName("Witness")),
 			connect.WithClientOptions(opts...),
 		),
+		divide: connect.NewClient[peerpb.DivideRequest, peerpb.DivideResponse](
+			httpClient,
+			baseURL+FleetDivideProcedure,
+			connect.WithSchema(fleetMethods.ByName("Divide")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -91,6 +102,7 @@
 	recall  *connect.Client[peerpb.RecallRequest, peerpb.RecallResponse]
 	yield   *connect.Client[peerpb.YieldRequest, peerpb.YieldResponse]
 	witness *connect.Client[peerpb.WitnessRequest, peerpb.WitnessResponse]
+	divide  *connect.Client[peerpb.DivideRequest, peerpb.DivideResponse]
 }
 
 // Recall calls amaranthsill.peer.Fleet.Recall.
@@ -108,6 +120,11 @@
 	return c.witness.CallUnary(ctx, req)
 }
 
+// Divide calls amaranthsill.peer.Fleet.Divide.
+func (c *fleetClient) Divide(ctx context.Context, req *connect.Request[peerpb.DivideRequest]) (*connect.Response[peerpb.DivideResponse], error) {
+	return c.divide.CallUnary(ctx, req)
+}
+
 // FleetHandler is an implementation of the amaranthsill.peer.Fleet service.
 type FleetHandler interface {
 	// Recall hands over what the platform's store told a VM.
@@ -117,6 +134,9 @@
 	Yield(context.Context, *connect.Request[peerpb.YieldRequest]) (*connect.Response[peerpb.YieldResponse], error)
 	// Witness tells whether the VM hears a target.
 	Witness(context.Context, *connect.Request[peerpb.WitnessRequest]) (*connect.Response[peerpb.WitnessResponse], error)
+	// Divide takes in what a VM wants of the targets' connections and returns
+	// its part. Only the VM that divides for all answers.
+	Divide(context.Context, *connect.Request[peerpb.DivideRequest]) (*connect.Response[peerpb.DivideResponse], error)
 }
 
 // NewFleetHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -144,6 +164,12 @@
 		connect.WithSchema(fleetMethods.ByName("Witness")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetDivideHandler := connect.NewUnaryHandler(
+		FleetDivideProcedure,
+		svc.Divide,
+		connect.WithSchema(fleetMethods.ByName("Divide")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/amaranthsill.peer.Fleet/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case FleetRecallProcedure:
@@ -152,6 +178,8 @@
 			fleetYieldHandler.ServeHTTP(w, r)
 		case FleetWitnessProcedure:
 			fleetWitnessHandler.ServeHTTP(w, r)
+		case FleetDivideProcedure:
+			fleetDivideHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -172,3 +200,7 @@
 func (UnimplementedFleetHandler) Witness(context.Context, *connect.Request[peerpb.WitnessRequest]) (*connect.Response[peerpb.WitnessResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("amaranthsill.peer.Fleet.Witness is not implemented"))
 }
+
+func (UnimplementedFleetHandler) Divide(context.Context, *connect.Request[peerpb.DivideRequest]) (*connect.Response[peerpb.DivideResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("amaranthsill.peer.Fleet.Divide is not implemented"))
+}
--- a/pool/group.go
+++ b/pool/group.go
@@ -65,8 +65,8 @@
 	since time.Duration
 }
 
-// Configure sets the targets that are registered and how many connections to
-// each this VM may hold.
+// Configure sets the targets that are registered, and how many connections to
+// each this VM may hold while Grant says nothing else.
 func (g *Group) Configure(targets []Target, budget int) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
@@ -86,6 +86,7 @@
 	}
 	for _, s := range g.servers {
 		g.trim(s)
+		s.cutLost(g.Now())
 	}
 	g.dispatch()
 }
@@ -113,16 +114,59 @@
 	delete(g.servers, s.ID)
 }
 
-// trim closes idle connections above the budget, and all of a target that is
-// draining.
+// idleLimit is how long a connection may go unused. Those that are closed
+// leave room for VMs that start while a target still counts their former
+// connections.
+const idleLimit = 2 * time.Second
+
+// trim closes idle connections above the budget or unused for long, and all
+// of a target that is draining.
 func (g *Group) trim(s *server) {
-	for len(s.idle) > 0 && (s.open+s.dialing > g.budget || s.Draining) {
+	now := g.Now()
+	for len(s.idle) > 0 && (s.open+s.dialing > g.budgetOf(s, now) || s.Draining || now-s.idle[0].used > idleLimit) {
 		s.idle[0].link.Close()
 		s.idle = s.idle[1:]
 		s.open--
 	}
 }
 
+// grantLife is how long a granted budget counts.
+const grantLife = time.Second
+
+// budgetOf returns how many connections to a target this VM may hold.
+func (g *Group) budgetOf(s *server, now time.Duration) int {
+	if s.granted != 0 && now-s.granted < grantLife {
+		return s.budget
+	}
+	return g.budget
+}
+
+// Grant sets how many connections to a target this VM may hold for a while.
+func (g *Group) Grant(target string, budget int) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	s := g.servers[target]
+	if s == nil {
+		return
+	}
+	s.budget = budget
+	s.granted = g.Now()
+	g.trim(s)
+	g.dispatch()
+}
+
+// Claims returns what this VM holds and wants of each target.
+func (g *Group) Claims() []Claim {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	now := g.Now()
+	list := []Claim{}
+	for id, s := range g.servers {
+		list = append(list, Claim{Target: id, Open: s.open + s.dialing, Wanted: s.demand.peak(now)})
+	}
+	return list
+}
+
 // SetLeader names the target that leads the group; empty if none does.
 func (g *Group) SetLeader(id string) {
 	g.lock.Lock()
@@ -263,6 +307,29 @@
 	g.waiting = slices.Insert(g.waiting, i, w)
 }
 
+// Describe returns the state of the targets for logs: of the leader alone, or
+// of all.
+func (g *Group) Describe(leader bool) string {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	now := g.Now()
+	text := fmt.Sprintf("leader=%s waiting=%d", g.leader, len(g.waiting))
+	for id, s := range g.servers {
+		if leader && id != g.leader {
+			continue
+		}
+		text += fmt.Sprintf(" %s:open=%d,idle=%d,dialing=%d,budget=%d,latency=%dms,lag=%dms", id, s.open, len(s.idle), s.dialing, g.budgetOf(s, now),
+			s.expected(now).Milliseconds(), s.lagNow(now).Milliseconds())
+		if s.down() {
+			text += ",unreachable"
+		}
+		if s.Draining {
+			text += ",draining"
+		}
+	}
+	return text
+}
+
 // Waiting returns how many statements wait for a target.
 func (g *Group) Waiting() int {
 	g.lock.Lock()
@@ -284,6 +351,9 @@
 	}
 	clear(g.waiting[len(left):])
 	g.waiting = left
+	for _, s := range g.servers {
+		s.demand.add(now, s.open-len(s.idle)+s.wanted)
+	}
 }
 
 // place gives a waiter a connection of the cheapest suitable target, or opens
@@ -298,7 +368,7 @@
 		return true
 	}
 	s.wanted++
-	if s.dialing < s.wanted && s.open+s.dialing < g.budget && now >= s.retryAt {
+	if s.dialing < s.wanted && s.open+s.dialing < g.budgetOf(s, now) && now >= s.retryAt {
 		g.dial(s)
 	}
 	return false
@@ -442,6 +512,8 @@
 	g.lock.Lock()
 	defer g.lock.Unlock()
 	s.server.pending[s] = now
+	s.overtaken = 0
+	s.running = true
 }
 
 // ended takes in how a statement went.
@@ -452,9 +524,11 @@
 	now := g.Now()
 	// Between the statements of a transaction the target owes nothing.
 	v.pending[s] = now + time.Hour
+	s.running = false
 	if err != nil {
 		return
 	}
+	v.overtake(sent)
 	v.answered(now, now-sent)
 	if r.Failure != nil && r.Failure.Code == query.CodeReadOnly && s.leader {
 		if v.readOnly == 0 {
--- a/pool/server.go
+++ b/pool/server.go
@@ -40,6 +40,10 @@
 	idle    []*connection
 	open    int
 	dialing int
+	// budget was granted at a time; zero if never.
+	budget  int
+	granted time.Duration
+	demand  demand
 	// wanted counts the waiters of one dispatch that would take a new
 	// connection.
 	wanted int
@@ -172,3 +176,67 @@
 	pause := firstBackoff << min(s.failures-1, 8)
 	s.retryAt = now + min(pause, maxBackoff)
 }
+
+// demandWindow is the time over which the peak of a demand counts.
+const demandWindow = 500 * time.Millisecond
+
+// demand is the peak of what was wanted of a target in the last one to two
+// windows.
+type demand struct {
+	from         time.Duration
+	now, earlier int
+}
+
+func (d *demand) add(now time.Duration, n int) {
+	d.turn(now)
+	d.now = max(d.now, n)
+}
+
+func (d *demand) peak(now time.Duration) int {
+	d.turn(now)
+	return max(d.now, d.earlier)
+}
+
+func (d *demand) turn(now time.Duration) {
+	switch {
+	case now-d.from < demandWindow:
+		return
+	case now-d.from < 2*demandWindow:
+		d.earlier = d.now
+	default:
+		d.earlier = 0
+	}
+	d.from = now
+	d.now = 0
+}
+
+// The signs that an answer is lost while its target answers others.
+const (
+	// lostAfter is the least time that an answer is awaited, and lostFactor
+	// how many times the target's average it is awaited.
+	lostAfter  = 300 * time.Millisecond
+	lostFactor = 6
+	// lostOvertaken is how many statements sent later must be answered.
+	lostOvertaken = 3
+)
+
+// overtake counts an answer for the statements that were sent before its own.
+func (s *server) overtake(sent time.Duration) {
+	for slot, at := range s.pending {
+		if slot.running && at < sent {
+			slot.overtaken++
+		}
+	}
+}
+
+// cutLost ends the wait for answers that are probably lost, so that their
+// connections are free for others.
+func (s *server) cutLost(now time.Duration) {
+	limit := max(lostAfter, lostFactor*s.latency)
+	for slot, at := range s.pending {
+		if slot.running && slot.overtaken >= lostOvertaken && now-at > limit {
+			// The waiting goroutine reports what went wrong.
+			_ = slot.conn.link.SetDeadline(time.Unix(1, 0))
+		}
+	}
+}
--- a/pool/slot.go
+++ b/pool/slot.go
@@ -23,6 +23,10 @@
 	server *server
 	conn   *connection
 	broken bool
+	// overtaken counts the statements that were sent later and are answered;
+	// while running, at most one goroutine waits on the link.
+	overtaken int
+	running   bool
 	// leader reports that the target led the group when the slot was taken.
 	leader bool
 }
