Run current reads on replicas at the leader's position

Ruled out: more connections (the target's limit), pipelining BEGIN with the first statement (if BEGIN is refused the statement runs outside it).

Change: one question to the leader, which takes none of its slots, serves all reads that wait; the reads then run in the own zone at that position. Where the leader is near, they go there directly. A replica that is just behind is asked again after 8 ms. Idle connections are closed after 0.5 s.

--- a/front/attempt.go
+++ b/front/attempt.go
@@ -19,6 +19,13 @@
 	dispatchShare = 0.7
 	// busyPause is the time before a target that was full is tried again.
 	busyPause = 25 * time.Millisecond
+	// freshAge is the age of a position up to which a replica that lacks it
+	// will probably show it in a moment; replicas are some 10 ms behind.
+	freshAge = 100 * time.Millisecond
+	// laggingPause is the time between two tries there, and maxLagging their
+	// number.
+	laggingPause = 8 * time.Millisecond
+	maxLagging   = 6
 	// maxTries bounds the tries of one statement.
 	maxTries = 6
 	// sessionMargin is added to the age of a session's own commit, since the
@@ -44,7 +51,9 @@
 	leader   bool
 	tried    []string
 	tries    int
-	reason   string
+	// lagging counts the refusals of replicas that were only just behind.
+	lagging int
+	reason  string
 }
 
 func (s *session) newAttempt(id string, r *catalog.Route, leader bool) (*attempt, *query.Reply) {
@@ -62,7 +71,7 @@
 		arrived:  now,
 		dispatch: now + time.Duration(dispatchShare*float64(r.Timeout)),
 		until:    now + r.Timeout,
-		leader:   leader || r.Consistency == catalog.ConsistencyCurrent,
+		leader:   leader,
 	}, nil
 }
 
@@ -71,8 +80,10 @@
 	return s.failure(query.CodeBusy, fmt.Sprintf("%s; retry after %d ms", reason, comeBack.Milliseconds()))
 }
 
-// need says what the attempt needs of a target now.
-func (a *attempt) need() pool.Need {
+// need says what the attempt needs of a target now. A read needs a position
+// that the leader is known to have reached late enough; if none is known, the
+// leader is asked, unless it is near enough to run the read itself.
+func (a *attempt) need(ctx context.Context) pool.Need {
 	n := pool.Need{
 		Leader:   a.leader,
 		Priority: a.route.Priority,
@@ -83,7 +94,14 @@
 	if n.Leader {
 		return n
 	}
-	p, age, ok := a.group.Covering(a.arrived - a.route.Staleness)
+	from := a.arrived
+	if a.route.Consistency != catalog.ConsistencyCurrent {
+		from -= a.route.Staleness
+	}
+	p, age, ok := a.group.Covering(from)
+	if !ok && !a.group.LeadsNear() && a.session.front.index(a.group).refresh(ctx) == nil {
+		p, age, ok = a.group.Covering(from)
+	}
 	if !ok {
 		n.Leader = true
 		return n
@@ -99,7 +117,7 @@
 // slot gets a connection for the next try, aligned with the session.
 func (a *attempt) slot(ctx context.Context, plan *query.Plan) (*pool.Slot, pool.Need, error) {
 	for {
-		n := a.need()
+		n := a.need(ctx)
 		slot, err := a.group.Acquire(ctx, n)
 		if err != nil {
 			return nil, n, err
@@ -144,6 +162,10 @@
 func (a *attempt) notRun(ctx context.Context, slot *pool.Slot, n pool.Need, f *query.Failure) bool {
 	switch f.Code {
 	case query.CodeLagging:
+		if n.FloorAge < freshAge && a.lagging < maxLagging {
+			a.lagging++
+			return a.pause(ctx, laggingPause)
+		}
 		a.group.Lagged(slot.Target(), n.FloorAge)
 		a.tried = append(a.tried, slot.Target())
 	case query.CodeBusy:
@@ -159,9 +181,11 @@
 	return a.again("target answered " + f.Code.String())
 }
 
-func (a *attempt) rest(ctx context.Context) bool {
+func (a *attempt) rest(ctx context.Context) bool { return a.pause(ctx, busyPause) }
+
+func (a *attempt) pause(ctx context.Context, d time.Duration) bool {
 	select {
-	case <-time.After(busyPause):
+	case <-time.After(d):
 		return true
 	case <-ctx.Done():
 		return false
--- a/front/front.go
+++ b/front/front.go
@@ -70,6 +70,7 @@
 
 	lock     sync.Mutex
 	sessions map[*session]bool
+	indexes  map[*pool.Group]*index
 	draining bool
 	wait     sync.WaitGroup
 }
--- a/pool/group.go
+++ b/pool/group.go
@@ -117,7 +117,7 @@
 // idleLimit is how long a connection may go unused. Those that are closed
 // leave room for VMs that start while a target still counts their former
 // connections.
-const idleLimit = 2 * time.Second
+const idleLimit = 500 * time.Millisecond
 
 // trim closes idle connections above the budget or unused for long, and all
 // of a target that is draining.
@@ -517,7 +517,7 @@
 }
 
 // ended takes in how a statement went.
-func (g *Group) ended(s *Slot, r query.Reply, sent time.Duration, err error) {
+func (g *Group) ended(s *Slot, o Order, r query.Reply, sent time.Duration, err error) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
 	v := s.server
@@ -529,7 +529,11 @@
 		return
 	}
 	v.overtake(sent)
-	v.answered(now, now-sent)
+	v.heard = now
+	v.alive()
+	if isWork(o) {
+		v.answered(now, now-sent)
+	}
 	if r.Failure != nil && r.Failure.Code == query.CodeReadOnly && s.leader {
 		if v.readOnly == 0 {
 			v.readOnly = max(now, 1)
@@ -542,6 +546,24 @@
 	}
 }
 
+// isWork reports whether an order takes a target the time of a statement.
+func isWork(o Order) bool {
+	switch o.(type) {
+	case Forward, ForwardPlan:
+		return true
+	default:
+		return false
+	}
+}
+
+// LeadsNear reports whether the group's leader is in this VM's zone.
+func (g *Group) LeadsNear() bool {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	s := g.servers[g.leader]
+	return s != nil && s.Zone == g.Zone
+}
+
 // Lagged notes that a target lacked a position of the given age.
 func (g *Group) Lagged(id string, age time.Duration) {
 	g.lock.Lock()
--- a/pool/samples.go
+++ b/pool/samples.go
@@ -21,9 +21,9 @@
 // The bounds of the memory of positions.
 const (
 	// samplePause is the least time between two samples that are kept.
-	samplePause = 20 * time.Millisecond
+	samplePause = 10 * time.Millisecond
 	// sampleCount covers the longest staleness in use, 2.5 s, with room.
-	sampleCount = 256
+	sampleCount = 512
 )
 
 // Add records the position of an answer whose statement was sent at a time
@@ -32,13 +32,16 @@
 	n := len(s.ring)
 	if n > 0 {
 		last := s.ring[n-1]
-		if sent < last.at+samplePause || !p.Reaches(last.position) {
+		if sent <= last.at || !p.Reaches(last.position) {
 			return
 		}
+		if n > 1 && last.at < s.ring[n-2].at+samplePause {
+			s.ring = s.ring[:n-1]
+		}
 	}
-	if n == sampleCount {
+	if len(s.ring) == sampleCount {
 		copy(s.ring, s.ring[1:])
-		s.ring = s.ring[:n-1]
+		s.ring = s.ring[:sampleCount-1]
 	}
 	s.ring = append(s.ring, sample{at: sent, position: p})
 }
--- a/pool/server.go
+++ b/pool/server.go
@@ -118,8 +118,6 @@
 
 // answered takes in a statement's latency.
 func (s *server) answered(now, took time.Duration) {
-	s.heard = now
-	s.alive()
 	if s.latency == 0 {
 		s.latency = took
 		s.base = took
--- a/pool/slot.go
+++ b/pool/slot.go
@@ -52,7 +52,7 @@
 	sent := s.group.Now()
 	s.group.started(s, sent)
 	r, err := s.exchange(o, until-sent)
-	s.group.ended(s, r, sent, err)
+	s.group.ended(s, o, r, sent, err)
 	if err != nil {
 		s.broken = true
 		return Answer{}, fmt.Errorf("run on target %s: %w", s.server.ID, err)
--- a/pool/target.go
+++ b/pool/target.go
@@ -118,6 +118,10 @@
 // Align changes the link's session state.
 type Align struct{ Step session.Step }
 
+// Locate asks for nothing but the position that comes with every answer; it
+// takes none of the target's slots.
+type Locate struct{}
+
 // Status asks a target for a Report.
 type Status struct{}
 
@@ -132,6 +136,7 @@
 func (ForwardPlan) order() {}
 func (Rollback) order()    {}
 func (Align) order()       {}
+func (Locate) order()      {}
 func (Status) order()      {}
 func (StepDown) order()    {}
 func (Pause) order()       {}
