Move leaderships faster, and send callers away from a VM without a confirmation

Change: the duty's key is read beside the record and not read again; accounts are awaited 150 ms beyond the first; grants last 1.1 s and are confirmed every 300 ms. When nothing has been confirmed for 400 ms beyond that, statements that need the leader are refused at once; after 1 s the VM reports that it is not ready.

--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -28,10 +28,10 @@
 	// recallLimit bounds one call for what another VM knows.
 	recallLimit = 400 * time.Millisecond
 	// recallPause is the time between two rounds of such calls.
-	recallPause = 300 * time.Millisecond
+	recallPause = 200 * time.Millisecond
 	// recallAfter is how long the store may go without confirming the record
 	// before peers are asked.
-	recallAfter = 700 * time.Millisecond
+	recallAfter = 600 * time.Millisecond
 	// peerConnect bounds the opening of a connection to a VM.
 	peerConnect = 400 * time.Millisecond
 	// peerIdle is how long an unused connection to a VM is kept.
--- a/edge/keep.go
+++ b/edge/keep.go
@@ -15,8 +15,8 @@
 // The times of leases.
 const (
 	// confirmPause is the time between two confirmations of the record of
-	// leaders; three may be lost before a grant runs out.
-	confirmPause = 400 * time.Millisecond
+	// leaders; two may be lost before a grant runs out.
+	confirmPause = 300 * time.Millisecond
 	// confirmsInFlight bounds the confirmations under way to a slow store.
 	confirmsInFlight = 3
 	// entryLife is how long a VM's entry outlives its last renewal.
--- a/edge/steward.go
+++ b/edge/steward.go
@@ -25,13 +25,13 @@
 	movePause = 400 * time.Millisecond
 	// probeAfter is how long the leader may owe an answer before a fresh
 	// connection is tried.
-	probeAfter = 250 * time.Millisecond
+	probeAfter = 200 * time.Millisecond
 	// refusedLimit is how long nobody may listen at the leader's address
 	// before it counts as failed; a process restarts within it.
 	refusedLimit = 350 * time.Millisecond
 	// silentLimit is how long the leader may not be reached before it counts
 	// as failed.
-	silentLimit = 300 * time.Millisecond
+	silentLimit = 250 * time.Millisecond
 	// readOnlyLimit is how long the leader may refuse writes.
 	readOnlyLimit = 500 * time.Millisecond
 	// spareConnections are left free at each target for control orders.
--- a/edge/vm.go
+++ b/edge/vm.go
@@ -30,6 +30,9 @@
 	outOfRotation = 2500 * time.Millisecond
 	// leaveLimit bounds the calls that say good-bye.
 	leaveLimit = 500 * time.Millisecond
+	// impairedAfter is how long a VM may be unable to confirm who leads
+	// before callers are sent to other VMs.
+	impairedAfter = time.Second
 	// storeLost is how long calls to the store must have failed before it is
 	// logged as lost.
 	storeLost = time.Second
@@ -222,7 +225,7 @@
 
 // answerReady tells the balancer whether to send callers.
 func (v *VM) answerReady(w http.ResponseWriter, _ *http.Request) {
-	if v.ready.Load() && !v.stopping.Load() {
+	if v.ready.Load() && !v.stopping.Load() && v.grants.Lapsed() < impairedAfter {
 		w.WriteHeader(http.StatusOK)
 		return
 	}
--- a/front/attempt.go
+++ b/front/attempt.go
@@ -9,6 +9,7 @@
 	"amaranthsill/catalog"
 	"amaranthsill/pool"
 	"amaranthsill/query"
+	"amaranthsill/succession"
 )
 
 // The times and bounds of running a statement.
@@ -124,7 +125,11 @@
 		}
 		if err := a.confirmed(ctx, slot, n); err != nil {
 			slot.Release()
-			if !a.again("no VM could confirm who leads") {
+			if errors.Is(err, succession.ErrUnconfirmed) {
+				a.reason = "nobody confirms who leads"
+				return nil, n, pool.ErrNoTarget
+			}
+			if !a.again("the leader was replaced") {
 				return nil, n, err
 			}
 			continue
--- a/pool/group.go
+++ b/pool/group.go
@@ -595,9 +595,9 @@
 	}()
 }
 
-// probeLimit bounds a probe's dial: two round trips between zones and the
-// target's work on a new connection, several times over.
-const probeLimit = 500 * time.Millisecond
+// probeLimit bounds a probe; a target that is slow to start a session is not
+// one that cannot be reached.
+const probeLimit = 1500 * time.Millisecond
 
 func (g *Group) probed(s *server, err error) {
 	g.lock.Lock()
--- a/succession/grants.go
+++ b/succession/grants.go
@@ -13,7 +13,11 @@
 // GrantLength is how long a VM may rely on the record after it was last
 // confirmed. It covers several lost or slow renewals, and is how long a
 // promotion waits for VMs that cannot be asked.
-const GrantLength = 1500 * time.Millisecond
+const GrantLength = 1100 * time.Millisecond
+
+// hopelessAfter is how long the record must have been unconfirmed before
+// nobody waits for a confirmation: the store or a peer would have answered.
+const hopelessAfter = 400 * time.Millisecond
 
 // OutageLength is how long VMs may vouch for one another while none of them
 // reaches the store, counted from the last confirmation by the store itself.
@@ -24,7 +28,8 @@
 var (
 	// ErrMoved reports that the target no longer leads its group.
 	ErrMoved = errors.New("target no longer leads its group")
-	// ErrUnconfirmed reports that the record could not be confirmed in time.
+	// ErrUnconfirmed reports that the record could not be confirmed in time,
+	// or has not been for so long that waiting is pointless.
 	ErrUnconfirmed = errors.New("record of leaders could not be confirmed in time")
 )
 
@@ -168,6 +173,16 @@
 	return g.ever && g.Now()-g.confirmed < g.Length
 }
 
+// Lapsed returns for how long nothing could be relied on; zero while it can.
+func (g *Grants) Lapsed() time.Duration {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	if !g.ever {
+		return 0
+	}
+	return max(g.Now()-g.confirmed-g.Length, 0)
+}
+
 // Await waits until the target certainly leads its group, at most until the
 // given time. Its error wraps ErrMoved or ErrUnconfirmed.
 func (g *Grants) Await(ctx context.Context, group, target string, until time.Duration) error {
@@ -185,6 +200,9 @@
 		if valid {
 			return nil
 		}
+		if g.Lapsed() > hopelessAfter {
+			return fmt.Errorf("await %s: %w", target, ErrUnconfirmed)
+		}
 		if err := g.pause(ctx, changed, until); err != nil {
 			return fmt.Errorf("await %s: %w", target, err)
 		}
--- a/succession/mover.go
+++ b/succession/mover.go
@@ -50,6 +50,9 @@
 	// orderLimit bounds one order to a target: round trips between zones and
 	// a queue of statements there.
 	orderLimit = 700 * time.Millisecond
+	// lateLimit is how long the other targets' accounts are awaited after one
+	// came; it is longer than the difference between zones.
+	lateLimit = 150 * time.Millisecond
 	// stepDownLimit is how long an unreachable leader holds up a move before
 	// the grants are waited out.
 	stepDownLimit = 500 * time.Millisecond
@@ -149,7 +152,7 @@
 	if !missing {
 		return nil
 	}
-	_, err = m.write(ctx, r, next, false)
+	_, err = m.write(ctx, r, next, nil)
 	return err
 }
 
@@ -160,7 +163,7 @@
 	if err != nil || r.Lease != l {
 		return err
 	}
-	_, err = m.write(ctx, r, r, false)
+	_, err = m.write(ctx, r, r, nil)
 	return err
 }
 
@@ -213,6 +216,8 @@
 
 // claim writes that this VM moves the leadership.
 func (v *move) claim(ctx context.Context, from Lead) error {
+	duty := make(chan dutyRead, 1)
+	go func() { duty <- v.readDuty(ctx) }()
 	r, err := v.read(ctx)
 	if err != nil {
 		return err
@@ -220,23 +225,38 @@
 	if r.Leads[v.group] != from {
 		return ErrOvertaken
 	}
+	d := <-duty
+	if d.err != nil {
+		return d.err
+	}
 	v.begun = v.Now()
 	lead := Lead{Target: from.Target, Mover: v.writer()}
-	v.record, err = v.write(ctx, r, r.With(v.group, lead), true)
+	v.record, err = v.write(ctx, r, r.With(v.group, lead), &d.item)
 	if err != nil {
 		return err
 	}
-	duty, _, err := v.Ledger.Read(ctx, DutyKey)
-	if err != nil {
-		return fmt.Errorf("read token: %w", err)
+	v.token = d.item.Revision
+	if string(d.item.Value) != v.holder() {
+		// The duty's key was written with the record.
+		v.token = v.record.Revision
 	}
-	if string(duty.Value) != v.holder() {
-		return ErrOvertaken
-	}
-	v.token = duty.Revision
 	return nil
 }
 
+// dutyRead is the duty's key as the store held it.
+type dutyRead struct {
+	item store.Item
+	err  error
+}
+
+func (m *Mover) readDuty(ctx context.Context) dutyRead {
+	i, _, err := m.Ledger.Read(ctx, DutyKey)
+	if err != nil && !errors.Is(err, store.ErrAbsent) {
+		return dutyRead{err: fmt.Errorf("read holder of the duty: %w", err)}
+	}
+	return dutyRead{item: i}
+}
+
 func (m *Mover) holder() string { return m.VM + "/" + m.Incarnation }
 
 // writer returns an identity for one write.
@@ -263,9 +283,9 @@
 }
 
 // write replaces the record under a new lease and ends the old lease, so that
-// VMs with the old record notice. With the duty, the VM also becomes the one
-// that may promote.
-func (m *Mover) write(ctx context.Context, old, next Record, duty bool) (Record, error) {
+// VMs with the old record notice. With the duty's key as it was, the VM also
+// becomes the one that may promote.
+func (m *Mover) write(ctx context.Context, old, next Record, duty *store.Item) (Record, error) {
 	l, err := m.Ledger.Grant(ctx, leaseLife)
 	if err != nil {
 		return Record{}, fmt.Errorf("open lease for record: %w", err)
@@ -282,10 +302,8 @@
 		Conditions: []store.Condition{{Key: RecordKey, Revision: old.Revision}},
 		Puts:       []store.Put{{Key: RecordKey, Value: text}},
 	}
-	if duty {
-		if err := m.addDuty(ctx, &t); err != nil {
-			return Record{}, err
-		}
+	if duty != nil {
+		m.addDuty(&t, *duty)
 	}
 	sent := m.Now()
 	next.Revision, err = m.Ledger.Apply(ctx, t)
@@ -332,16 +350,11 @@
 }
 
 // addDuty makes this VM the holder of the duty, unless it is already.
-func (m *Mover) addDuty(ctx context.Context, t *store.Transaction) error {
-	i, _, err := m.Ledger.Read(ctx, DutyKey)
-	if err != nil && !errors.Is(err, store.ErrAbsent) {
-		return fmt.Errorf("read holder of the duty: %w", err)
-	}
+func (m *Mover) addDuty(t *store.Transaction, i store.Item) {
 	t.Conditions = append(t.Conditions, store.Condition{Key: DutyKey, Revision: i.Revision})
 	if string(i.Value) != m.holder() {
 		t.Puts = append(t.Puts, store.Put{Key: DutyKey, Value: []byte(m.holder())})
 	}
-	return nil
 }
 
 // settle finds out whether a write took effect whose answer was not a
@@ -573,23 +586,30 @@
 }
 
 func (v *move) askAll(ctx context.Context, targets []pool.Target) []ranked {
-	answers := make(chan ranked, len(targets))
-	wait := sync.WaitGroup{}
+	answers := make(chan *ranked, len(targets))
 	for _, t := range targets {
-		wait.Go(func() {
+		go func() {
 			r, err := v.order(ctx, t.ID, pool.Status{})
 			if err != nil {
 				v.Log.Info("target gave no status", "group", v.group, "target", t.ID, "reason", err.Error())
+				answers <- nil
 				return
 			}
-			answers <- ranked{Target: t, Report: r}
-		})
+			answers <- &ranked{Target: t, Report: r}
+		}()
 	}
-	wait.Wait()
-	close(answers)
 	reports := []ranked{}
-	for r := range answers {
-		reports = append(reports, r)
+	var late <-chan time.Time
+	for range targets {
+		select {
+		case r := <-answers:
+			if r != nil {
+				reports = append(reports, *r)
+				late = time.After(lateLimit)
+			}
+		case <-late:
+			return reports
+		}
 	}
 	return reports
 }
@@ -658,7 +678,7 @@
 			if r.Leads[v.group].Mover != v.record.Leads[v.group].Mover {
 				return ErrOvertaken
 			}
-			_, err = v.write(ctx, r, r.With(v.group, Lead{Target: target}), false)
+			_, err = v.write(ctx, r, r.With(v.group, Lead{Target: target}), nil)
 		}
 		if err == nil {
 			return nil
