Let two thirds of the VMs vouch, and moves go on without the rest

Ruled out: vouching alone, which would make every move wait out a whole outage.

Change: VMs vouch when more than two thirds of those remembered for 20 s do and none is moving a leadership; a VM that the store has not confirmed a record to since its start does not. A move that cannot reach every VM needs the yields of a third of the established ones, and waits for the grants; a VM that others may not know yet leaves moves to those they do.

--- a/edge/directory.go
+++ b/edge/directory.go
@@ -28,6 +28,9 @@
 	// targetMemory is how long a target whose entry vanished is still used.
 	// Entries that a store lost during an outage are back within 2 s.
 	targetMemory = 2500 * time.Millisecond
+	// formerMemory is how long a VM that vanished is asked before a leadership
+	// moves: it may vouch for older records for succession.OutageLength.
+	formerMemory = 20 * time.Second
 	// vmMemory is how long a VM that vanished still counts: it may hold
 	// connections to targets, which drop them after 3 s.
 	vmMemory = 6 * time.Second
@@ -74,10 +77,19 @@
 	newest  uint64
 	targets map[string]*registered[pool.Target]
 	peers   map[string]*registered[Peer]
+	// former are the VMs that ran of late, and when they vanished or were last
+	// seen.
+	former map[string]formerPeer
 	// ownGone reports that this VM's entry was removed.
 	ownGone bool
 }
 
+// formerPeer is a VM that ran of late, and when it was first and last seen.
+type formerPeer struct {
+	Peer
+	joined, seen time.Duration
+}
+
 // registered is an entry and when it vanished from the store; zero while it
 // stands.
 type registered[T any] struct {
@@ -91,6 +103,7 @@
 		d.items = map[string]store.Item{}
 		d.targets = map[string]*registered[pool.Target]{}
 		d.peers = map[string]*registered[Peer]{}
+		d.former = map[string]formerPeer{}
 	}
 }
 
@@ -258,6 +271,7 @@
 func (d *Directory) Expire() {
 	d.lock.Lock()
 	defer d.lock.Unlock()
+	d.init()
 	now := d.Now()
 	for id, t := range d.targets {
 		if t.absent != 0 && now-t.absent > targetMemory {
@@ -266,6 +280,18 @@
 		}
 	}
 	d.forget()
+	for name, p := range d.peers {
+		joined := now
+		if old, ok := d.former[name]; ok {
+			joined = old.joined
+		}
+		d.former[name] = formerPeer{Peer: p.entry, joined: joined, seen: now}
+	}
+	for name, p := range d.former {
+		if now-p.seen > formerMemory {
+			delete(d.former, name)
+		}
+	}
 	for name, p := range d.peers {
 		if p.absent != 0 && now-p.absent > vmMemory {
 			d.Log.Info("VM is taken as gone", "peer", name)
@@ -329,6 +355,19 @@
 	return list
 }
 
+// remembered returns the other VMs that ran of late.
+func (d *Directory) remembered() []formerPeer {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	list := []formerPeer{}
+	for name, p := range d.former {
+		if name != d.Self {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
 // Count returns how many VMs may be running.
 func (d *Directory) Count() int {
 	d.lock.Lock()
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -41,7 +38,7 @@
 	// knownAfter is how long a VM must have been registered before all others
 	// are taken to know it: OutageLength and the time in which a change in
 	// the store is noticed, with room.
-	knownAfter = 15 * time.Second
+	knownAfter = 11 * time.Second
 )
 
 // fleet reaches the other VMs and answers them.
@@ -73,39 +70,43 @@
 	return mux
 }
 
-// others returns the other VMs that may be running.
-func (f *fleet) others() []Peer {
-	return slices.DeleteFunc(f.directory.Peers(), func(p Peer) bool { return p.Name == f.Settings.VM() })
-}
-
-// errSilentVM reports a VM that did not answer.
-var errSilentVM = errors.New("VM did not answer")
-
 // Yield implements succession.Fleet. A VM that does not answer at once is
 // asked again until the context ends.
-func (f *fleet) Yield(ctx context.Context, r succession.Record) error {
+func (f *fleet) Yield(ctx context.Context, r succession.Record) ([]succession.Member, <-chan succession.Member) {
+	others := f.directory.remembered()
+	yields := make(chan succession.Member, len(others))
+	members := []succession.Member{}
+	for _, p := range others {
+		members = append(members, f.member(p))
+	}
 	text, err := r.Encode()
 	if err != nil {
-		return err
+		f.Log.Error(err, "other VMs are not asked to yield")
+		return members, yields
 	}
 	q := &peerpb.YieldRequest{Record: &peerpb.Item{Key: succession.RecordKey, Value: text, Revision: r.Revision}}
-	wait := sync.WaitGroup{}
-	for _, p := range f.others() {
-		wait.Go(func() { f.yieldOne(ctx, p, q) })
+	for _, p := range others {
+		go f.yieldOne(ctx, p, q, yields)
 	}
-	wait.Wait()
-	if ctx.Err() != nil {
-		return fmt.Errorf("show record to other VMs: %w", errSilentVM)
+	return members, yields
+}
+
+// member tells whether a VM counts among those that have to vouch. When the
+// whole system starts for the first time, all start together.
+func (f *fleet) member(p formerPeer) succession.Member {
+	return succession.Member{
+		Name:        p.Name,
+		Established: f.Settings.First() && f.Now()-f.begun < knownAfter || f.Now()-p.joined > knownAfter,
 	}
-	return nil
 }
 
-func (f *fleet) yieldOne(ctx context.Context, p Peer, q *peerpb.YieldRequest) {
+func (f *fleet) yieldOne(ctx context.Context, p formerPeer, q *peerpb.YieldRequest, yields chan<- succession.Member) {
 	for ctx.Err() == nil {
 		limited, cancel := context.WithTimeout(ctx, yieldLimit)
 		_, err := f.client(p.Address).Yield(limited, connect.NewRequest(q))
 		cancel()
 		if err == nil {
+			yields <- f.member(p)
 			return
 		}
 		f.Log.V(1).Info("VM has not yielded yet", "peer", p.Name, "reason", err.Error())
@@ -148,7 +149,7 @@
 func (s server) Recall(_ context.Context, q *connect.Request[peerpb.RecallRequest]) (*connect.Response[peerpb.RecallResponse], error) {
 	// What promises that nothing moves is read first, so that a move that
 	// begins meanwhile began after the question.
-	resting := s.mover.Resting()
+	resting := s.mover.Resting() && s.grants.Direct()
 	revision, stored, ever := s.grants.Stored()
 	age := int64(-1)
 	if ever {
@@ -180,11 +181,11 @@
 }
 
 // round asks all other VMs once. A confirmation that one of them had from the
-// store counts here as well; if none had one lately, and none of them moves a
-// leadership or knows more, they vouch for the record.
+// store counts here as well; if none had one lately, more than two thirds of all
+// VMs vouch for the record that move no leadership and know of no newer one.
 func (r *recaller) round(ctx context.Context) {
 	sent := r.Now()
-	others := r.others()
+	others := r.directory.remembered()
 	answers := make([]*peerpb.RecallResponse, len(others))
 	wait := sync.WaitGroup{}
 	for i, p := range others {
@@ -198,12 +199,19 @@
 	wait.Wait()
 	r.poke()
 	revision, _, _ := r.grants.Stored()
+	vouching := 1
 	for _, a := range answers {
-		if a == nil || !a.GetResting() || a.GetRecord() > revision {
+		if a == nil {
+			continue
+		}
+		if a.GetRecord() > revision {
 			return
 		}
+		if a.GetResting() {
+			vouching++
+		}
 	}
-	if len(others) > 0 && r.mover.Resting() {
+	if 3*vouching > 2*(len(others)+1) && r.mover.Resting() && r.grants.Direct() {
 		r.grants.Vouch(revision, sent)
 	}
 }
--- a/edge/steward.go
+++ b/edge/steward.go
@@ -21,6 +21,9 @@
 	// rankDelay is how much longer each VM of lower rank waits before it
 	// moves a leadership.
 	rankDelay = 150 * time.Millisecond
+	// unknownDelay is how much longer a VM waits that others may not know yet,
+	// since it would have to wait out every grant.
+	unknownDelay = 1500 * time.Millisecond
 	// movePause is the least time between two tries of one VM.
 	movePause = 400 * time.Millisecond
 	// probeAfter is how long the leader may owe an answer before a fresh
@@ -199,6 +202,9 @@
 // replace moves the leadership once this VM's turn has come.
 func (s *steward) replace(ctx context.Context, name string, w *ward, now time.Duration) {
 	delay := time.Duration(s.rank(name)) * rankDelay
+	if !s.known() {
+		delay += unknownDelay
+	}
 	if w.moving || now-w.from < delay || w.tried != 0 && now-w.tried < movePause {
 		return
 	}
--- a/succession/grants.go
+++ b/succession/grants.go
@@ -22,7 +22,7 @@
 // OutageLength is how long VMs may vouch for one another while none of them
 // reaches the store, counted from the last confirmation by the store itself.
 // It covers the outages of some seconds that the platform has.
-const OutageLength = 8 * time.Second
+const OutageLength = 7500 * time.Millisecond
 
 // The errors of Grants.Await.
 var (
@@ -41,14 +41,17 @@
 	// Now is a clock that counts suspended time.
 	Now func() time.Duration
 
-	lock      sync.Mutex
+	lock   sync.Mutex
 	record Record
 	// confirmed is when the record was last confirmed, by whatever means, and
 	// stored when the store itself last did.
 	confirmed time.Duration
 	stored    time.Duration
 	ever      bool
-	changed   chan struct{}
+	// direct reports that the store itself has confirmed a record to this VM
+	// since it started.
+	direct  bool
+	changed chan struct{}
 }
 
 // Observe takes in a record, however it was learnt; an older one is ignored.
@@ -73,6 +76,7 @@
 	g.lock.Lock()
 	defer g.lock.Unlock()
 	if l == g.record.Lease {
+		g.direct = true
 		g.confirm(sent)
 	}
 }
@@ -84,10 +88,19 @@
 	defer g.lock.Unlock()
 	g.observe(r)
 	if r.Revision == g.record.Revision {
+		g.direct = true
 		g.confirm(sent)
 	}
 }
 
+// Direct reports whether the store itself has confirmed a record to this VM
+// since it started. Before that it may have forgotten that it yielded.
+func (g *Grants) Direct() bool {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	return g.direct
+}
+
 // ConfirmRevision takes in that another VM had a record of this revision
 // confirmed by the store at or after a time.
 func (g *Grants) ConfirmRevision(revision uint64, at time.Duration) {
@@ -98,8 +111,8 @@
 	}
 }
 
-// Vouch takes in that at or after sent every other VM neither knew of a newer
-// record than this revision nor was moving a leadership. It counts only for a
+// Vouch takes in that at or after sent enough VMs neither knew of a newer
+// record than this revision nor were moving a leadership. It counts only for a
 // while after the store's own last confirmation.
 func (g *Grants) Vouch(revision uint64, sent time.Duration) bool {
 	g.lock.Lock()
--- a/succession/mover.go
+++ b/succession/mover.go
@@ -38,6 +38,9 @@
 	// grantMargin covers the difference in rate between two VMs' clocks over
 	// the length of a grant.
 	grantMargin = 50 * time.Millisecond
+	// writeMargin covers the time from a move's beginning to the moment when
+	// its record is written, beyond which nobody can confirm an older one.
+	writeMargin = 2 * time.Second
 	// callWindow is how long after its write of the record a VM may still
 	// call a promotion.
 	callWindow = 4 * time.Second
@@ -86,9 +89,18 @@
 
 // Fleet reaches the other VMs.
 type Fleet interface {
-	// Yield shows a record to all VMs that may rely on an older one and
-	// returns nil once every one of them has taken it in.
-	Yield(ctx context.Context, r Record) error
+	// Yield shows a record to all other VMs that may rely on an older one,
+	// until each has taken it in or the context ends. It returns who they are,
+	// and a channel that gets each that has.
+	Yield(ctx context.Context, r Record) ([]Member, <-chan Member)
+}
+
+// Member is another VM that may rely on a record.
+type Member struct {
+	Name string
+	// Established reports that every VM has known of it for long enough to
+	// count it among those that have to vouch.
+	Established bool
 }
 
 // Mover moves leaderships. Set the exported fields before the first call.
@@ -409,52 +421,102 @@
 // fence returns once no VM can release an answer of the old leader, and says
 // what made sure of it.
 func (v *move) fence(ctx context.Context) (string, error) {
-	done := make(chan string, 3)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	stepped := make(chan struct{})
 	go func() {
 		if v.stepDown(ctx) == nil {
-			done <- "it stepped down"
-		}
-	}()
-	go func() {
-		err := v.yield(ctx)
-		if err != nil {
-			v.Log.Info("not every VM has taken in that the leadership moves", "group", v.group, "reason", err.Error())
-			return
-		}
-		// The old leader is given a moment to step down, which loses nothing.
-		if sleep(ctx, stepDownLimit-(v.Now()-v.begun)) == nil {
-			done <- "every VM yielded"
+			close(stepped)
 		}
 	}()
+	lapsed := make(chan struct{})
 	go func() {
 		if v.waitOut(ctx) == nil {
-			done <- "all grants ran out"
+			close(lapsed)
 		}
 	}()
-	select {
-	case how := <-done:
-		return how, nil
-	case <-ctx.Done():
-		return "", fmt.Errorf("fence old leader: %w", ctx.Err())
+	// The old leader is given a moment to step down, which loses nothing.
+	patience := time.NewTimer(stepDownLimit)
+	defer patience.Stop()
+	others, yields := v.Fleet.Yield(ctx, v.record)
+	c := newConsent(others, v.Known())
+	for {
+		select {
+		case <-stepped:
+			return "it stepped down", nil
+		case m := <-yields:
+			c.add(m)
+		case <-patience.C:
+			c.patient = true
+		case <-lapsed:
+			c.lapsed = true
+			lapsed = nil
+		case <-time.After(v.outage()):
+			return "all VMs stopped vouching", nil
+		case <-ctx.Done():
+			return "", fmt.Errorf("fence old leader: %w", ctx.Err())
+		}
+		if how := c.verdict(); how != "" {
+			return how, nil
+		}
+	}
+}
+
+// outage returns the time until no VM can vouch for an older record.
+func (v *move) outage() time.Duration {
+	return max(v.begun+OutageLength+writeMargin-v.Now(), 0)
+}
+
+// consent is what a move knows of the other VMs. This VM counts as one that
+// is established and has yielded.
+type consent struct {
+	vms, yielded            int
+	established, consenting int
+	// known reports that every VM knows of this one and asks it before it
+	// vouches.
+	known bool
+	// patient reports that the old leader had time to step down, and lapsed
+	// that no VM holds a grant that the store confirmed.
+	patient, lapsed bool
+}
+
+func newConsent(others []Member, known bool) *consent {
+	c := &consent{vms: 1, yielded: 1, established: 1, consenting: 1, known: known}
+	for _, m := range others {
+		c.vms++
+		if m.Established {
+			c.established++
+		}
 	}
+	return c
 }
 
-// yield asks every VM to rely on no older record.
-func (v *move) yield(ctx context.Context) error {
-	if !v.Known() {
-		return errUnknown
+func (c *consent) add(m Member) {
+	c.yielded++
+	if m.Established {
+		c.consenting++
 	}
-	return v.Fleet.Yield(ctx, v.record)
 }
 
-// errUnknown reports that VMs may run that this one does not know.
-var errUnknown = errors.New("this VM has not been registered for long enough")
+// verdict says why no VM can rely on an older record; empty while one might.
+// VMs that vouch for one another need more than two thirds of the established
+// ones, so that a third, having yielded, leaves too few.
+func (c *consent) verdict() string {
+	switch {
+	case !c.known:
+		return ""
+	case c.yielded >= c.vms && c.patient:
+		return "every VM yielded"
+	case c.lapsed && 3*c.consenting >= c.established:
+		return "the grants of VMs that did not yield ran out"
+	default:
+		return ""
+	}
+}
 
-// waitOut waits until no VM can rely on a record before this move's. The
-// leases of those records must have ended first, or VMs could still renew
-// them.
+// waitOut waits until no VM holds a grant that the store confirmed before this
+// move. The leases of older records must have ended first, or VMs could still
+// renew them.
 func (v *move) waitOut(ctx context.Context) error {
 	for _, l := range v.record.Former {
 		for v.end(ctx, l) != nil {
@@ -463,10 +525,6 @@
 			}
 		}
 	}
-	if !v.Known() {
-		// Others may vouch for one another without asking this VM.
-		return sleep(ctx, OutageLength+grantMargin)
-	}
 	return sleep(ctx, v.Grants.Length+grantMargin)
 }
 
