Relay control orders, and let callers leave a VM that can confirm nothing

Ruled out: leaving the leadership where it is while a part of the VMs reaches it; the others would refuse writes for the whole cut.

Change: status and step-down are passed on by up to three other VMs; a VM is not ready after 0.25 s without a valid grant, and after 2.2 s more it ends the sessions it has, between two operations. A session is given 20 ms for a query that is on its way. Statements that need a leader out of reach for 2.5 s are refused at once.

--- a/edge/control.go
+++ b/edge/control.go
@@ -3,9 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"amaranthsill/catalog"
+	"amaranthsill/group"
+	"amaranthsill/peer/peerpb"
 	"amaranthsill/pool"
 )
 
@@ -17,8 +22,87 @@
 	return c.directory.Targets(group)
 }
 
-// Order implements succession.Targets.
+// Order implements succession.Targets. Other VMs are asked to pass the order
+// on if the target is not reached from here.
 func (c *controls) Order(ctx context.Context, group, target string, o pool.Order) (pool.Report, error) {
+	r, err := c.direct(ctx, group, target, o)
+	if err == nil {
+		return r, nil
+	}
+	q, ok := requestOf(group, target, o)
+	if !ok {
+		return pool.Report{}, err
+	}
+	if r, relayed := c.relay(ctx, q); relayed {
+		return r, nil
+	}
+	return pool.Report{}, err
+}
+
+// requestOf returns an order's form for other VMs, for those that may be
+// given twice.
+func requestOf(group, target string, o pool.Order) (*peerpb.OrderRequest, bool) {
+	switch o := o.(type) {
+	case pool.Status:
+		return &peerpb.OrderRequest{Group: group, Target: target}, true
+	case pool.StepDown:
+		return &peerpb.OrderRequest{Group: group, Target: target, StepDown: o.Term}, true
+	default:
+		return nil, false
+	}
+}
+
+func orderOf(q *peerpb.OrderRequest) pool.Order {
+	if q.GetStepDown() > 0 {
+		return pool.StepDown{Term: q.GetStepDown()}
+	}
+	return pool.Status{}
+}
+
+// relayCount is how many VMs are asked to pass an order on.
+const relayCount = 3
+
+// relay lets other VMs pass an order on and returns the first answer.
+func (c *controls) relay(ctx context.Context, q *peerpb.OrderRequest) (pool.Report, bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	others := c.order(q.GetTarget())
+	others = slices.DeleteFunc(others, func(p Peer) bool { return p.Name == c.Settings.VM() })
+	others = others[:min(len(others), relayCount)]
+	answers := make(chan *peerpb.OrderResponse, len(others))
+	for _, p := range others {
+		go func() {
+			r, err := c.fleet.client(p.Address).Order(ctx, connect.NewRequest(q))
+			if err != nil {
+				c.Log.V(1).Info("order was not passed on", "peer", p.Name, "target", q.GetTarget(), "reason", err.Error())
+				answers <- nil
+				return
+			}
+			answers <- r.Msg
+		}()
+	}
+	for range others {
+		if r := <-answers; r != nil {
+			return reportOf(r), true
+		}
+	}
+	return pool.Report{}, false
+}
+
+func reportOf(r *peerpb.OrderResponse) pool.Report {
+	role := pool.RoleReplica
+	if r.GetPrimary() {
+		role = pool.RolePrimary
+	}
+	return pool.Report{
+		Role:     role,
+		Term:     r.GetTerm(),
+		Received: group.At(group.Term(r.GetReceivedTerm()), r.GetReceivedOffset()),
+	}
+}
+
+// direct runs an order over a connection of its own.
+func (c *controls) direct(ctx context.Context, group, target string, o pool.Order) (pool.Report, error) {
 	t, ok := c.find(group, target)
 	if !ok {
 		return pool.Report{}, fmt.Errorf("target %s is not registered: %w", target, pool.ErrNoTarget)
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -138,11 +138,18 @@
 	return connect.NewResponse(&peerpb.YieldResponse{}), nil
 }
 
-// Witness implements peerpbconnect.FleetHandler.
-func (s server) Witness(_ context.Context, q *connect.Request[peerpb.WitnessRequest]) (*connect.Response[peerpb.WitnessResponse], error) {
-	g, ok := s.knownPool(q.Msg.GetGroup())
-	hears := ok && hears(g.Health(q.Msg.GetTarget()))
-	return connect.NewResponse(&peerpb.WitnessResponse{Hears: hears}), nil
+// Order implements peerpbconnect.FleetHandler.
+func (s server) Order(ctx context.Context, q *connect.Request[peerpb.OrderRequest]) (*connect.Response[peerpb.OrderResponse], error) {
+	r, err := s.controls.direct(ctx, q.Msg.GetGroup(), q.Msg.GetTarget(), orderOf(q.Msg))
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&peerpb.OrderResponse{
+		Primary:        r.Role == pool.RolePrimary,
+		Term:           r.Term,
+		ReceivedTerm:   uint64(r.Received.Term()),
+		ReceivedOffset: r.Received.Offset(),
+	}), nil
 }
 
 // Recall implements peerpbconnect.FleetHandler.
--- a/edge/steward.go
+++ b/edge/steward.go
@@ -48,6 +48,8 @@
 	wards map[string]*ward
 	// missing is since when the record has lacked a group.
 	missing time.Duration
+	// shedding reports that sessions were ended since confirmations failed.
+	shedding bool
 	// informed reports that the VM knows what it serves.
 	informed bool
 	// introducing reports that first leaders are being recorded.
@@ -98,9 +100,25 @@
 		s.lead(ctx, name, g)
 	}
 	s.introduce(ctx, c.Groups)
+	s.shed()
 	s.checkReady()
 }
 
+// shed ends sessions between operations while the VM has been unable to
+// confirm leaders for long; later sessions stay.
+func (s *steward) shed() {
+	lapsed := s.grants.Lapsed()
+	if lapsed < shedAfter {
+		s.shedding = false
+		return
+	}
+	if !s.shedding {
+		s.shedding = true
+		s.Log.Info("nobody confirms who leads; sessions are ended so that callers turn to other VMs", "for", lapsed.String())
+		s.front.Shed()
+	}
+}
+
 // settleTime is how long after its start a VM may not yet see all others.
 const settleTime = 10 * time.Second
 
--- a/edge/vm.go
+++ b/edge/vm.go
@@ -32,7 +32,11 @@
 	leaveLimit = 500 * time.Millisecond
 	// impairedAfter is how long a VM may be unable to confirm who leads
 	// before callers are sent to other VMs.
-	impairedAfter = time.Second
+	impairedAfter = 250 * time.Millisecond
+	// shedAfter is how long it must last before sessions between operations
+	// are ended, so that their callers turn to other VMs: until the balancer
+	// has noticed.
+	shedAfter = impairedAfter + 2200*time.Millisecond
 	// storeLost is how long calls to the store must have failed before it is
 	// logged as lost.
 	storeLost = time.Second
@@ -59,6 +63,7 @@
 	directory   *Directory
 	mover       *succession.Mover
 	fleet       *fleet
+	controls    *controls
 	front       *front.Front
 	metrics     *prometheus.Registry
 	poked       chan struct{}
@@ -126,13 +131,14 @@
 		Log:     v.Log,
 	}
 	v.fleet = newFleet(v)
+	v.controls = &controls{VM: v}
 	v.mover = &succession.Mover{
 		VM:          v.Settings.VM(),
 		Incarnation: v.incarnation,
 		Ledger:      v.Adapter.Ledger,
 		Grants:      v.grants,
 		Promoter:    v.Adapter.Promoter,
-		Targets:     &controls{VM: v},
+		Targets:     v.controls,
 		Fleet:       v.fleet,
 		Known:       v.known,
 		VMs:         v.directory.Count,
@@ -225,13 +231,16 @@
 
 // answerReady tells the balancer whether to send callers.
 func (v *VM) answerReady(w http.ResponseWriter, _ *http.Request) {
-	if v.ready.Load() && !v.stopping.Load() && v.grants.Lapsed() < impairedAfter {
+	if v.ready.Load() && !v.stopping.Load() && !v.impaired() {
 		w.WriteHeader(http.StatusOK)
 		return
 	}
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+// impaired reports whether the VM cannot confirm who leads.
+func (v *VM) impaired() bool { return v.grants.Lapsed() > impairedAfter }
+
 // stop takes the VM out of rotation, lets sessions end between their
 // operations, and cuts transactions that last too long.
 func (v *VM) stop(ctx context.Context, r *registrar) {
--- a/front/attempt.go
+++ b/front/attempt.go
@@ -18,6 +18,10 @@
 	// to be found; the rest is for the target's work, so that a statement is
 	// not sent that cannot be answered in time.
 	dispatchShare = 0.7
+	// unreachableLimit is how long the leader may be out of reach before
+	// statements are refused at once: by then it would have been replaced, so
+	// other VMs do reach it.
+	unreachableLimit = 2500 * time.Millisecond
 	// busyPause is the time before a target that was full is tried again.
 	busyPause = 25 * time.Millisecond
 	// freshAge is the age of a position up to which a replica that lacks it
@@ -119,6 +123,10 @@
 func (a *attempt) slot(ctx context.Context, plan *query.Plan) (*pool.Slot, pool.Need, error) {
 	for {
 		n := a.need(ctx)
+		if n.Leader && a.group.Unreachable() > unreachableLimit {
+			a.reason = "the leader is not reached from this VM"
+			return nil, n, pool.ErrNoTarget
+		}
 		slot, err := a.group.Acquire(ctx, n)
 		if err != nil {
 			return nil, n, err
--- a/front/front.go
+++ b/front/front.go
@@ -158,6 +158,15 @@
 	}
 }
 
+// Shed ends the sessions that are open now, each between two operations.
+func (f *Front) Shed() {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	for s := range f.sessions {
+		s.shed()
+	}
+}
+
 // Cut ends the transactions that are still open, as not kept.
 func (f *Front) Cut() {
 	f.lock.Lock()
--- a/front/session.go
+++ b/front/session.go
@@ -31,6 +31,11 @@
 	waiting bool
 	// dropped reports that an open transaction must end.
 	dropped bool
+	// leaving reports that the session is to end between two operations.
+	leaving bool
+	// served reports that the session has had an answer; a new session may
+	// have a query on its way.
+	served bool
 }
 
 // past is a deadline that ends a read at once.
@@ -103,7 +108,7 @@
 	draining := s.front.isDraining()
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	if draining && s.tx == nil {
+	if (draining || s.leaving) && s.tx == nil && s.served {
 		return false
 	}
 	s.waiting = s.tx == nil
@@ -140,7 +145,21 @@
 	defer s.lock.Unlock()
 	if s.waiting {
 		// The session's goroutine reports a connection that is gone.
-		_ = s.wire.SetReadDeadline(past)
+		_ = s.wire.SetReadDeadline(time.Now().Add(lastCall))
+	}
+}
+
+// lastCall is how long a session that is ended waits for a query that may be
+// on its way already.
+const lastCall = 20 * time.Millisecond
+
+// shed ends the session between two operations.
+func (s *session) shed() {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.leaving = true
+	if s.waiting && s.served {
+		_ = s.wire.SetReadDeadline(time.Now().Add(lastCall))
 	}
 }
 
@@ -174,6 +193,9 @@
 		s.front.Meter.wire(err)
 		return false
 	}
+	s.lock.Lock()
+	s.served = true
+	s.lock.Unlock()
 	return r.Failure == nil || r.Failure.Code != query.CodeUnknownDatabase
 }
 
--- a/peer/peerpb/peerpbconnect/fleet.connect.go
+++ b/peer/peerpb/peerpbconnect/fleet.connect.go
@@ -39,8 +39,8 @@
 	FleetRecallProcedure = "/amaranthsill.peer.Fleet/Recall"
 	// FleetYieldProcedure is the fully-qualified name of the Fleet's Yield RPC.
 	FleetYieldProcedure = "/amaranthsill.peer.Fleet/Yield"
-	// FleetWitnessProcedure is the fully-qualified name of the Fleet's Witness RPC.
-	FleetWitnessProcedure = "/amaranthsill.peer.Fleet/Witness"
+	// FleetOrderProcedure is the fully-qualified name of the Fleet's Order RPC.
+	FleetOrderProcedure = "/amaranthsill.peer.Fleet/Order"
 	// FleetDivideProcedure is the fully-qualified name of the Fleet's Divide RPC.
 	FleetDivideProcedure = "/amaranthsill.peer.Fleet/Divide"
 )
@@ -52,8 +52,9 @@
 	// Yield shows a record of leaders; after the answer the VM relies on no
 	// older one.
 	Yield(context.Context, *connect.Request[peerpb.YieldRequest]) (*connect.Response[peerpb.YieldResponse], error)
-	// Witness tells whether the VM hears a target.
-	Witness(context.Context, *connect.Request[peerpb.WitnessRequest]) (*connect.Response[peerpb.WitnessResponse], error)
+	// Order gives a control order to a target that the asking VM does not
+	// reach. It is not passed on any further.
+	Order(context.Context, *connect.Request[peerpb.OrderRequest]) (*connect.Response[peerpb.OrderResponse], error)
 	// Divide takes in what a VM wants of the targets' connections and returns
 	// its part. Only the VM that divides for all answers.
 	Divide(context.Context, *connect.Request[peerpb.DivideRequest]) (*connect.Response[peerpb.DivideResponse], error)
@@ -82,10 +83,10 @@
 			connect.WithSchema(fleetMethods.ByName("Yield")),
 			connect.WithClientOptions(opts...),
 		),
-		witness: connect.NewClient[peerpb.WitnessRequest, peerpb.WitnessResponse](
+		order: connect.NewClient[peerpb.OrderRequest, peerpb.OrderResponse](
 			httpClient,
-			baseURL+FleetWitnessProcedure,
-			connect.WithSchema(fleetMethods.ByName("Witness")),
+			baseURL+FleetOrderProcedure,
+			connect.WithSchema(fleetMethods.ByName("Order")),
 			connect.WithClientOptions(opts...),
 		),
 		divide: connect.NewClient[peerpb.DivideRequest, peerpb.DivideResponse](
@@ -99,10 +100,10 @@
 
 // fleetClient implements FleetClient.
 type fleetClient struct {
-	recall  *connect.Client[peerpb.RecallRequest, peerpb.RecallResponse]
-	yield   *connect.Client[peerpb.YieldRequest, peerpb.YieldResponse]
-	witness *connect.Client[peerpb.WitnessRequest, peerpb.WitnessResponse]
-	divide  *connect.Client[peerpb.DivideRequest, peerpb.DivideResponse]
+	recall *connect.Client[peerpb.RecallRequest, peerpb.RecallResponse]
+	yield  *connect.Client[peerpb.YieldRequest, peerpb.YieldResponse]
+	order  *connect.Client[peerpb.OrderRequest, peerpb.OrderResponse]
+	divide *connect.Client[peerpb.DivideRequest, peerpb.DivideResponse]
 }
 
 // Recall calls amaranthsill.peer.Fleet.Recall.
@@ -115,9 +116,9 @@
 	return c.yield.CallUnary(ctx, req)
 }
 
-// Witness calls amaranthsill.peer.Fleet.Witness.
-func (c *fleetClient) Witness(ctx context.Context, req *connect.Request[peerpb.WitnessRequest]) (*connect.Response[peerpb.WitnessResponse], error) {
-	return c.witness.CallUnary(ctx, req)
+// Order calls amaranthsill.peer.Fleet.Order.
+func (c *fleetClient) Order(ctx context.Context, req *connect.Request[peerpb.OrderRequest]) (*connect.Response[peerpb.OrderResponse], error) {
+	return c.order.CallUnary(ctx, req)
 }
 
 // Divide calls amaranthsill.peer.Fleet.Divide.
@@ -132,8 +133,9 @@
 	// Yield shows a record of leaders; after the answer the VM relies on no
 	// older one.
 	Yield(context.Context, *connect.Request[peerpb.YieldRequest]) (*connect.Response[peerpb.YieldResponse], error)
-	// Witness tells whether the VM hears a target.
-	Witness(context.Context, *connect.Request[peerpb.WitnessRequest]) (*connect.Response[peerpb.WitnessResponse], error)
+	// Order gives a control order to a target that the asking VM does not
+	// reach. It is not passed on any further.
+	Order(context.Context, *connect.Request[peerpb.OrderRequest]) (*connect.Response[peerpb.OrderResponse], error)
 	// Divide takes in what a VM wants of the targets' connections and returns
 	// its part. Only the VM that divides for all answers.
 	Divide(context.Context, *connect.Request[peerpb.DivideRequest]) (*connect.Response[peerpb.DivideResponse], error)
@@ -158,10 +160,10 @@
 		connect.WithSchema(fleetMethods.ByName("Yield")),
 		connect.WithHandlerOptions(opts...),
 	)
-	fleetWitnessHandler := connect.NewUnaryHandler(
-		FleetWitnessProcedure,
-		svc.Witness,
-		connect.WithSchema(fleetMethods.ByName("Witness")),
+	fleetOrderHandler := connect.NewUnaryHandler(
+		FleetOrderProcedure,
+		svc.Order,
+		connect.WithSchema(fleetMethods.ByName("Order")),
 		connect.WithHandlerOptions(opts...),
 	)
 	fleetDivideHandler := connect.NewUnaryHandler(
@@ -176,8 +178,8 @@
 			fleetRecallHandler.ServeHTTP(w, r)
 		case FleetYieldProcedure:
 			fleetYieldHandler.ServeHTTP(w, r)
-		case FleetWitnessProcedure:
-			fleetWitnessHandler.ServeHTTP(w, r)
+		case FleetOrderProcedure:
+			fleetOrderHandler.ServeHTTP(w, r)
 		case FleetDivideProcedure:
 			fleetDivideHandler.ServeHTTP(w, r)
 		default:
@@ -197,8 +199,8 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("amaranthsill.peer.Fleet.Yield is not implemented"))
 }
 
-func (UnimplementedFleetHandler) Witness(context.Context, *connect.Request[peerpb.WitnessRequest]) (*connect.Response[peerpb.WitnessResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("amaranthsill.peer.Fleet.Witness is not implemented"))
+func (UnimplementedFleetHandler) Order(context.Context, *connect.Request[peerpb.OrderRequest]) (*connect.Response[peerpb.OrderResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("amaranthsill.peer.Fleet.Order is not implemented"))
 }
 
 func (UnimplementedFleetHandler) Divide(context.Context, *connect.Request[peerpb.DivideRequest]) (*connect.Response[peerpb.DivideResponse], error) {
--- a/pool/group.go
+++ b/pool/group.go
@@ -307,6 +307,18 @@
 	g.waiting = slices.Insert(g.waiting, i, w)
 }
 
+// Unreachable returns for how long the leader could not be reached; zero if
+// it can be, or if nobody leads.
+func (g *Group) Unreachable() time.Duration {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	s := g.servers[g.leader]
+	if s == nil || !s.down() {
+		return 0
+	}
+	return g.Now() - s.failing
+}
+
 // Describe returns the state of the targets for logs: of the leader alone, or
 // of all.
 func (g *Group) Describe(leader bool) string {
