Claim connections only beyond a base, and ask others about a leader

Ruled out: longer detection times; a slow VM exceeds any.

Change: a VM uses half of an equal part without asking and claims only when that is too little; when the divider is silent the next VM divides. Before a leader that cannot be reached is replaced, four VMs of different zones are asked; it stays while most of them reach it.

--- a/edge/directory.go
+++ b/edge/directory.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -73,8 +74,9 @@
 	lock sync.Mutex
 	// items hold the newest state seen of each key, removed ones too.
 	items map[string]store.Item
-	// newest is the highest revision seen.
+	// newest is the highest revision seen; changed is closed when it grows.
 	newest  uint64
+	changed chan struct{}
 	targets map[string]*registered[pool.Target]
 	peers   map[string]*registered[Peer]
 	// former are the VMs that ran of late, and when they vanished or were last
@@ -143,7 +145,7 @@
 		return
 	}
 	d.items[i.Key] = i
-	d.newest = max(d.newest, i.Revision)
+	d.grow(i.Revision)
 	if id, ok := d.Adapter.TargetID(i.Key); ok {
 		d.takeTarget(id, i)
 		return
@@ -160,6 +162,39 @@
 	}
 }
 
+func (d *Directory) grow(revision uint64) {
+	if revision <= d.newest {
+		return
+	}
+	d.newest = revision
+	if d.changed != nil {
+		close(d.changed)
+		d.changed = nil
+	}
+}
+
+// Await returns once something newer than a revision is known, at the latest
+// after the given time.
+func (d *Directory) Await(ctx context.Context, revision uint64, wait time.Duration) {
+	d.lock.Lock()
+	if d.newest > revision || wait <= 0 {
+		d.lock.Unlock()
+		return
+	}
+	if d.changed == nil {
+		d.changed = make(chan struct{})
+	}
+	changed := d.changed
+	d.lock.Unlock()
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-changed:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 func (d *Directory) takeTarget(id string, i store.Item) {
 	if i.Deleted {
 		d.dropTarget(id, d.Now())
--- a/edge/divide.go
+++ b/edge/divide.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -18,26 +19,49 @@
 	claimPause = 250 * time.Millisecond
 	// claimLimit bounds one claim's call.
 	claimLimit = 300 * time.Millisecond
+	// silentPause is how long a VM that did not answer a claim is passed over.
+	silentPause = 3 * time.Second
 	// divideKey orders the VMs; the first divides for all.
 	divideKey = "divide"
 )
 
+// errNoDivider reports that no VM divides connections.
+var errNoDivider = errors.New("no VM answers claims on connections")
+
 // claimer claims connections of the VM that divides them.
-type claimer struct{ *fleet }
+type claimer struct {
+	*fleet
+	// silent are the VMs that did not answer a claim, and when.
+	silent map[string]time.Duration
+}
 
 func (c *claimer) run(ctx context.Context) {
+	c.silent = map[string]time.Duration{}
 	for ctx.Err() == nil {
 		pauseFor(ctx, claimPause)
-		if err := c.claim(ctx); err != nil {
+		err := c.claim(ctx)
+		c.undivided.Store(err != nil)
+		if err != nil {
 			c.Log.V(1).Info("connections were not divided anew", "reason", err.Error())
 		}
 	}
 }
 
+// divider returns the first VM in the order that answered of late.
+func (c *claimer) divider() (Peer, bool) {
+	now := c.Now()
+	for _, p := range c.order(divideKey) {
+		if at, ok := c.silent[p.Name]; !ok || now-at > silentPause {
+			return p, true
+		}
+	}
+	return Peer{}, false
+}
+
 func (c *claimer) claim(ctx context.Context) error {
-	order := c.order(divideKey)
-	if len(order) == 0 {
-		return nil
+	divider, ok := c.divider()
+	if !ok {
+		return errNoDivider
 	}
 	q := &peerpb.DivideRequest{Vm: c.Settings.VM()}
 	pools := c.pools()
@@ -46,8 +70,12 @@
 			q.Claims = append(q.Claims, &peerpb.Claim{Group: name, Target: n.Target, Open: uint32(n.Open), Wanted: uint32(n.Wanted)})
 		}
 	}
-	budgets, err := c.divideAt(ctx, order[0], q)
+	if len(q.GetClaims()) == 0 {
+		return nil
+	}
+	budgets, err := c.divideAt(ctx, divider, q)
 	if err != nil {
+		c.silent[divider.Name] = c.Now()
 		return err
 	}
 	for i, b := range budgets {
@@ -80,13 +108,12 @@
 	defer f.lock.Unlock()
 	now := f.Now()
 	for _, c := range q.GetClaims() {
-		limit := 1
+		connections := 0
 		if conf != nil {
-			limit = max(conf.Groups[c.GetGroup()].Connections-spareConnections, 1)
+			connections = conf.Groups[c.GetGroup()].Connections
 		}
 		claim := pool.Claim{Target: c.GetTarget(), Open: int(c.GetOpen()), Wanted: int(c.GetWanted())}
-		l := pool.Limits{Connections: limit, VMs: max(f.directory.Count(), f.missing())}
-		budgets = append(budgets, uint32(f.shares.Divide(now, q.GetVm(), claim, l)))
+		budgets = append(budgets, uint32(f.shares.Divide(now, q.GetVm(), claim, f.limits(connections))))
 	}
 	return budgets
 }
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -138,6 +138,13 @@
 	return connect.NewResponse(&peerpb.YieldResponse{}), nil
 }
 
+// Witness implements peerpbconnect.FleetHandler.
+func (s server) Witness(ctx context.Context, q *connect.Request[peerpb.WitnessRequest]) (*connect.Response[peerpb.WitnessResponse], error) {
+	g, ok := s.knownPool(q.Msg.GetGroup())
+	reaches := ok && g.Reaches(ctx, q.Msg.GetTarget())
+	return connect.NewResponse(&peerpb.WitnessResponse{Reaches: reaches}), nil
+}
+
 // Order implements peerpbconnect.FleetHandler.
 func (s server) Order(ctx context.Context, q *connect.Request[peerpb.OrderRequest]) (*connect.Response[peerpb.OrderResponse], error) {
 	r, err := s.controls.direct(ctx, q.Msg.GetGroup(), q.Msg.GetTarget(), orderOf(q.Msg))
@@ -153,7 +160,8 @@
 }
 
 // Recall implements peerpbconnect.FleetHandler.
-func (s server) Recall(_ context.Context, q *connect.Request[peerpb.RecallRequest]) (*connect.Response[peerpb.RecallResponse], error) {
+func (s server) Recall(ctx context.Context, q *connect.Request[peerpb.RecallRequest]) (*connect.Response[peerpb.RecallResponse], error) {
+	s.directory.Await(ctx, q.Msg.GetSince(), time.Duration(q.Msg.GetWait())*time.Millisecond)
 	// What promises that nothing moves is read first, so that a move that
 	// begins meanwhile began after the question.
 	resting := s.mover.Resting() && s.grants.Direct()
@@ -196,11 +204,11 @@
 	answers := make([]*peerpb.RecallResponse, len(others))
 	wait := sync.WaitGroup{}
 	for i, p := range others {
-		wait.Go(func() { answers[i] = r.ask(ctx, p.Address, sent) })
+		wait.Go(func() { answers[i] = r.ask(ctx, p.Address, sent, 0) })
 	}
 	if len(others) == 0 {
 		for _, address := range r.Settings.Seeds() {
-			wait.Go(func() { r.ask(ctx, address, sent) })
+			wait.Go(func() { r.ask(ctx, address, sent, 0) })
 		}
 	}
 	wait.Wait()
@@ -224,19 +232,20 @@
 }
 
 // ask takes in what one VM knows; nil if it does not answer.
-func (r *recaller) ask(ctx context.Context, address string, sent time.Duration) *peerpb.RecallResponse {
-	ctx, cancel := context.WithTimeout(ctx, recallLimit)
+func (f *fleet) ask(ctx context.Context, address string, sent, wait time.Duration) *peerpb.RecallResponse {
+	ctx, cancel := context.WithTimeout(ctx, recallLimit+wait)
 	defer cancel()
-	a, err := r.client(address).Recall(ctx, connect.NewRequest(&peerpb.RecallRequest{Since: r.directory.Newest()}))
+	q := &peerpb.RecallRequest{Since: f.directory.Newest(), Wait: uint32(wait.Milliseconds())}
+	a, err := f.client(address).Recall(ctx, connect.NewRequest(q))
 	if err != nil {
-		r.Log.V(1).Info("VM did not answer", "address", address, "reason", err.Error())
+		f.Log.V(1).Info("VM did not answer", "address", address, "reason", err.Error())
 		return nil
 	}
 	for _, i := range a.Msg.GetItems() {
-		r.directory.Take(itemOf(i))
+		f.directory.Take(itemOf(i))
 	}
 	if a.Msg.GetAge() >= 0 {
-		r.grants.ConfirmRevision(a.Msg.GetRecord(), sent-time.Duration(a.Msg.GetAge())*time.Millisecond)
+		f.grants.ConfirmRevision(a.Msg.GetRecord(), sent-time.Duration(a.Msg.GetAge())*time.Millisecond)
 	}
 	return a.Msg
 }
--- a/edge/steward.go
+++ b/edge/steward.go
@@ -66,6 +66,8 @@
 	from   time.Duration
 	moving bool
 	tried  time.Duration
+	// doubtful reports that the cause may be this VM's own.
+	doubtful bool
 }
 
 func (s *steward) run(ctx context.Context) {
@@ -96,7 +98,7 @@
 			continue
 		}
 		g := s.pool(name)
-		g.Configure(targets, s.budget(n.Connections))
+		g.Configure(targets, s.base(n.Connections))
 		s.lead(ctx, name, g)
 	}
 	s.introduce(ctx, c.Groups)
@@ -122,20 +124,23 @@
 // settleTime is how long after its start a VM may not yet see all others.
 const settleTime = 10 * time.Second
 
-// budget returns how many connections to one target this VM may hold. Callers
-// come to the VMs of their own zone, so each zone has the same share, and each
-// VM in it.
-func (v *VM) budget(limit int) int {
-	zones := map[string]int{}
-	peers := v.directory.Peers()
-	for _, p := range peers {
-		zones[p.Zone]++
+// limits bound the division of a target's connections, when all VMs together
+// may hold so many.
+func (v *VM) limits(connections int) pool.Limits {
+	return pool.Limits{
+		Connections: max(connections-spareConnections, 1),
+		VMs:         max(v.directory.Count(), v.missing()),
 	}
-	left := limit - spareConnections
-	if n := v.missing(); n > len(peers) {
-		return left / n
+}
+
+// base returns how many connections to one target this VM may use without
+// asking: an equal part while nobody answers claims.
+func (v *VM) base(connections int) int {
+	l := v.limits(connections)
+	if v.undivided.Load() {
+		return max(l.Connections/max(l.VMs, 1), 1)
 	}
-	return left / max(len(zones), 1) / max(zones[v.Settings.Zone()], 1)
+	return l.Base()
 }
 
 // missing returns how many VMs there were, while those that start with this
@@ -180,6 +185,7 @@
 
 // cause returns why a group's leader has to be replaced; empty if it has not.
 func (s *steward) cause(w *ward, g *pool.Group, now time.Duration) string {
+	w.doubtful = false
 	if w.lead.Moving() {
 		if now-w.since > succession.TakeOver {
 			return "the move was not finished"
@@ -193,6 +199,7 @@
 	if t.Draining {
 		return "it is draining"
 	}
+	w.doubtful = true
 	h := g.Health(t.ID)
 	if h.Unanswered > probeAfter || h.Failing > 0 {
 		g.Probe(t.ID)
@@ -209,14 +216,6 @@
 	}
 }
 
-// recently is how long ago a target may have answered to count as heard.
-const recently = 500 * time.Millisecond
-
-// hears reports whether a VM reaches a target, as far as it has tried.
-func hears(h pool.Health) bool {
-	return h.Failing == 0 && h.Unanswered < recently
-}
-
 // replace moves the leadership once this VM's turn has come.
 func (s *steward) replace(ctx context.Context, name string, w *ward, now time.Duration) {
 	delay := time.Duration(s.rank(name)) * rankDelay
@@ -228,8 +227,13 @@
 	}
 	w.moving = true
 	w.tried = now
-	lead, cause := w.lead, w.cause
+	lead, cause, doubtful := w.lead, w.cause, w.doubtful
 	go func() {
+		if doubtful && s.fleet.outvoted(ctx, name, lead.Target) {
+			s.Log.Info("most VMs reach the leader; it is not replaced", "group", name, "leader", lead.Target, "cause", cause)
+			s.moved <- name
+			return
+		}
 		err := s.mover.Move(ctx, name, lead, cause)
 		switch {
 		case errors.Is(err, succession.ErrOvertaken):
--- a/edge/vm.go
+++ b/edge/vm.go
@@ -76,6 +76,8 @@
 	callers  net.Listener
 	begun    time.Duration
 	stopping atomic.Bool
+	// undivided reports that nobody divides the connections.
+	undivided atomic.Bool
 
 	lock    sync.Mutex
 	groups  map[string]*pool.Group
--- a/peer/peerpb/peerpbconnect/fleet.connect.go
+++ b/peer/peerpb/peerpbconnect/fleet.connect.go
@@ -39,6 +39,8 @@
 	FleetRecallProcedure = "/amaranthsill.peer.Fleet/Recall"
 	// FleetYieldProcedure is the fully-qualified name of the Fleet's Yield RPC.
 	FleetYieldProcedure = "/amaranthsill.peer.Fleet/Yield"
+	// FleetWitnessProcedure is the fully-qualified name of the Fleet's Witness RPC.
+	FleetWitnessProcedure = "/amaranthsill.peer.Fleet/Witness"
 	// FleetOrderProcedure is the fully-qualified name of the Fleet's Order RPC.
 	FleetOrderProcedure = "/amaranthsill.peer.Fleet/Order"
 	// FleetDivideProcedure is the fully-qualified name of the Fleet's Divide RPC.
@@ -52,6 +54,8 @@
 	// Yield shows a record of leaders; after the answer the VM relies on no
 	// older one.
 	Yield(context.Context, *connect.Request[peerpb.YieldRequest]) (*connect.Response[peerpb.YieldResponse], error)
+	// Witness tells whether the VM reaches a target.
+	Witness(context.Context, *connect.Request[peerpb.WitnessRequest]) (*connect.Response[peerpb.WitnessResponse], error)
 	// Order gives a control order to a target that the asking VM does not
 	// reach. It is not passed on any further.
 	Order(context.Context, *connect.Request[peerpb.OrderRequest]) (*connect.Response[peerpb.OrderResponse], error)
@@ -83,6 +87,12 @@
 			connect.WithSchema(fleetMethods.ByName("Yield")),
 			connect.WithClientOptions(opts...),
 		),
+		witness: connect.NewClient[peerpb.WitnessRequest, peerpb.WitnessResponse](
+			httpClient,
+			baseURL+FleetWitnessProcedure,
+			connect.WithSchema(fleetMethods.ByName("Witness")),
+			connect.WithClientOptions(opts...),
+		),
 		order: connect.NewClient[peerpb.OrderRequest, peerpb.OrderResponse](
 			httpClient,
 			baseURL+FleetOrderProcedure,
@@ -100,10 +110,11 @@
 
 // fleetClient implements FleetClient.
 type fleetClient struct {
-	recall *connect.Client[peerpb.RecallRequest, peerpb.RecallResponse]
-	yield  *connect.Client[peerpb.YieldRequest, peerpb.YieldResponse]
-	order  *connect.Client[peerpb.OrderRequest, peerpb.OrderResponse]
-	divide *connect.Client[peerpb.DivideRequest, peerpb.DivideResponse]
+	recall  *connect.Client[peerpb.RecallRequest, peerpb.RecallResponse]
+	yield   *connect.Client[peerpb.YieldRequest, peerpb.YieldResponse]
+	witness *connect.Client[peerpb.WitnessRequest, peerpb.WitnessResponse]
+	order   *connect.Client[peerpb.OrderRequest, peerpb.OrderResponse]
+	divide  *connect.Client[peerpb.DivideRequest, peerpb.DivideResponse]
 }
 
 // Recall calls amaranthsill.peer.Fleet.Recall.
@@ -116,6 +127,11 @@
 	return c.yield.CallUnary(ctx, req)
 }
 
+// Witness calls amaranthsill.peer.Fleet.Witness.
+func (c *fleetClient) Witness(ctx context.Context, req *connect.Request[peerpb.WitnessRequest]) (*connect.Response[peerpb.WitnessResponse], error) {
+	return c.witness.CallUnary(ctx, req)
+}
+
 // Order calls amaranthsill.peer.Fleet.Order.
 func (c *fleetClient) Order(ctx context.Context, req *connect.Request[peerpb.OrderRequest]) (*connect.Response[peerpb.OrderResponse], error) {
 	return c.order.CallUnary(ctx, req)
@@ -133,6 +149,8 @@
 	// Yield shows a record of leaders; after the answer the VM relies on no
 	// older one.
 	Yield(context.Context, *connect.Request[peerpb.YieldRequest]) (*connect.Response[peerpb.YieldResponse], error)
+	// Witness tells whether the VM reaches a target.
+	Witness(context.Context, *connect.Request[peerpb.WitnessRequest]) (*connect.Response[peerpb.WitnessResponse], error)
 	// Order gives a control order to a target that the asking VM does not
 	// reach. It is not passed on any further.
 	Order(context.Context, *connect.Request[peerpb.OrderRequest]) (*connect.Response[peerpb.OrderResponse], error)
@@ -160,6 +178,12 @@
 		connect.WithSchema(fleetMethods.ByName("Yield")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetWitnessHandler := connect.NewUnaryHandler(
+		FleetWitnessProcedure,
+		svc.Witness,
+		connect.WithSchema(fleetMethods.ByName("Witness")),
+		connect.WithHandlerOptions(opts...),
+	)
 	fleetOrderHandler := connect.NewUnaryHandler(
 		FleetOrderProcedure,
 		svc.Order,
@@ -178,6 +202,8 @@
 			fleetRecallHandler.ServeHTTP(w, r)
 		case FleetYieldProcedure:
 			fleetYieldHandler.ServeHTTP(w, r)
+		case FleetWitnessProcedure:
+			fleetWitnessHandler.ServeHTTP(w, r)
 		case FleetOrderProcedure:
 			fleetOrderHandler.ServeHTTP(w, r)
 		case FleetDivideProcedure:
@@ -199,6 +225,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("amaranthsill.peer.Fleet.Yield is not implemented"))
 }
 
+func (UnimplementedFleetHandler) Witness(context.Context, *connect.Request[peerpb.WitnessRequest]) (*connect.Response[peerpb.WitnessResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("amaranthsill.peer.Fleet.Witness is not implemented"))
+}
+
 func (UnimplementedFleetHandler) Order(context.Context, *connect.Request[peerpb.OrderRequest]) (*connect.Response[peerpb.OrderResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("amaranthsill.peer.Fleet.Order is not implemented"))
 }
--- a/pool/group.go
+++ b/pool/group.go
@@ -155,14 +155,18 @@
 	g.dispatch()
 }
 
-// Claims returns what this VM holds and wants of each target.
+// Claims returns what this VM holds and wants of each target for which its base
+// is too little.
 func (g *Group) Claims() []Claim {
 	g.lock.Lock()
 	defer g.lock.Unlock()
 	now := g.Now()
 	list := []Claim{}
 	for id, s := range g.servers {
-		list = append(list, Claim{Target: id, Open: s.open + s.dialing, Wanted: s.demand.peak(now)})
+		c := Claim{Target: id, Open: s.open + s.dialing, Wanted: s.demand.peak(now)}
+		if c.Open > g.budget || c.Wanted >= g.budget {
+			list = append(list, c)
+		}
 	}
 	return list
 }
@@ -607,6 +611,34 @@
 	}()
 }
 
+// heardLately is how long ago an answer of a target is proof that it runs.
+const heardLately = 250 * time.Millisecond
+
+// Reaches reports whether a target answers this VM, and tries it if it has not
+// done so a moment ago.
+func (g *Group) Reaches(ctx context.Context, id string) bool {
+	g.lock.Lock()
+	s := g.servers[id]
+	now := g.Now()
+	if s == nil || now-s.heard < heardLately || s.down() {
+		reached := s != nil && !s.down()
+		g.lock.Unlock()
+		return reached
+	}
+	t := s.Target
+	g.lock.Unlock()
+	link, _, err := g.Dialer.Dial(ctx, t)
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	if err != nil {
+		return false
+	}
+	link.Close()
+	s.heard = g.Now()
+	s.alive()
+	return true
+}
+
 // probeLimit bounds a probe; a target that is slow to start a session is not
 // one that cannot be reached.
 const probeLimit = 1500 * time.Millisecond
--- a/pool/share.go
+++ b/pool/share.go
@@ -22,15 +22,15 @@
 	// claimLife is how long a claim stands. A VM whose claims go unanswered
 	// falls back on its fixed part before that.
 	claimLife = 1500 * time.Millisecond
-	// claimMemory is how long a silent VM's connections count: targets drop
-	// unreachable callers after 3 s.
+	// claimMemory is how long a silent VM is remembered.
 	claimMemory = 5 * time.Second
 )
 
-// Shares divides the connections of targets among VMs by what they want. A
-// VM is given more only out of what no other may be using, so that the limit
+// Shares divides the connections of targets among VMs by what they want. Each
+// VM may use a base without asking; the rest is lent to those that claim more.
+// A VM is given more only out of what no other may be using, so that the limit
 // holds while the division changes. One VM divides for all; the others fall
-// back on fixed parts while they do not reach it.
+// back on their base while they do not reach it.
 type Shares struct {
 	targets map[string]map[string]*share
 }
@@ -43,12 +43,11 @@
 }
 
 // holds is how many connections the VM may have open.
-func (s *share) holds(now time.Duration, fixed int) int {
-	n := max(s.Open, s.granted)
+func (s *share) holds(now time.Duration, base int) int {
 	if now-s.at > claimLife {
-		return min(n, fixed)
+		return base
 	}
-	return n
+	return max(s.Open, s.granted, base)
 }
 
 // Limits bound the division of one target's connections.
@@ -59,8 +58,9 @@
 	VMs int
 }
 
-// fixed is the part that a VM falls back on.
-func (l Limits) fixed() int { return max(l.Connections/max(l.VMs, 1), 1) }
+// Base is how many connections a VM may use without asking: half of an equal
+// part.
+func (l Limits) Base() int { return max(l.Connections/max(2*l.VMs, 1), 1) }
 
 // Divide takes in a VM's claim on a target and returns how many connections
 // it may hold, at least one.
@@ -81,13 +81,16 @@
 	}
 	own.Claim = c
 	own.at = now
-	free := l.Connections - l.fixed()*max(l.VMs-len(vms), 0)
+	base := l.Base()
+	silent := max(l.VMs-len(vms), 0)
+	free := l.Connections - base*silent
+	lent := free
 	for name, n := range vms {
 		if name != vm {
-			free -= n.holds(now, l.fixed())
+			free -= n.holds(now, base)
 		}
 	}
-	own.granted = max(min(wish(vms, vm, l.Connections), free), 1)
+	own.granted = max(min(wish(vms, vm, lent), free), base)
 	return own.granted
 }
 
