Let two VMs of a zone follow the store for the others

Ruled out: one watcher for all zones; a zone that is cut off must still learn.

Change: the first two VMs of a zone in an agreed order follow the store and confirm the record; the others wait on one of them for what is new, and turn to the store themselves when it has no fresh confirmation.

--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -161,7 +161,9 @@
 
 // Recall implements peerpbconnect.FleetHandler.
 func (s server) Recall(ctx context.Context, q *connect.Request[peerpb.RecallRequest]) (*connect.Response[peerpb.RecallResponse], error) {
+	arrived := s.Now()
 	s.directory.Await(ctx, q.Msg.GetSince(), time.Duration(q.Msg.GetWait())*time.Millisecond)
+	waited := s.Now() - arrived
 	// What promises that nothing moves is read first, so that a move that
 	// begins meanwhile began after the question.
 	resting := s.mover.Resting() && s.grants.Direct()
@@ -170,7 +172,7 @@
 	if ever {
 		age = (s.Now() - stored).Milliseconds() + 1
 	}
-	r := &peerpb.RecallResponse{Record: revision, Age: age, Resting: resting, Incarnation: s.incarnation}
+	r := &peerpb.RecallResponse{Record: revision, Age: age, Resting: resting, Incarnation: s.incarnation, Waited: uint32(waited.Milliseconds())}
 	for _, i := range s.directory.Since(q.Msg.GetSince()) {
 		r.Items = append(r.Items, &peerpb.Item{Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted})
 	}
@@ -245,7 +247,8 @@
 		f.directory.Take(itemOf(i))
 	}
 	if a.Msg.GetAge() >= 0 {
-		f.grants.ConfirmRevision(a.Msg.GetRecord(), sent-time.Duration(a.Msg.GetAge())*time.Millisecond)
+		looked := sent + time.Duration(a.Msg.GetWaited())*time.Millisecond
+		f.grants.ConfirmRevision(a.Msg.GetRecord(), looked-time.Duration(a.Msg.GetAge())*time.Millisecond)
 	}
 	return a.Msg
 }
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"amaranthsill/store"
@@ -16,6 +17,14 @@
 	// dropped without a word is noticed after it, and a configuration has to
 	// be in force within 4 s.
 	followWait = 2 * time.Second
+	// hearWait is how long a spreader may wait for something new; its
+	// confirmation must still be fresh afterwards.
+	hearWait = 250 * time.Millisecond
+	// spreaderCount is how many VMs of a zone follow the store for it; the
+	// second stands in for the first.
+	spreaderCount = 2
+	// spreadKey orders the VMs of a zone.
+	spreadKey = "spread"
 	// followPause is the pause after a call that failed; jitter doubles it
 	// at most.
 	followPause = 150 * time.Millisecond
@@ -44,6 +53,9 @@
 	if !f.synced {
 		return f.sync(ctx)
 	}
+	if f.hear(ctx) {
+		return nil
+	}
 	items, revision, err := f.Adapter.Ledger.Follow(ctx, "", f.revision, followWait)
 	if errors.Is(err, store.ErrCompacted) {
 		f.Log.Info("history of the store is gone; reading everything again", "after", f.revision)
@@ -64,6 +76,34 @@
 	return nil
 }
 
+// hear lets a spreader of the own zone tell what is new, if this VM is none
+// itself. It reports whether one did that has a fresh confirmation.
+func (f *follower) hear(ctx context.Context) bool {
+	spreaders := f.spreaders()
+	if slices.ContainsFunc(spreaders, func(p Peer) bool { return p.Name == f.Settings.VM() }) {
+		return false
+	}
+	for _, p := range spreaders {
+		a := f.fleet.ask(ctx, p.Address, f.Now(), hearWait)
+		if a == nil || a.GetAge() < 0 || time.Duration(a.GetAge())*time.Millisecond > recallAfter {
+			continue
+		}
+		if len(a.GetItems()) > 0 {
+			f.poke()
+		}
+		// Changes that the spreader told need not be followed again.
+		f.revision = max(f.revision, f.directory.Newest())
+		return true
+	}
+	return false
+}
+
+// spreaders returns the VMs that follow the store for a zone.
+func (v *VM) spreaders() []Peer {
+	near := slices.DeleteFunc(v.order(spreadKey), func(p Peer) bool { return p.Zone != v.Settings.Zone() })
+	return near[:min(len(near), spreaderCount)]
+}
+
 // sync reads everything. Changes are followed from the first answer's
 // revision on, so that none is missed.
 func (f *follower) sync(ctx context.Context) error {
--- a/edge/keep.go
+++ b/edge/keep.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"amaranthsill/store"
@@ -54,7 +55,7 @@
 func (c *confirmer) confirm(ctx context.Context) {
 	defer func() { <-c.flights }()
 	l := c.grants.Record().Lease
-	if l == 0 {
+	if l == 0 || c.heardLately() {
 		return
 	}
 	sent := c.Now()
@@ -70,6 +71,15 @@
 	}
 }
 
+// heardLately reports whether a spreader confirms the record for this VM.
+func (c *confirmer) heardLately() bool {
+	_, stored, ever := c.grants.Stored()
+	if !ever || c.Now()-stored > recallAfter {
+		return false
+	}
+	return !slices.ContainsFunc(c.spreaders(), func(p Peer) bool { return p.Name == c.Settings.VM() })
+}
+
 // repair reads the record again whose lease has ended, and gives it another
 // lease if it still stands.
 func (c *confirmer) repair(ctx context.Context, l store.Lease) {
