Leave full targets alone, and refuse at once when the queue is hopeless

Change: a target whose queue was full is left alone for 20 to 160 ms; a replica that probably lags too far is tried once in 250 ms; a statement is refused on arrival when those ahead of it would take longer than its time, at the rate at which connections came free in the last second.

--- a/front/attempt.go
+++ b/front/attempt.go
@@ -182,10 +182,8 @@
 		a.group.Lagged(slot.Target(), n.FloorAge)
 		a.tried = append(a.tried, slot.Target())
 	case query.CodeBusy:
-		if n.Leader {
-			return a.again("target is full") && a.rest(ctx)
-		}
-		a.tried = append(a.tried, slot.Target())
+		// The pool leaves the target alone for a moment.
+		return a.again("target is full")
 	case query.CodeReadOnly:
 		return a.again("target does not lead") && a.rest(ctx)
 	default:
--- a/pool/group.go
+++ b/pool/group.go
@@ -17,8 +17,13 @@
 // zones, and a queue of statements at the target.
 const dialLimit = 1200 * time.Millisecond
 
-// ErrNoTarget reports that no target could take a statement in time.
-var ErrNoTarget = errors.New("no target could take the statement")
+// The errors of Acquire.
+var (
+	// ErrNoTarget reports that no target could take a statement in time.
+	ErrNoTarget = errors.New("no target could take the statement")
+	// ErrOverloaded reports that so many wait that the time would not suffice.
+	ErrOverloaded = errors.New("too many statements wait for a target")
+)
 
 // Need says what a statement needs of a target.
 type Need struct {
@@ -56,6 +61,7 @@
 	leader  string
 	budget  int
 	samples Samples
+	flow    flow
 }
 
 type waiter struct {
@@ -268,10 +274,16 @@
 }
 
 // Acquire waits for a connection to a suitable target. Its error wraps
-// ErrNoTarget once the need's time is over.
+// ErrNoTarget once the need's time is over, and ErrOverloaded at once if that
+// is certain.
 func (g *Group) Acquire(ctx context.Context, n Need) (*Slot, error) {
 	g.lock.Lock()
-	w := &waiter{need: n, slot: make(chan *Slot, 1), since: g.Now()}
+	now := g.Now()
+	if g.hopeless(n, now) {
+		g.lock.Unlock()
+		return nil, fmt.Errorf("group %s: %w", g.Name, ErrOverloaded)
+	}
+	w := &waiter{need: n, slot: make(chan *Slot, 1), since: now}
 	g.enqueue(w)
 	g.dispatch()
 	g.lock.Unlock()
@@ -283,6 +295,22 @@
 	return g.await(ctx, w)
 }
 
+// hopeless reports whether those who wait already will take longer than the
+// need's time, as far as connections came free lately.
+func (g *Group) hopeless(n Need, now time.Duration) bool {
+	ahead := 0
+	for _, w := range g.waiting {
+		if w.need.Priority <= n.Priority {
+			ahead++
+		}
+	}
+	rate := g.flow.rate(now)
+	return ahead >= leastQueue && rate > 0 && time.Duration(float64(ahead)/rate*float64(time.Second)) > n.Until-now
+}
+
+// leastQueue is the number of waiters below which an estimate says little.
+const leastQueue = 12
+
 func (g *Group) await(ctx context.Context, w *waiter) (*Slot, error) {
 	timer := time.NewTimer(max(w.need.Until-g.Now(), 0))
 	defer timer.Stop()
@@ -380,6 +408,10 @@
 		return false
 	}
 	if c := s.take(w.need.Mark); c != nil {
+		if s.ID != g.leader && !s.shows(w.need.Floor, w.need.FloorAge, now) {
+			s.lagTried = now
+		}
+		g.flow.add(now)
 		w.slot <- g.newSlot(s, c, now)
 		return true
 	}
@@ -456,6 +488,9 @@
 	if s.ID == g.leader {
 		return time.Duration(leaderPenalty * float64(c)), true
 	}
+	if s.behind(n.Floor, n.FloorAge, now) {
+		return 0, false
+	}
 	if !s.shows(n.Floor, n.FloorAge, now) {
 		c += s.lagNow(now)
 	}
@@ -547,7 +582,12 @@
 	v.overtake(sent)
 	v.heard = now
 	v.alive()
-	if isWork(o) {
+	switch {
+	case r.Failure != nil && r.Failure.Code == query.CodeBusy:
+		v.full(now)
+		time.AfterFunc(v.fullUntil-now, g.wake)
+	case isWork(o):
+		v.fulls = 0
 		v.answered(now, now-sent)
 	}
 	if r.Failure != nil && r.Failure.Code == query.CodeReadOnly && s.leader {
--- a/pool/server.go
+++ b/pool/server.go
@@ -66,6 +66,13 @@
 	retryAt  time.Duration
 	probing  bool
 	readOnly time.Duration
+	// fullUntil is how long this VM leaves a target alone that turned
+	// statements away because its queue was full, and fulls how often in a row
+	// it did.
+	fullUntil time.Duration
+	fulls     int
+	// lagTried is when a replica was last tried that probably lags too far.
+	lagTried time.Duration
 }
 
 func newServer(t Target, now time.Duration) *server {
@@ -74,7 +81,25 @@
 
 // usable reports whether new work may go to the target at all.
 func (s *server) usable(now time.Duration) bool {
-	return !s.gone && !s.Draining && (s.failing == 0 || now >= s.retryAt)
+	return !s.gone && !s.Draining && now >= s.fullUntil && (s.failing == 0 || now >= s.retryAt)
+}
+
+// The pauses after a target was full.
+const (
+	// firstFull is about the time of one statement, and maxFull the time in
+	// which a full queue drains.
+	firstFull = 20 * time.Millisecond
+	maxFull   = 160 * time.Millisecond
+)
+
+// full takes in that the target's queue was full. Statements that were sent
+// together count once.
+func (s *server) full(now time.Duration) {
+	if now < s.fullUntil {
+		return
+	}
+	s.fullUntil = now + min(firstFull<<s.fulls, maxFull)
+	s.fulls = min(s.fulls+1, 8)
 }
 
 // down reports whether the target could not be reached of late.
@@ -153,6 +178,16 @@
 	s.lagSeen = now
 }
 
+// lagProbe is the time between two tries of a replica that probably lags too
+// far, which show when it has caught up.
+const lagProbe = 250 * time.Millisecond
+
+// behind reports whether a replica probably lacks a position of some age, and
+// has been tried a moment ago.
+func (s *server) behind(p query.Position, age, now time.Duration) bool {
+	return !s.shows(p, age, now) && now-s.lagTried < lagProbe
+}
+
 // shows reports whether the target probably shows a position of some age.
 func (s *server) shows(p query.Position, age, now time.Duration) bool {
 	return p.IsZero() || s.position.Reaches(p) || s.lagNow(now) <= age
