Ask for changes in batches, and tell others of a new leader

Cause, from the grown sites: at the start, some 110 keys written one after the other woke every watch 110 times; and the VMs that hear of changes from their zone's spreaders learnt of a new leader last.

Ruled out: a longer poll; it does not change the number of answers.

Change: while changes come within 150 ms of one another, one call brings several; whoever finished a move shows the record to all VMs.

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -17,6 +17,9 @@
 	// dropped without a word is noticed after it, and a configuration has to
 	// be in force within 4 s.
 	followWait = 2 * time.Second
+	// batchPause is the time between two calls while changes come quickly; it
+	// is short beside the seconds in which a change has to be in force.
+	batchPause = 150 * time.Millisecond
 	// hearWait is how long a spreader may wait for something new; its
 	// confirmation must still be fresh afterwards.
 	hearWait = 250 * time.Millisecond
@@ -35,6 +38,8 @@
 	*VM
 	revision uint64
 	synced   bool
+	// called is when changes were last asked for.
+	called time.Duration
 }
 
 // run follows the store until the context ends.
@@ -56,6 +61,7 @@
 	if f.hear(ctx) {
 		return nil
 	}
+	f.batch(ctx)
 	items, revision, err := f.Adapter.Ledger.Follow(ctx, "", f.revision, followWait)
 	if errors.Is(err, store.ErrCompacted) {
 		f.Log.Info("history of the store is gone; reading everything again", "after", f.revision)
@@ -76,6 +82,16 @@
 	return nil
 }
 
+// batch waits a moment when changes come in quick succession, so that one
+// call brings several.
+func (f *follower) batch(ctx context.Context) {
+	now := f.Now()
+	if now-f.called < batchPause {
+		pauseFor(ctx, batchPause)
+	}
+	f.called = f.Now()
+}
+
 // hear lets a spreader of the own zone tell what is new, if this VM is none
 // itself. It reports whether one did that has a fresh confirmation.
 func (f *follower) hear(ctx context.Context) bool {
--- a/succession/mover.go
+++ b/succession/mover.go
@@ -726,6 +726,17 @@
 	return fmt.Errorf("%s does not lead after its promotion: %w", target, ErrNoAnswer)
 }
 
+// tellLimit bounds the time in which other VMs are told of a new leader; those
+// that are not hear of it from the store.
+const tellLimit = 500 * time.Millisecond
+
+// tell shows other VMs who leads now.
+func (v *move) tell(r Record) {
+	ctx, cancel := context.WithTimeout(context.Background(), tellLimit)
+	time.AfterFunc(tellLimit, cancel)
+	v.Fleet.Yield(ctx, r)
+}
+
 // finish writes who leads now.
 func (v *move) finish(ctx context.Context, target string) error {
 	ctx, cancel := context.WithTimeout(ctx, writeLimit)
@@ -736,9 +747,10 @@
 			if r.Leads[v.group].Mover != v.record.Leads[v.group].Mover {
 				return ErrOvertaken
 			}
-			_, err = v.write(ctx, r, r.With(v.group, Lead{Target: target}), nil)
+			r, err = v.write(ctx, r, r.With(v.group, Lead{Target: target}), nil)
 		}
 		if err == nil {
+			v.tell(r)
 			return nil
 		}
 		v.Log.Info("new leader is not recorded yet", "group", v.group, "target", target, "reason", err.Error())
