--- a/edge/control.go
+++ b/edge/control.go
@@ -204,6 +204,9 @@
 	if c == nil {
 		return
 	}
+	if _, _, ever := s.grants.Stored(); !ever {
+		return
+	}
 	leads := s.grants.Record().Leads
 	for _, r := range c.Routes {
 		if _, ok := leads[r.Group]; !ok {
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -166,7 +166,7 @@
 	waited := s.Now() - arrived
 	// What promises that nothing moves is read first, so that a move that
 	// begins meanwhile began after the question.
-	resting := s.mover.Resting() && s.grants.Direct()
+	resting := s.mover.Resting() && s.grants.Renewed()
 	revision, stored, ever := s.grants.Stored()
 	age := int64(-1)
 	if ever {
@@ -228,7 +228,7 @@
 			vouching++
 		}
 	}
-	if 3*vouching > 2*(len(others)+1) && r.mover.Resting() && r.grants.Direct() {
+	if 3*vouching > 2*(len(others)+1) && r.mover.Resting() && r.grants.Renewed() {
 		r.grants.Vouch(revision, sent)
 	}
 }
--- a/edge/keep.go
+++ b/edge/keep.go
@@ -36,14 +36,8 @@
 
 func (c *confirmer) run(ctx context.Context) {
 	c.flights = make(chan struct{}, confirmsInFlight)
-	tick := time.NewTicker(confirmPause)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
+	for ctx.Err() == nil {
+		pauseFor(ctx, c.pause())
 		select {
 		case c.flights <- struct{}{}:
 			go c.confirm(ctx)
@@ -52,6 +46,15 @@
 	}
 }
 
+// pause returns the time until the next confirmation; the first is wanted as
+// soon as there is a record.
+func (c *confirmer) pause() time.Duration {
+	if !c.grants.Renewed() {
+		return stewardPause
+	}
+	return confirmPause
+}
+
 func (c *confirmer) confirm(ctx context.Context) {
 	defer func() { <-c.flights }()
 	l := c.grants.Record().Lease
--- a/edge/vm.go
+++ b/edge/vm.go
@@ -123,7 +123,7 @@
 	v.poked = make(chan struct{}, 1)
 	v.moved = make(chan string, maxGroups)
 	v.catalog = &catalog.Catalog{}
-	v.grants = &succession.Grants{Length: succession.GrantLength, Now: v.Now}
+	v.grants = &succession.Grants{Length: succession.GrantLength, Now: v.Now, Begun: v.Now()}
 	v.directory = &Directory{
 		Adapter: v.Adapter,
 		Catalog: v.catalog,
--- a/succession/grants.go
+++ b/succession/grants.go
@@ -40,6 +40,8 @@
 	Length time.Duration
 	// Now is a clock that counts suspended time.
 	Now func() time.Duration
+	// Begun is when this VM started.
+	Begun time.Duration
 
 	lock   sync.Mutex
 	record Record
@@ -48,9 +50,6 @@
 	confirmed time.Duration
 	stored    time.Duration
 	ever      bool
-	// direct reports that the store itself has confirmed a record to this VM
-	// since it started.
-	direct  bool
 	changed chan struct{}
 }
 
@@ -76,7 +75,6 @@
 	g.lock.Lock()
 	defer g.lock.Unlock()
 	if l == g.record.Lease {
-		g.direct = true
 		g.confirm(sent)
 	}
 }
@@ -88,17 +86,16 @@
 	defer g.lock.Unlock()
 	g.observe(r)
 	if r.Revision == g.record.Revision {
-		g.direct = true
 		g.confirm(sent)
 	}
 }
 
-// Direct reports whether the store itself has confirmed a record to this VM
-// since it started. Before that it may have forgotten that it yielded.
-func (g *Grants) Direct() bool {
+// Renewed reports whether the store has confirmed a record since this VM
+// started. Before that the VM may have forgotten that it yielded.
+func (g *Grants) Renewed() bool {
 	g.lock.Lock()
 	defer g.lock.Unlock()
-	return g.direct
+	return g.ever && g.stored >= g.Begun
 }
 
 // ConfirmRevision takes in that another VM had a record of this revision
