--- /dev/null
+++ b/edge/settings_test.go
@@ -0,0 +1,56 @@
+package edge_test
+
+import (
+	"strings"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"amaranthsill/edge"
+)
+
+const settings = `// A VM's settings.
+{
+  "vm": "front-xela-a-1",
+  "zone": "xela-a",
+  "callers": "10.1.0.8:8784",
+  "ready": "10.1.0.8:8785",
+  "peers": "10.1.0.8:8782",
+  "seeds": ["10.1.0.8:8782", "10.2.0.6:8782"],
+  "first": true,
+  "metrics": "10.1.0.8:7440",
+  "store": "10.200.1.7:8783",
+  "duty": "10.200.0.160:8783",
+  "memory": 284, // MB
+  "grace": "6s",
+}`
+
+var _ = ginkgo.Describe("Settings", func() {
+	ginkgo.It("are read as the deploy template lays them out", func() {
+		s, err := edge.ParseSettings("vm.json", []byte(settings))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(s.VM()).To(gomega.Equal("front-xela-a-1"))
+		gomega.Expect(s.Zone()).To(gomega.Equal("xela-a"))
+		gomega.Expect(s.Seeds()).To(gomega.Equal([]string{"10.1.0.8:8782", "10.2.0.6:8782"}))
+		gomega.Expect(s.First()).To(gomega.BeTrue())
+		gomega.Expect(s.Memory()).To(gomega.Equal(int64(284 << 20)))
+		gomega.Expect(s.Grace()).To(gomega.Equal(6 * time.Second))
+	})
+
+	faults := map[string]struct{ old, replacement, message string }{
+		"a field that is missing":     {`"vm": "front-xela-a-1",`, ``, "write the VM's name under vm"},
+		"an address that is missing":  {`"store": "10.200.1.7:8783",`, ``, "under store"},
+		"a field that nobody knows":   {`"memory"`, `"memmory"`, "vm.json:13"},
+		"an address that is none":     {`"10.1.0.8:8785"`, `"here"`, "vm.json:6"},
+		"a number that is a text":     {`284`, `"much"`, "vm.json:13"},
+		"a duration without its unit": {`"6s"`, `6`, "vm.json:14"},
+		"a text that is not JSON":     {`"first": true,`, `"first" true,`, "vm.json:9"},
+	}
+	for name, c := range faults {
+		ginkgo.It("are refused with the place and the remedy: "+name, func() {
+			_, err := edge.ParseSettings("vm.json", []byte(strings.Replace(settings, c.old, c.replacement, 1)))
+			gomega.Expect(err).To(gomega.MatchError(gomega.ContainSubstring(c.message)))
+		})
+	}
+})
--- a/front/attempt.go
+++ b/front/attempt.go
@@ -64,7 +64,7 @@
 func (s *session) newAttempt(id string, r *catalog.Route, leader bool) (*attempt, *query.Reply) {
 	g, ok := s.front.Group(r.Group)
 	if !ok {
-		f := s.refuse(r, "no target of the group is registered")
+		f := s.refuse("no target of the group is registered")
 		return nil, &f
 	}
 	now := s.front.Now()
@@ -81,7 +81,7 @@
 }
 
 // refuse promises that nothing ran, and says when to come back.
-func (s *session) refuse(r *catalog.Route, reason string) query.Reply {
+func (s *session) refuse(reason string) query.Reply {
 	return s.failure(query.CodeBusy, fmt.Sprintf("%s; retry after %d ms", reason, comeBack.Milliseconds()))
 }
 
@@ -264,7 +264,7 @@
 func (a *attempt) refuse() query.Reply {
 	f := a.session.front
 	f.Meter.refused(a.route, a.id, a.reason, f.Now()-a.arrived, a.tries, a.group.Describe(a.leader))
-	return a.session.refuse(a.route, a.reason)
+	return a.session.refuse(a.reason)
 }
 
 // tryOn runs a statement on one target. The second result is false if it may
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -164,7 +164,7 @@
 func (g *Group) announce(v *Server) { g.announceAs(v, "ready") }
 
 // Drain reports that a server is leaving.
-func (v *Server) Drain() { v.Group.announceAs(v, "draining") }
+func (s *Server) Drain() { s.Group.announceAs(s, "draining") }
 
 func (g *Group) announceAs(v *Server, state string) {
 	role := "replica"
--- a/pool/group.go
+++ b/pool/group.go
@@ -363,7 +363,7 @@
 			continue
 		}
 		text += fmt.Sprintf(" %s:open=%d,idle=%d,dialing=%d,budget=%d,latency=%dms,lag=%dms", id, s.open, len(s.idle), s.dialing, g.budgetOf(s, now),
-			s.expected(now).Milliseconds(), s.lagNow(now).Milliseconds())
+			s.expected(now, g.Zone).Milliseconds(), s.lagNow(now).Milliseconds())
 		if s.down() {
 			text += ",unreachable"
 		}
@@ -480,7 +480,7 @@
 	c := s.cost(now, g.Zone)
 	if len(s.idle) == 0 {
 		// Every connection is at work, or a new one has to be opened.
-		c += s.expected(now)
+		c += s.expected(now, g.Zone)
 	}
 	if s.silent(now) || s.down() {
 		c += time.Second
--- a/pool/server.go
+++ b/pool/server.go
@@ -122,23 +122,27 @@
 
 // cost estimates how long a new statement takes on the target.
 func (s *server) cost(now time.Duration, zone string) time.Duration {
-	c := s.expected(now)
-	if s.latency == 0 && s.Zone != zone {
-		c += distance
-	}
+	c := s.expected(now, zone)
 	load := 1 + float64(len(s.pending))/float64(max(s.Slots, 1))
 	return time.Duration(float64(c) * load)
 }
 
-func (s *server) expected(now time.Duration) time.Duration {
+// expected estimates a statement's time on the target if nothing else ran
+// there. A bad average fades to what a target of that zone usually takes.
+func (s *server) expected(now time.Duration, zone string) time.Duration {
+	usual := assumedLatency
+	if s.Zone != zone {
+		usual += distance
+	}
 	if s.latency == 0 {
-		return assumedLatency
+		return usual
 	}
-	if s.latency <= s.base {
+	usual = min(usual, s.base)
+	if s.latency <= usual {
 		return s.latency
 	}
 	old := float64(now-s.measured) / float64(forgetLatency)
-	return s.base + time.Duration(float64(s.latency-s.base)*math.Exp2(-old))
+	return usual + time.Duration(float64(s.latency-usual)*math.Exp2(-old))
 }
 
 // answered takes in a statement's latency.
--- a/succession/grants.go
+++ b/succession/grants.go
@@ -50,7 +50,7 @@
 	confirmed time.Duration
 	stored    time.Duration
 	ever      bool
-	changed chan struct{}
+	changed   chan struct{}
 }
 
 // Observe takes in a record, however it was learnt; an older one is ignored.
