Set a VM's start before its goroutines read it

Cause: the race detector in the tests of whole VMs: the steward read the start while Run set it.

Ruled out: a lock; nothing changes it afterwards.

Change: it is set with the rest of the preparation.

Measured: go test -race ./edge fails before and passes after.

--- a/edge/vm.go
+++ b/edge/vm.go
@@ -104,7 +104,6 @@
 	go (&claimer{fleet: v.fleet}).run(work)
 	go (&steward{VM: v}).run(work)
 	v.serveHTTP(listeners)
-	v.begun = v.Now()
 	if v.awaitReady(ctx) {
 		v.serveCallers(work)
 	}
@@ -115,6 +114,7 @@
 }
 
 func (v *VM) prepare() {
+	v.begun = v.Now()
 	debug.SetMemoryLimit(int64(heapShare * float64(v.Settings.Memory())))
 	debug.SetGCPercent(heapGrowth)
 	v.incarnation = strconv.FormatInt(time.Now().UnixNano(), 36)
@@ -123,7 +123,7 @@
 	v.poked = make(chan struct{}, 1)
 	v.moved = make(chan string, maxGroups)
 	v.catalog = &catalog.Catalog{}
-	v.grants = &succession.Grants{Length: succession.GrantLength, Now: v.Now, Begun: v.Now()}
+	v.grants = &succession.Grants{Length: succession.GrantLength, Now: v.Now, Begun: v.begun}
 	v.directory = &Directory{
 		Adapter: v.Adapter,
 		Catalog: v.catalog,
