--- a/edge/control.go
+++ b/edge/control.go
@@ -213,6 +213,9 @@
 			return
 		}
 	}
+	for _, g := range s.pools() {
+		g.Warm()
+	}
 	s.informed = true
 	close(s.readied)
 	s.Log.Info("VM is ready", "version", c.Version, "leaders", s.grants.Record().Revision)
--- a/edge/directory.go
+++ b/edge/directory.go
@@ -82,8 +82,8 @@
 	// former are the VMs that ran of late, and when they vanished or were last
 	// seen.
 	former map[string]formerPeer
-	// ownGone reports that this VM's entry was removed.
-	ownGone bool
+	// ownGone is the revision at which this VM's entry was last removed.
+	ownGone uint64
 }
 
 // formerPeer is a VM that ran of late, and when it was first and last seen.
@@ -236,7 +236,7 @@
 	name := strings.TrimPrefix(i.Key, vmPrefix)
 	if i.Deleted {
 		if name == d.Self {
-			d.ownGone = true
+			d.ownGone = i.Revision
 		}
 		d.dropPeer(name, d.Now())
 		return
@@ -410,11 +410,10 @@
 	return len(d.peers)
 }
 
-// TakeOwnGone reports once that this VM's entry was removed.
-func (d *Directory) TakeOwnGone() bool {
+// OwnGone returns the revision at which this VM's entry was last removed;
+// zero if it never was.
+func (d *Directory) OwnGone() uint64 {
 	d.lock.Lock()
 	defer d.lock.Unlock()
-	gone := d.ownGone
-	d.ownGone = false
-	return gone
+	return d.ownGone
 }
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -6,9 +6,11 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"amaranthsill/store"
+	"amaranthsill/succession"
 )
 
 // The times of following the store.
@@ -120,32 +122,71 @@
 	return near[:min(len(near), spreaderCount)]
 }
 
-// sync reads everything. Changes are followed from the first answer's
-// revision on, so that none is missed.
+// sync reads everything at once. Changes are followed from the lowest of the
+// answers' revisions on, so that none is missed.
 func (f *follower) sync(ctx context.Context) error {
-	l := f.Adapter.Ledger
-	targets, revision, err := l.List(ctx, f.Adapter.TargetPrefix)
-	if err != nil {
-		return fmt.Errorf("read targets: %w", err)
-	}
-	own, _, err := l.List(ctx, ownPrefix)
-	if err != nil {
-		return fmt.Errorf("read VMs: %w", err)
+	sent := f.Now()
+	var targets, own listing
+	var configuration reading
+	wait := sync.WaitGroup{}
+	wait.Go(func() { targets = f.list(ctx, f.Adapter.TargetPrefix) })
+	wait.Go(func() { own = f.list(ctx, ownPrefix) })
+	wait.Go(func() { configuration = f.read(ctx, f.Adapter.ConfigurationKey) })
+	wait.Wait()
+	if err := errors.Join(targets.err, own.err, configuration.err); err != nil {
+		return fmt.Errorf("read everything: %w", err)
 	}
-	configuration, _, err := l.Read(ctx, f.Adapter.ConfigurationKey)
-	if err != nil {
-		return fmt.Errorf("read configuration: %w", err)
-	}
-	f.directory.Take(configuration)
-	f.directory.Reset(f.Adapter.TargetPrefix, targets)
-	f.directory.Reset(ownPrefix, own)
-	f.revision = revision
+	f.directory.Take(configuration.item)
+	f.directory.Reset(f.Adapter.TargetPrefix, targets.items)
+	f.directory.Reset(ownPrefix, own.items)
+	f.confirmFrom(own.items, sent)
+	f.revision = min(targets.revision, own.revision, configuration.revision)
 	f.synced = true
 	f.storeAnswered()
 	f.poke()
 	return nil
 }
 
+// listing is what was found under a prefix.
+type listing struct {
+	items    []store.Item
+	revision uint64
+	err      error
+}
+
+func (f *follower) list(ctx context.Context, prefix string) listing {
+	items, revision, err := f.Adapter.Ledger.List(ctx, prefix)
+	return listing{items: items, revision: revision, err: err}
+}
+
+// reading is what was found under a key.
+type reading struct {
+	item     store.Item
+	revision uint64
+	err      error
+}
+
+func (f *follower) read(ctx context.Context, key string) reading {
+	item, revision, err := f.Adapter.Ledger.Read(ctx, key)
+	return reading{item: item, revision: revision, err: err}
+}
+
+// confirmFrom takes in the record of leaders from what the store held when
+// asked at or after sent.
+func (f *follower) confirmFrom(items []store.Item, sent time.Duration) {
+	for _, i := range items {
+		if i.Key != succession.RecordKey {
+			continue
+		}
+		r, err := succession.DecodeRecord(i)
+		if err != nil {
+			f.Log.Error(err, "record of leaders set aside", "revision", i.Revision)
+			return
+		}
+		f.grants.ConfirmRecord(r, sent)
+	}
+}
+
 func pauseFor(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/edge/keep.go
+++ b/edge/keep.go
@@ -117,6 +117,8 @@
 type registrar struct {
 	*VM
 	lease store.Lease
+	// revision is the store's revision of the entry.
+	revision uint64
 }
 
 func (r *registrar) run(ctx context.Context) {
@@ -135,7 +137,7 @@
 func (r *registrar) wait(ctx context.Context) {
 	for left := entryPause; left > 0 && ctx.Err() == nil; left -= stewardPause {
 		pauseFor(ctx, stewardPause)
-		if r.directory.TakeOwnGone() {
+		if r.directory.OwnGone() > r.revision {
 			r.Log.Info("own entry was removed; registering again")
 			r.lease = 0
 			return
@@ -165,10 +167,12 @@
 		return fmt.Errorf("encode entry: %w", err)
 	}
 	put := store.Put{Key: vmPrefix + r.Settings.VM(), Value: text, Lease: l}
-	if _, err := r.Adapter.Ledger.Apply(ctx, store.Transaction{Puts: []store.Put{put}}); err != nil {
+	revision, err := r.Adapter.Ledger.Apply(ctx, store.Transaction{Puts: []store.Put{put}})
+	if err != nil {
 		return fmt.Errorf("register: %w", err)
 	}
 	r.lease = l
+	r.revision = revision
 	r.since.Store(int64(r.Now()))
 	return nil
 }
--- a/pool/group.go
+++ b/pool/group.go
@@ -188,6 +188,19 @@
 	g.dispatch()
 }
 
+// Warm opens a connection to the leader and to the targets of the own zone,
+// so that the first statements find one.
+func (g *Group) Warm() {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	for _, s := range g.servers {
+		near := s.Zone == g.Zone || s.ID == g.leader
+		if near && !s.Draining && s.open+s.dialing == 0 {
+			g.dial(s)
+		}
+	}
+}
+
 // Targets returns the registered targets by ID.
 func (g *Group) Targets() []Target {
 	g.lock.Lock()
