Tell other VMs every change, also when some were heard out of turn

A leader that it was told directly could hide an older change of another key for good.

Ruled out: sending everything each time.

Change: VMs ask from the revision up to which they know every change, and learn it with the answer.

--- a/edge/directory.go
+++ b/edge/directory.go
@@ -74,11 +74,14 @@
 	lock sync.Mutex
 	// items hold the newest state seen of each key, removed ones too.
 	items map[string]store.Item
-	// newest is the highest revision seen; changed is closed when it grows.
-	newest  uint64
-	changed chan struct{}
-	targets map[string]*registered[pool.Target]
-	peers   map[string]*registered[Peer]
+	// newest is the highest revision seen. Changes may have been heard out of
+	// turn; complete is the revision up to which all are known, and changed is
+	// closed when it grows.
+	newest   uint64
+	complete uint64
+	changed  chan struct{}
+	targets  map[string]*registered[pool.Target]
+	peers    map[string]*registered[Peer]
 	// former are the VMs that ran of late, and when they vanished or were last
 	// seen.
 	former map[string]formerPeer
@@ -145,7 +148,7 @@
 		return
 	}
 	d.items[i.Key] = i
-	d.grow(i.Revision)
+	d.newest = max(d.newest, i.Revision)
 	if id, ok := d.Adapter.TargetID(i.Key); ok {
 		d.takeTarget(id, i)
 		return
@@ -162,22 +165,32 @@
 	}
 }
 
-func (d *Directory) grow(revision uint64) {
-	if revision <= d.newest {
+// Completed notes that every change up to a revision was taken in.
+func (d *Directory) Completed(revision uint64) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	if revision <= d.complete {
 		return
 	}
-	d.newest = revision
+	d.complete = revision
 	if d.changed != nil {
 		close(d.changed)
 		d.changed = nil
 	}
 }
 
-// Await returns once something newer than a revision is known, at the latest
-// after the given time.
+// Complete returns the revision up to which every change is known.
+func (d *Directory) Complete() uint64 {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	return d.complete
+}
+
+// Await returns once every change up to more than a revision is known, at the
+// latest after the given time.
 func (d *Directory) Await(ctx context.Context, revision uint64, wait time.Duration) {
 	d.lock.Lock()
-	if d.newest > revision || wait <= 0 {
+	if d.complete > revision || wait <= 0 {
 		d.lock.Unlock()
 		return
 	}
@@ -295,13 +308,6 @@
 	return list
 }
 
-// Newest returns the highest revision seen.
-func (d *Directory) Newest() uint64 {
-	d.lock.Lock()
-	defer d.lock.Unlock()
-	return d.newest
-}
-
 // Expire forgets what vanished long enough ago.
 func (d *Directory) Expire() {
 	d.lock.Lock()
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -172,7 +172,7 @@
 	if ever {
 		age = (s.Now() - stored).Milliseconds() + 1
 	}
-	r := &peerpb.RecallResponse{Record: revision, Age: age, Resting: resting, Incarnation: s.incarnation, Waited: uint32(waited.Milliseconds())}
+	r := &peerpb.RecallResponse{Complete: s.directory.Complete(), Record: revision, Age: age, Resting: resting, Incarnation: s.incarnation, Waited: uint32(waited.Milliseconds())}
 	for _, i := range s.directory.Since(q.Msg.GetSince()) {
 		r.Items = append(r.Items, &peerpb.Item{Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted})
 	}
@@ -237,7 +237,7 @@
 func (f *fleet) ask(ctx context.Context, address string, sent, wait time.Duration) *peerpb.RecallResponse {
 	ctx, cancel := context.WithTimeout(ctx, recallLimit+wait)
 	defer cancel()
-	q := &peerpb.RecallRequest{Since: f.directory.Newest(), Wait: uint32(wait.Milliseconds())}
+	q := &peerpb.RecallRequest{Since: f.directory.Complete(), Wait: uint32(wait.Milliseconds())}
 	a, err := f.client(address).Recall(ctx, connect.NewRequest(q))
 	if err != nil {
 		f.Log.V(1).Info("VM did not answer", "address", address, "reason", err.Error())
@@ -246,6 +246,7 @@
 	for _, i := range a.Msg.GetItems() {
 		f.directory.Take(itemOf(i))
 	}
+	f.directory.Completed(a.Msg.GetComplete())
 	if a.Msg.GetAge() >= 0 {
 		looked := sent + time.Duration(a.Msg.GetWaited())*time.Millisecond
 		f.grants.ConfirmRevision(a.Msg.GetRecord(), looked-time.Duration(a.Msg.GetAge())*time.Millisecond)
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -38,8 +38,7 @@
 // follower keeps the directory up to date with the store.
 type follower struct {
 	*VM
-	revision uint64
-	synced   bool
+	synced bool
 	// called is when changes were last asked for.
 	called time.Duration
 }
@@ -64,9 +63,9 @@
 		return nil
 	}
 	f.batch(ctx)
-	items, revision, err := f.Adapter.Ledger.Follow(ctx, "", f.revision, followWait)
+	items, revision, err := f.Adapter.Ledger.Follow(ctx, "", f.directory.Complete(), followWait)
 	if errors.Is(err, store.ErrCompacted) {
-		f.Log.Info("history of the store is gone; reading everything again", "after", f.revision)
+		f.Log.Info("history of the store is gone; reading everything again", "after", f.directory.Complete())
 		f.synced = false
 		return nil
 	}
@@ -74,10 +73,10 @@
 		return fmt.Errorf("follow store: %w", err)
 	}
 	f.storeAnswered()
-	f.revision = max(f.revision, revision)
 	for _, i := range items {
 		f.directory.Take(i)
 	}
+	f.directory.Completed(revision)
 	if len(items) > 0 {
 		f.poke()
 	}
@@ -109,8 +108,6 @@
 		if len(a.GetItems()) > 0 {
 			f.poke()
 		}
-		// Changes that the spreader told need not be followed again.
-		f.revision = max(f.revision, f.directory.Newest())
 		return true
 	}
 	return false
@@ -140,7 +137,7 @@
 	f.directory.Reset(f.Adapter.TargetPrefix, targets.items)
 	f.directory.Reset(ownPrefix, own.items)
 	f.confirmFrom(own.items, sent)
-	f.revision = min(targets.revision, own.revision, configuration.revision)
+	f.directory.Completed(min(targets.revision, own.revision, configuration.revision))
 	f.synced = true
 	f.storeAnswered()
 	f.poke()
--- a/front/attempt.go
+++ b/front/attempt.go
@@ -25,11 +25,14 @@
 	// busyPause is the time before a target that was full is tried again.
 	busyPause = 25 * time.Millisecond
 	// freshAge is the age of a position up to which a replica that lacks it
-	// will probably show it in a moment; replicas are some 10 ms behind.
-	freshAge = 100 * time.Millisecond
+	// will probably show it in a moment; replicas are 10 to 100 ms behind.
+	freshAge = 200 * time.Millisecond
+	// maxCatchUp is the longest wait for a replica to catch up; it is short
+	// beside the users' latency objectives of 600 ms and more.
+	maxCatchUp = 150 * time.Millisecond
 	// laggingPause is the time between two tries there, and maxLagging their
 	// number.
-	laggingPause = 8 * time.Millisecond
+	laggingPause = 12 * time.Millisecond
 	maxLagging   = 6
 	// maxTries bounds the tries of one statement.
 	maxTries = 6
@@ -127,6 +130,7 @@
 			a.reason = "the leader is not reached from this VM"
 			return nil, n, pool.ErrNoTarget
 		}
+		a.catchUp(ctx, &n)
 		slot, err := a.group.Acquire(ctx, n)
 		if err != nil {
 			return nil, n, err
@@ -153,6 +157,21 @@
 	}
 }
 
+// catchUp waits for replicas that are a little behind, so that the leader,
+// which alone takes writes, is spared.
+func (a *attempt) catchUp(ctx context.Context, n *pool.Need) {
+	if n.Leader {
+		return
+	}
+	d := a.group.Behind(n.Floor, n.FloorAge)
+	if d <= 0 || d > maxCatchUp || a.session.front.Now()+d > a.dispatch {
+		return
+	}
+	if a.pause(ctx, d) {
+		n.FloorAge += d
+	}
+}
+
 // confirmed returns nil once a target that is needed as the leader certainly
 // leads, so that nothing is sent whose answer could not be released.
 func (a *attempt) confirmed(ctx context.Context, slot *pool.Slot, n pool.Need) error {
--- a/pool/group.go
+++ b/pool/group.go
@@ -364,6 +364,29 @@
 	return g.Now() - s.failing
 }
 
+// Behind returns how long the replica that shows a position soonest will
+// probably need to do so; zero if one probably shows it now, or if none is in
+// use. Replicas of the own zone count alone if there are any.
+func (g *Group) Behind(p query.Position, age time.Duration) time.Duration {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	now := g.Now()
+	least, found, near := time.Duration(0), false, false
+	for _, s := range g.servers {
+		if s.ID == g.leader || !s.usable(now) || near && s.Zone != g.Zone {
+			continue
+		}
+		wait := time.Duration(0)
+		if !s.shows(p, age, now) {
+			wait = s.lagNow(now) - age
+		}
+		if !found || wait < least || !near && s.Zone == g.Zone {
+			least, found, near = wait, true, near || s.Zone == g.Zone
+		}
+	}
+	return least
+}
+
 // Describe returns the state of the targets for logs: of the leader alone, or
 // of all.
 func (g *Group) Describe(leader bool) string {
