Tell a request's story from VMs' logs

Cause: on-call engineers have logs and metrics only.

Ruled out: a collector; the logs are on standard output already.

Change: amaranthsill explain ID reads the logs of many VMs and prints the request's lines and what those VMs came to believe of its group shortly before. A test that one VM alone which does not reach a leader does not replace it.

--- a/cmd/amaranthsill/main.go
+++ b/cmd/amaranthsill/main.go
@@ -55,9 +55,9 @@
 
 func command() *ffcli.Command {
 	return &ffcli.Command{
-		ShortUsage:  "amaranthsill <check|submit|status|burn> [flags] [FILE]",
+		ShortUsage:  "amaranthsill <check|submit|status|burn|explain> [flags] [FILE]",
 		Options:     options(),
-		Subcommands: []*ffcli.Command{checkCommand(), submitCommand(), statusCommand(), burnCommand()},
+		Subcommands: []*ffcli.Command{checkCommand(), submitCommand(), statusCommand(), burnCommand(), explainCommand()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 }
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -20,6 +20,8 @@
 	"amaranthsill/edge"
 	"amaranthsill/internal/site"
 	"amaranthsill/platform"
+	"amaranthsill/pool"
+	"amaranthsill/query"
 )
 
 func TestEdge(t *testing.T) {
@@ -45,6 +47,8 @@
 	callers string
 	ready   string
 	cut     atomic.Bool
+	// blocked is the ID of a target that this VM alone does not reach.
+	blocked atomic.Value
 	stop    context.CancelFunc
 	ended   chan struct{}
 }
@@ -91,7 +95,9 @@
 	ctx, stop := context.WithCancel(context.Background())
 	v.stop = stop
 	f.vms = append(f.vms, v)
-	e := &edge.VM{Settings: settings, Adapter: platform.NewAdapter(settings), Now: clock.Boot, Log: logr.Discard()}
+	adapter := platform.NewAdapter(settings)
+	adapter.Dialer = blind{Dialer: adapter.Dialer, vm: v}
+	e := &edge.VM{Settings: settings, Adapter: adapter, Now: clock.Boot, Log: logr.Discard()}
 	go func() {
 		defer ginkgo.GinkgoRecover()
 		defer close(v.ended)
@@ -125,6 +131,19 @@
 	}, 2*patience, "20ms").Should(gomega.BeTrue())
 }
 
+// blind does not reach one target.
+type blind struct {
+	pool.Dialer
+	vm *vm
+}
+
+func (b blind) Dial(ctx context.Context, t pool.Target) (pool.Link, query.Position, error) {
+	if b.vm.blocked.Load() == t.ID {
+		return nil, query.Position{}, context.DeadlineExceeded
+	}
+	return b.Dialer.Dial(ctx, t)
+}
+
 // caller is a caller's session.
 type caller struct {
 	conn   net.Conn
@@ -391,12 +410,16 @@
 
 	ginkgo.It("stays when only one VM fails to reach it", func() {
 		f := open(shape, 3)
-		f.vms[0].session("choir-own").must("WRITE bar 1")
-		for range 10 {
-			for _, v := range f.vms {
-				v.session("choir-current").must("READ bar")
-			}
-			time.Sleep(50 * time.Millisecond)
+		f.vms[0].blocked.Store(f.site.Leader("choir").ID)
+		// The connection that it opened at its start is closed when unused.
+		time.Sleep(time.Second)
+		alone := f.vms[0].session("choir-own")
+		other := f.vms[1].session("choir-own")
+		for range 25 {
+			a, err := alone.ask("WRITE bar alone")
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(a.code).To(gomega.Equal("BUSY"))
+			other.must("WRITE bar other")
 		}
 		gomega.Expect(f.site.Tokens()).To(gomega.BeEmpty())
 	})
--- /dev/null
+++ b/explain/explain_test.go
@@ -0,0 +1,65 @@
+package explain_test
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"amaranthsill/explain"
+)
+
+func TestExplain(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "explain")
+}
+
+const one = `noise
+{"time":"2026-03-09T09:52:36.1Z","level":"INFO","msg":"leader has to be replaced","group":"choir","leader":"a","cause":"it does not answer over fresh connections"}
+{"time":"2026-03-09T09:52:36.2Z","level":"INFO","msg":"leader has to be replaced","group":"dues","leader":"x","cause":"it is draining"}
+{"time":"2026-03-09T09:52:36.5Z","level":"INFO","msg":"outcome in doubt","request":"5c0e","group":"choir","target":"a","reason":"i/o timeout"}
+`
+
+const two = `{"time":"2026-03-09T09:52:36.3Z","level":"INFO","msg":"leadership is being moved","group":"choir","from":"a"}
+{"time":"2026-03-09T09:51:00Z","level":"INFO","msg":"VM is ready","version":3}
+{"time":"2026-03-09T09:52:40Z","level":"INFO","msg":"leadership moved","group":"choir","to":"b"}
+`
+
+var _ = ginkgo.Describe("A request's story", func() {
+	ginkgo.It("joins many VMs' lines of the request and its group, in time order", func() {
+		s, err := explain.Read("5c0e",
+			explain.Source{Name: "vm-1", Reader: strings.NewReader(one)},
+			explain.Source{Name: "vm-2", Reader: strings.NewReader(two)})
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		messages := []string{}
+		for _, l := range s.Lines() {
+			messages = append(messages, l.Source+": "+l.Message())
+		}
+		gomega.Expect(messages).To(gomega.Equal([]string{
+			"vm-1: leader has to be replaced",
+			"vm-2: leadership is being moved",
+			"vm-1: outcome in doubt",
+		}))
+	})
+
+	ginkgo.It("is unknown when nobody wrote of the request", func() {
+		_, err := explain.Read("none", explain.Source{Reader: strings.NewReader(one)})
+		gomega.Expect(errors.Is(err, explain.ErrUnknown)).To(gomega.BeTrue())
+	})
+})
+
+func ExampleStory_Print() {
+	s, err := explain.Read("5c0e", explain.Source{Name: "vm-1", Reader: strings.NewReader(one)})
+	if err != nil {
+		panic(err)
+	}
+	if err := s.Print(os.Stdout); err != nil {
+		panic(err)
+	}
+	// Output:
+	//   09:52:36.100 vm-1 leader has to be replaced cause=it does not answer over fresh connections group=choir leader=a
+	// > 09:52:36.500 vm-1 outcome in doubt group=choir reason=i/o timeout request=5c0e target=a
+}
--- a/front/meter.go
+++ b/front/meter.go
@@ -73,7 +73,7 @@
 }
 
 func (m *Meter) doubtful(r *catalog.Route, id, target string, err error) {
-	m.log.Info("outcome in doubt", "request", id, "route", r.Name, "target", target, "reason", err.Error())
+	m.log.Info("outcome in doubt", "request", id, "route", r.Name, "group", r.Group, "target", target, "reason", err.Error())
 }
 
 func (m *Meter) wire(err error) {
