Do not say of a read that it did not run when it may have

Cause: a read whose answers were lost ended with BUSY, which says that it did not run. Nothing of it is kept, but the words were not true.

Ruled out: in doubt; callers may repeat a read at once.

Change: such a read ends as aborted.

Measured: the test fails before (BUSY) and passes after.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -460,4 +460,16 @@
 		}
 		gomega.Expect(f.vms[0].session("choir-bounded").until("READ bar").code).To(gomega.BeEmpty())
 	})
+
+	ginkgo.It("is never called a read that did not run", func() {
+		f := open(shape, 1)
+		c := f.vms[0].session("choir-own")
+		c.must("WRITE bar 1")
+		for _, s := range f.site.Servers("choir") {
+			s.Mute(100)
+		}
+		a, err := c.ask("READ bar")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(a.code).To(gomega.Equal("ABORTED"))
+	})
 })
--- a/front/attempt.go
+++ b/front/attempt.go
@@ -59,6 +59,9 @@
 	leader   bool
 	tried    []string
 	tries    int
+	// ran reports that a target may have run the read, though no answer of it
+	// could be given.
+	ran bool
 	// lagging counts the refusals of replicas that were only just behind.
 	lagging int
 	reason  string
@@ -283,6 +286,9 @@
 func (a *attempt) refuse() query.Reply {
 	f := a.session.front
 	f.Meter.refused(a.route, a.id, a.reason, f.Now()-a.arrived, a.tries, a.group.Describe(a.leader))
+	if a.ran {
+		return a.session.failure(query.CodeAborted, a.reason)
+	}
 	return a.session.refuse(a.reason)
 }
 
@@ -335,6 +341,7 @@
 	if !a.leader {
 		a.tried = append(a.tried, slot.Target())
 	}
+	a.ran = true
 	if a.again("the target's answer was lost") {
 		return query.Reply{}, false
 	}
@@ -364,6 +371,7 @@
 		s.front.Meter.doubtful(a.route, n.query.ID, "", err)
 		return s.failure(query.CodeInDoubt, "the target may have been deposed"), true
 	}
+	a.ran = true
 	if a.again("the target was deposed") {
 		return query.Reply{}, false
 	}
