Wait for the callers' address instead of never becoming ready

Reading showed one way to that: if the address for callers is taken when the VM wants to listen, it gave up for good without ending; and the tests took ports that another test's connection could take in between.

Ruled out: not shown that this was the cause; a slow machine is not excluded.

Change: the VM tries again every 100 ms and says so; tests take ports below the system's own range, and keep the VMs' logs when they fail.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"context"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -97,7 +99,7 @@
 	f.vms = append(f.vms, v)
 	adapter := platform.NewAdapter(settings)
 	adapter.Dialer = blind{Dialer: adapter.Dialer, vm: v}
-	e := &edge.VM{Settings: settings, Adapter: adapter, Now: clock.Boot, Log: logr.Discard()}
+	e := &edge.VM{Settings: settings, Adapter: adapter, Now: clock.Boot, Log: logr.FromSlogHandler(slog.NewTextHandler(ginkgo.GinkgoWriter, nil))}
 	go func() {
 		defer ginkgo.GinkgoRecover()
 		defer close(v.ended)
@@ -107,11 +109,23 @@
 	return v
 }
 
+// lastPort is the port that was handed out last. Ports are below those from
+// which the system takes the near ends of connections, so that nobody takes one
+// between its choice and its use.
+var lastPort atomic.Int64
+
 func free() string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	const lowest, count = 12000, 18000
+	lastPort.CompareAndSwap(0, int64(os.Getpid()*37%count))
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", lowest+lastPort.Add(1)%count)
+		l, err := net.Listen("tcp4", address)
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		return address
+	}
 }
 
 func (v *vm) isReady() bool {
@@ -309,6 +323,18 @@
 		v.session("choir-own").must("WRITE bar 1")
 	})
 
+	ginkgo.It("waits for an address that is still taken", func() {
+		f := open(shape, 1)
+		f.site.Store.SetDown(true)
+		v := f.start("vm-late", zones[1], false)
+		taken, err := net.Listen("tcp4", v.callers)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		f.site.Store.SetDown(false)
+		gomega.Consistently(v.isReady, "700ms", "50ms").Should(gomega.BeFalse())
+		gomega.Expect(taken.Close()).To(gomega.Succeed())
+		gomega.Eventually(v.isReady, patience, "20ms").Should(gomega.BeTrue())
+	})
+
 	ginkgo.It("stops without cutting a request", func() {
 		f := open(shape, 2)
 		busy := f.vms[0].session("choir-own")
--- a/edge/vm.go
+++ b/edge/vm.go
@@ -105,7 +105,7 @@
 	go (&steward{VM: v}).run(work)
 	v.serveHTTP(listeners)
 	if v.awaitReady(ctx) {
-		v.serveCallers(work)
+		v.serveCallers(work, ctx)
 	}
 	<-ctx.Done()
 	v.stop(work, r)
@@ -216,10 +216,9 @@
 	}
 }
 
-func (v *VM) serveCallers(ctx context.Context) {
-	l, err := net.Listen("tcp4", v.Settings.Callers())
+func (v *VM) serveCallers(ctx, stopped context.Context) {
+	l, err := v.listenForCallers(stopped)
 	if err != nil {
-		v.Log.Error(err, "callers cannot be accepted")
 		return
 	}
 	v.callers = l
@@ -231,6 +230,25 @@
 	}()
 }
 
+// listenPause is the time between two tries to listen for callers.
+const listenPause = 100 * time.Millisecond
+
+// listenForCallers listens as soon as the address is free. Its error reports
+// that the VM was stopped before.
+func (v *VM) listenForCallers(ctx context.Context) (net.Listener, error) {
+	for {
+		l, err := net.Listen("tcp4", v.Settings.Callers())
+		if err == nil {
+			return l, nil
+		}
+		v.Log.Error(err, "callers cannot be accepted yet")
+		pauseFor(ctx, listenPause)
+		if ctx.Err() != nil {
+			return nil, fmt.Errorf("listen for callers: %w", ctx.Err())
+		}
+	}
+}
+
 // answerReady tells the balancer whether to send callers.
 func (v *VM) answerReady(w http.ResponseWriter, _ *http.Request) {
 	if v.ready.Load() && !v.stopping.Load() && !v.impaired() {
