--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -63,7 +63,7 @@
 func (d *demo) print() {
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(w, "requests\t%d\n", d.tally.requests)
-	fmt.Fprintf(w, "reads on replicas\t%d\n", d.tally.replica)
+	fmt.Fprintf(w, "answers from replicas, all that the VMs counted\t%d\n", d.tally.replica)
 	fmt.Fprintf(w, "refused, not run\t%d\n", d.tally.refused)
 	fmt.Fprintf(w, "outcome unknown\t%d\n", d.tally.unknown)
 	fmt.Fprintf(w, "failover gap\t%d ms\n", d.tally.gap.Milliseconds())
