Check that a stop leaves no answer out

Cause: a last reading found that the test of a stop took any lost answer after the first as an end between two operations, so that a cut request would pass.

Ruled out: nothing.

Change: a query without an answer must not have run on any target.

Conclusion: kept.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -342,9 +342,13 @@
 		idle.must("WRITE bar 0")
 		f.vms[0].stop()
 		for i := range 10 {
-			if _, err := busy.ask(fmt.Sprintf("WRITE bar %d", i)); err != nil {
-				// A session may end between two operations only.
+			if a, err := busy.ask(fmt.Sprintf("WRITE bar %d", i)); err != nil {
+				// A session ends between two operations: what was not answered
+				// did not run.
 				gomega.Expect(i).To(gomega.BeNumerically(">", 0))
+				for _, s := range f.site.Servers("choir") {
+					gomega.Expect(s.Runs(a.id)).To(gomega.BeZero())
+				}
 				break
 			}
 			time.Sleep(50 * time.Millisecond)
