Refuse what waits for busy targets after a quarter of its objective

Ruled out: the estimate by the rate of connections that came free; it needs twelve waiters, and a VM of 74 has few. Change: waiting ends after a quarter of the operation's objective while the leader is reached and at work for others; who waits for a leader that is being replaced waits as before.

--- a/front/attempt.go
+++ b/front/attempt.go
@@ -18,6 +18,11 @@
 	// to be found; the rest is for the target's work, so that a statement is
 	// not sent that cannot be answered in time.
 	dispatchShare = 0.7
+	// patienceShare is the share of an operation's latency objective for which
+	// it waits while its targets are at work for others. A caller that is
+	// refused by then has time for two more tries at other VMs, and those that
+	// are served need not be late.
+	patienceShare = 0.25
 	// unreachableLimit is how long the leader may be out of reach before
 	// statements are refused at once: by then it would have been replaced, so
 	// other VMs do reach it.
@@ -56,6 +61,8 @@
 	// statement's time is over.
 	dispatch time.Duration
 	until    time.Duration
+	// patience is until when a target is looked for while all are at work.
+	patience time.Duration
 	leader   bool
 	tried    []string
 	tries    int
@@ -82,6 +89,7 @@
 		arrived:  now,
 		dispatch: now + time.Duration(dispatchShare*float64(r.Timeout)),
 		until:    now + r.Timeout,
+		patience: now + time.Duration(patienceShare*float64(r.Objective)),
 		leader:   leader,
 	}, nil
 }
@@ -99,6 +107,7 @@
 		Leader:   a.leader,
 		Priority: a.route.Priority,
 		Until:    a.dispatch,
+		Patience: a.patience,
 		Tried:    a.tried,
 		Mark:     a.session.state.Mark(),
 	}
--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -30,6 +30,9 @@
 	Priority int
 	// Until is when waiting ends.
 	Until time.Duration
+	// Patience is when waiting ends if the targets that could take the
+	// statement answer, but are at work for others; zero if it is Until.
+	Patience time.Duration
 	// Tried names targets that refused this statement.
 	Tried []string
 	// Mark is the session's mark; a connection with the same needs no
@@ -45,8 +48,8 @@
 }
 
 // Acquire waits for a connection to a suitable target. Its error wraps
-// ErrNoTarget once the need's time is over, and ErrOverloaded at once if that
-// is certain.
+// ErrNoTarget once the need's time is over, and ErrOverloaded once its patience
+// is, or at once if it is certain to be in vain.
 func (g *Group) Acquire(ctx context.Context, n Need) (*Slot, error) {
 	g.lock.Lock()
 	now := g.Now()
@@ -85,11 +88,23 @@
 func (g *Group) await(ctx context.Context, w *waiter) (*Slot, error) {
 	timer := time.NewTimer(max(w.need.Until-g.Now(), 0))
 	defer timer.Stop()
-	select {
-	case s := <-w.slot:
-		return s, nil
-	case <-ctx.Done():
-	case <-timer.C:
+	patience, stop := g.patience(w.need)
+	defer stop()
+	reason := ErrNoTarget
+	for waiting := true; waiting; {
+		select {
+		case s := <-w.slot:
+			return s, nil
+		case <-patience:
+			if g.crowded() {
+				waiting, reason = false, ErrOverloaded
+			}
+			patience = time.After(patiencePause)
+		case <-ctx.Done():
+			waiting = false
+		case <-timer.C:
+			waiting = false
+		}
 	}
 	g.lock.Lock()
 	defer g.lock.Unlock()
@@ -98,8 +113,31 @@
 	case s := <-w.slot:
 		return s, nil
 	default:
-		return nil, fmt.Errorf("group %s: %w", g.Name, ErrNoTarget)
+		return nil, fmt.Errorf("group %s: %w", g.Name, reason)
+	}
+}
+
+// patiencePause is the time between two looks whether the targets still
+// answer, once a statement has waited for long.
+const patiencePause = 50 * time.Millisecond
+
+// patience returns a channel that delivers when the need's patience ends, and
+// what releases it.
+func (g *Group) patience(n Need) (<-chan time.Time, func()) {
+	if n.Patience == 0 || n.Patience >= n.Until {
+		return nil, func() {}
 	}
+	t := time.NewTimer(max(n.Patience-g.Now(), 0))
+	return t.C, func() { t.Stop() }
+}
+
+// crowded reports whether those who wait do so for a leader that is reached,
+// and not for one that is being replaced or has gone silent.
+func (g *Group) crowded() bool {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	s := g.servers[g.leader]
+	return s != nil && !s.gone && !s.down() && !s.Draining && !s.silent(g.Now())
 }
 
 func (g *Group) enqueue(w *waiter) {
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -266,6 +266,36 @@
 		held.Release()
 	})
 
+	ginkgo.It("answers a crowd: who would be late is refused in time to try elsewhere", func() {
+		c := newCrew(1)
+		held := c.acquire(c.need(true))
+		n := c.need(true)
+		n.Until += time.Hour
+		n.Patience = c.hand.Now()
+		_, err := c.Acquire(context.Background(), n)
+		gomega.Expect(errors.Is(err, pool.ErrOverloaded)).To(gomega.BeTrue())
+		held.Release()
+	})
+
+	ginkgo.It("answers a failover: who waits for a new leader is not refused early", func() {
+		c := newCrew(1)
+		c.SetLeader("")
+		n := c.need(true)
+		n.Until += time.Hour
+		n.Patience = c.hand.Now()
+		served := make(chan error, 1)
+		go func() {
+			s, err := c.Acquire(context.Background(), n)
+			if err == nil {
+				s.Release()
+			}
+			served <- err
+		}()
+		gomega.Consistently(served, "120ms").ShouldNot(gomega.Receive())
+		c.SetLeader("a")
+		gomega.Expect(<-served).To(gomega.Succeed())
+	})
+
 	ginkgo.It("may be told of its targets anew while statements run", func() {
 		c := newCrew(2)
 		s := c.acquire(c.need(true))
