Relay statements through holders, set sessions up in one flight, keep windows

Far leaders were told values, plans and the opening of a transaction one trip after the other. Current reads waited for replicas 90 ms behind. Ruled out: equal parts (none is left for a VM), closing connections sooner (more are opened), statements waiting longer (more are late). Change: where each VM can hold fewer than four connections, two VMs of a zone hold a group's and the others reach the targets through them (package relay); up to half of a part stays open for 4 s; what sets a session up goes in one flight; a current read takes the course that was faster of late; a window for each target halves when it was full; a lagging replica is tried again after an eighth of its lag. Not measured one by one.

--- a/edge/directory.go
+++ b/edge/directory.go
@@ -45,6 +45,8 @@
 	Name    string `json:"name"`
 	Zone    string `json:"zone"`
 	Address string `json:"address"`
+	// Relay is where it accepts links to targets.
+	Relay string `json:"relay"`
 	// Incarnation differs for each start of the VM.
 	Incarnation string `json:"incarnation"`
 }
--- a/edge/divide.go
+++ b/edge/divide.go
@@ -66,6 +66,9 @@
 	q := &peerpb.DivideRequest{Vm: c.Settings.VM()}
 	pools := c.pools()
 	for name, g := range pools {
+		if !c.holding(name).Self {
+			continue
+		}
 		for _, n := range g.Claims() {
 			q.Claims = append(q.Claims, &peerpb.Claim{Group: name, Target: n.Target, Open: uint32(n.Open), Wanted: uint32(n.Wanted)})
 		}
@@ -113,7 +116,7 @@
 			connections = conf.Groups[c.GetGroup()].Connections
 		}
 		claim := pool.Claim{Target: c.GetTarget(), Open: int(c.GetOpen()), Wanted: int(c.GetWanted())}
-		budgets = append(budgets, uint32(f.shares.Divide(now, q.GetVm(), claim, f.limits(connections))))
+		budgets = append(budgets, uint32(f.shares.Divide(now, q.GetVm(), claim, f.limits(c.GetGroup(), connections))))
 	}
 	return budgets
 }
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -89,9 +89,9 @@
 		}
 		f.site.Store.ServeHTTP(w, q)
 	}))
-	text := fmt.Sprintf(`{"vm": %q, "zone": %q, "callers": %q, "ready": %q, "peers": %q, "metrics": %q,
+	text := fmt.Sprintf(`{"vm": %q, "zone": %q, "callers": %q, "ready": %q, "peers": %q, "metrics": %q, "relay": %q,
 		"store": %q, "duty": %q, "memory": 512, "grace": "2s", "first": %t}`,
-		name, zone, v.callers, v.ready, free(), free(), gate.Listener.Addr(), f.site.Address, first)
+		name, zone, v.callers, v.ready, free(), free(), free(), gate.Listener.Addr(), f.site.Address, first)
 	settings, err := edge.ParseSettings("vm.json", []byte(text))
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	ctx, stop := context.WithCancel(context.Background())
@@ -442,7 +442,7 @@
 		f := open(shape, 3)
 		f.vms[0].blocked.Store(f.site.Leader("choir").ID)
 		// The connection that it opened at its start is closed when unused.
-		time.Sleep(time.Second)
+		time.Sleep(5 * time.Second)
 		alone := f.vms[0].session("choir-own")
 		other := f.vms[1].session("choir-own")
 		for range 25 {
--- /dev/null
+++ b/edge/relay_test.go
@@ -0,0 +1,58 @@
+package edge_test
+
+import (
+	"sync"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"amaranthsill/internal/site"
+)
+
+// scarce is a site whose targets allow fewer connections than each of its VMs
+// would need to have some.
+var scarce = site.Shape{
+	Groups: []string{"choir"}, Zones: []string{"quetzaltenango"},
+	Connections: 4, Work: 2 * time.Millisecond,
+}
+
+var _ = ginkgo.Describe("Connections that are scarce", func() {
+	ginkgo.It("are held by a few VMs, through which all others reach the targets", func() {
+		f := open(scarce, 5)
+		// Who holds connections is looked at anew a few times a second.
+		time.Sleep(time.Second)
+		before := f.site.Leader("choir").Refused()
+		wait := sync.WaitGroup{}
+		for _, v := range f.vms {
+			wait.Go(func() {
+				defer ginkgo.GinkgoRecover()
+				c := v.session("choir-own")
+				for range 10 {
+					last := c.until("WRITE bar " + c.name)
+					gomega.Expect(f.site.Leader("choir").Has(last.id)).To(gomega.BeTrue())
+					c.until("READ bar")
+				}
+			})
+		}
+		wait.Wait()
+		gomega.Expect(f.site.Leader("choir").Refused()).To(gomega.Equal(before))
+	})
+
+	ginkgo.It("are held by others when a holder stops, and nothing runs twice", func() {
+		f := open(scarce, 5)
+		time.Sleep(time.Second)
+		c := f.vms[4].session("choir-own")
+		for i, v := range f.vms[:3] {
+			v.stop()
+			for range 20 {
+				a, err := c.ask("WRITE bar 1")
+				gomega.Expect(err).NotTo(gomega.HaveOccurred(), "VM %d stops", i)
+				gomega.Expect(f.site.Leader("choir").Runs(a.id)).To(gomega.BeNumerically("<=", 1))
+				time.Sleep(10 * time.Millisecond)
+			}
+			<-v.ended
+			gomega.Expect(c.until("READ bar").rows).To(gomega.Equal([]string{"1"}))
+		}
+	})
+})
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -25,6 +25,7 @@
 	ready   netip.AddrPort
 	peers   netip.AddrPort
 	metrics netip.AddrPort
+	relay   netip.AddrPort
 	store   netip.AddrPort
 	duty    netip.AddrPort
 	seeds   []string
@@ -54,6 +55,9 @@
 // Metrics returns the address on which metrics are served.
 func (s Settings) Metrics() string { return s.metrics.String() }
 
+// Relay returns the address on which other VMs' links to targets are accepted.
+func (s Settings) Relay() string { return s.relay.String() }
+
 // Store returns the address of the platform's store.
 func (s Settings) Store() string { return s.store.String() }
 
@@ -94,6 +98,7 @@
 		"ready":   func(f strict.Field) error { return f.Address(&s.ready) },
 		"peers":   func(f strict.Field) error { return f.Address(&s.peers) },
 		"metrics": func(f strict.Field) error { return f.Address(&s.metrics) },
+		"relay":   func(f strict.Field) error { return f.Address(&s.relay) },
 		"store":   func(f strict.Field) error { return f.Address(&s.store) },
 		"duty":    func(f strict.Field) error { return f.Address(&s.duty) },
 		"first":   func(f strict.Field) error { return f.Flag(&s.first) },
@@ -139,6 +144,7 @@
 		{"ready", s.ready},
 		{"peers", s.peers},
 		{"metrics", s.metrics},
+		{"relay", s.relay},
 		{"store", s.store},
 		{"duty", s.duty},
 	} {
--- a/edge/settings_test.go
+++ b/edge/settings_test.go
@@ -24,6 +24,7 @@
   "duty": "10.200.0.160:8783",
   "memory": 284, // MB
   "grace": "6s",
+  "relay": "10.1.0.8:7441",
 }`
 
 var _ = ginkgo.Describe("Settings", func() {
--- a/edge/steward.go
+++ b/edge/steward.go
@@ -50,6 +50,8 @@
 	missing time.Duration
 	// shedding reports that sessions were ended since confirmations failed.
 	shedding bool
+	// held is when who holds connections was last looked at.
+	held time.Duration
 	// informed reports that the VM knows what it serves.
 	informed bool
 	// introducing reports that first leaders are being recorded.
@@ -92,13 +94,15 @@
 	if c == nil {
 		return
 	}
+	s.hold()
 	for name, n := range c.Groups {
 		targets := s.directory.Targets(name)
 		if len(targets) == 0 {
 			continue
 		}
 		g := s.pool(name)
-		g.Configure(targets, s.base(n.Connections))
+		g.Keep(s.kept(name, n.Connections))
+		g.Configure(targets, s.base(name, n.Connections))
 		s.lead(ctx, name, g)
 	}
 	s.introduce(ctx, c.Groups)
@@ -126,23 +130,35 @@
 
 // limits bound the division of a target's connections, when all VMs together
 // may hold so many.
-func (v *VM) limits(connections int) pool.Limits {
+func (v *VM) limits(group string, connections int) pool.Limits {
 	return pool.Limits{
 		Connections: max(connections-spareConnections, 1),
-		VMs:         max(v.directory.Count(), v.missing()),
+		VMs:         v.holding(group).vms,
 	}
 }
 
 // base returns how many connections to one target this VM may use without
 // asking: an equal part while nobody answers claims.
-func (v *VM) base(connections int) int {
-	l := v.limits(connections)
+func (v *VM) base(group string, connections int) int {
+	if !v.holding(group).Self {
+		return relayedLinks
+	}
+	l := v.limits(group, connections)
 	if v.undivided.Load() {
 		return max(l.Connections/max(l.VMs, 1), 1)
 	}
 	return l.Base()
 }
 
+// kept returns how many connections to one target this VM may keep unused. Links
+// through a holder cost the target nothing.
+func (v *VM) kept(group string, connections int) int {
+	if !v.holding(group).Self {
+		return relayedLinks
+	}
+	return v.limits(group, connections).Kept()
+}
+
 // missing returns how many VMs there were, while those that start with this
 // one may not be registered yet.
 func (v *VM) missing() int {
@@ -265,6 +281,9 @@
 // leadership.
 func (v *VM) rank(group string) int {
 	order := v.order(group)
+	if v.holding(group).relayed {
+		order = holdersFirst(group, order)
+	}
 	i := slices.IndexFunc(order, func(p Peer) bool { return p.Name == v.Settings.VM() })
 	if i < 0 {
 		return len(order)
@@ -276,8 +295,12 @@
 // differs from key to key.
 func (v *VM) order(key string) []Peer {
 	peers := v.directory.Peers()
+	sortByKey(peers, key)
+	return peers
+}
+
+func sortByKey(peers []Peer, key string) {
 	slices.SortFunc(peers, func(a, b Peer) int {
 		return cmp.Compare(xxhash.Sum64String(key+a.Name), xxhash.Sum64String(key+b.Name))
 	})
-	return peers
 }
--- a/edge/vm.go
+++ b/edge/vm.go
@@ -20,6 +20,7 @@
 	"amaranthsill/catalog"
 	"amaranthsill/front"
 	"amaranthsill/pool"
+	"amaranthsill/relay"
 	"amaranthsill/succession"
 )
 
@@ -64,11 +65,15 @@
 	mover       *succession.Mover
 	fleet       *fleet
 	controls    *controls
-	front       *front.Front
-	metrics     *prometheus.Registry
-	poked       chan struct{}
-	moved       chan string
-	registered  atomic.Bool
+	dialer      *relay.Dialer
+	relays      *relay.Server
+	// holdings are who holds which connections, by group.
+	holdings   atomic.Pointer[map[string]holding]
+	front      *front.Front
+	metrics    *prometheus.Registry
+	poked      chan struct{}
+	moved      chan string
+	registered atomic.Bool
 	// since is when the VM was last registered, in nanoseconds since boot.
 	since    atomic.Int64
 	ready    atomic.Bool
@@ -103,6 +108,8 @@
 	go (&recaller{fleet: v.fleet}).run(work)
 	go (&claimer{fleet: v.fleet}).run(work)
 	go (&steward{VM: v}).run(work)
+	go v.dialer.Watch(work)
+	go v.serveRelays(work, listeners)
 	v.serveHTTP(listeners)
 	if v.awaitReady(ctx) {
 		v.serveCallers(work, ctx)
@@ -119,6 +126,9 @@
 	debug.SetGCPercent(heapGrowth)
 	v.incarnation = strconv.FormatInt(time.Now().UnixNano(), 36)
 	v.groups = map[string]*pool.Group{}
+	v.holdings.Store(&map[string]holding{})
+	v.dialer = v.newDialer()
+	v.relays = &relay.Server{Group: v.heldPool, Now: v.Now, Log: v.Log}
 	v.readied = make(chan struct{})
 	v.poked = make(chan struct{}, 1)
 	v.moved = make(chan string, maxGroups)
@@ -164,7 +174,7 @@
 
 // listeners are the sockets on which a VM is reached.
 type listeners struct {
-	ready, peers, metrics net.Listener
+	ready, peers, metrics, relay net.Listener
 }
 
 func (v *VM) listen() (listeners, error) {
@@ -176,6 +186,7 @@
 		{&l.ready, v.Settings.Ready()},
 		{&l.peers, v.Settings.Peers()},
 		{&l.metrics, v.Settings.Metrics()},
+		{&l.relay, v.Settings.Relay()},
 	} {
 		var err error
 		if *n.into, err = net.Listen("tcp4", n.address); err != nil {
@@ -277,7 +288,13 @@
 	left := v.Settings.Grace()*8/10 - (v.Now() - begun)
 	limited, cancel := context.WithTimeout(ctx, max(left, 0))
 	defer cancel()
+	relayed := make(chan struct{})
+	go func() {
+		v.relays.Drain(limited)
+		close(relayed)
+	}()
 	v.front.Drain(limited)
+	<-relayed
 	v.Log.Info("sessions have ended", "left", v.front.Sessions(), "took", (v.Now() - begun).String())
 	bye, done := context.WithTimeout(ctx, leaveLimit)
 	defer done()
@@ -307,7 +324,7 @@
 	defer v.lock.Unlock()
 	g := v.groups[name]
 	if g == nil {
-		g = &pool.Group{Name: name, Zone: v.Settings.Zone(), Dialer: v.Adapter.Dialer, Now: v.Now, Log: v.Log}
+		g = &pool.Group{Name: name, Zone: v.Settings.Zone(), Dialer: v.dialer, Now: v.Now, Log: v.Log}
 		v.groups[name] = g
 	}
 	return g
--- a/front/attempt.go
+++ b/front/attempt.go
@@ -69,6 +69,8 @@
 	// ran reports that a target may have run the read, though no answer of it
 	// could be given.
 	ran bool
+	// course is how a current read is run.
+	course pool.Course
 	// lagging counts the refusals of replicas that were only just behind.
 	lagging int
 	reason  string
@@ -119,7 +121,10 @@
 		from -= a.route.Staleness
 	}
 	p, age, ok := a.group.Covering(from)
-	if !ok && !a.group.LeadsNear() && a.session.front.index(a.group).refresh(ctx) == nil {
+	if !ok {
+		a.course = a.choose()
+	}
+	if !ok && a.course == pool.CourseReplica && a.session.front.index(a.group).refresh(ctx) == nil {
 		p, age, ok = a.group.Covering(from)
 	}
 	if !ok {
@@ -134,8 +139,46 @@
 	return n
 }
 
-// slot gets a connection for the next try, aligned with the session.
-func (a *attempt) slot(ctx context.Context, plan *query.Plan) (*pool.Slot, pool.Need, error) {
+// choose returns how a read is run for which no position is known that is late
+// enough. The leader runs it if it is near.
+func (a *attempt) choose() pool.Course {
+	switch {
+	case a.group.LeadsNear():
+		return pool.CourseNone
+	case a.route.Consistency != catalog.ConsistencyCurrent:
+		return pool.CourseReplica
+	default:
+		return a.group.Course()
+	}
+}
+
+// took notes how long a read took that had to be current.
+func (a *attempt) took(d time.Duration) {
+	if a.route.Consistency == catalog.ConsistencyCurrent {
+		a.group.Took(a.course, d)
+	}
+}
+
+// aligned gets a connection for the next try, aligned with the session.
+func (a *attempt) aligned(ctx context.Context) (*pool.Slot, pool.Need, error) {
+	for {
+		slot, n, err := a.slot(ctx)
+		if err != nil {
+			return nil, n, err
+		}
+		err = slot.Align(&a.session.state, a.until)
+		if err == nil {
+			return slot, n, nil
+		}
+		slot.Release()
+		if !a.again("the session could not be set up on a target") {
+			return nil, n, err
+		}
+	}
+}
+
+// slot gets a connection for the next try.
+func (a *attempt) slot(ctx context.Context) (*pool.Slot, pool.Need, error) {
 	for {
 		n := a.need(ctx)
 		if n.Leader && a.group.Unreachable() > unreachableLimit {
@@ -158,14 +201,7 @@
 			}
 			continue
 		}
-		err = slot.Align(&a.session.state, plan, a.until)
-		if err == nil {
-			return slot, n, nil
-		}
-		slot.Release()
-		if !a.again("the session could not be set up on a target") {
-			return nil, n, err
-		}
+		return slot, n, nil
 	}
 }
 
@@ -270,7 +306,7 @@
 // run tries a statement on targets until one has answered it.
 func (a *attempt) run(ctx context.Context, n statement) query.Reply {
 	for {
-		slot, need, err := a.slot(ctx, n.plan)
+		slot, need, err := a.aligned(ctx)
 		if err != nil {
 			return a.giveUp(err)
 		}
@@ -295,6 +331,7 @@
 func (a *attempt) refuse() query.Reply {
 	f := a.session.front
 	f.Meter.refused(a.route, a.id, a.reason, f.Now()-a.arrived, a.tries, a.group.Describe(a.leader))
+	a.took(a.route.Objective)
 	if a.ran {
 		return a.session.failure(query.CodeAborted, a.reason)
 	}
@@ -304,7 +341,7 @@
 // tryOn runs a statement on one target. The second result is false if it may
 // be tried again.
 func (a *attempt) tryOn(ctx context.Context, slot *pool.Slot, need pool.Need, n statement) (query.Reply, bool) {
-	answer, err := slot.Run(n.order(need.Floor), a.limit(n))
+	answer, err := slot.Execute(n.order(need.Floor), &a.session.state, n.plan, a.limit(n))
 	if err != nil {
 		slot.Release()
 		return a.lost(n, slot, err)
@@ -317,6 +354,7 @@
 		return a.unconfirmed(n, err)
 	}
 	a.learn(slot, answer)
+	a.took(a.session.front.Now() - a.arrived)
 	return a.success(n, answer), true
 }
 
--- a/front/index.go
+++ b/front/index.go
@@ -89,6 +89,10 @@
 	if err := n.front.Leaders.Await(ctx, n.group.Name, slot.Target(), until); err != nil {
 		return fmt.Errorf("confirm leader's position: %w", err)
 	}
+	if a.Position.IsZero() {
+		// A holder that found no connection answers without the leader.
+		return fmt.Errorf("ask for leader's position: %w", pool.ErrNoTarget)
+	}
 	n.group.Sample(a.Sent, a.Position)
 	return nil
 }
--- a/front/transaction.go
+++ b/front/transaction.go
@@ -10,10 +10,6 @@
 	"amaranthsill/query"
 )
 
-// rollbackLimit bounds the wait for a target's answer to a rollback; after
-// it, closing the connection rolls back as well.
-const rollbackLimit = 2 * time.Second
-
 // transaction is a caller's open transaction. It takes a connection with its
 // first statement.
 type transaction struct {
@@ -96,16 +92,7 @@
 		slot.Release()
 		return
 	}
-	go rollBack(slot, t.session.front.Now()+rollbackLimit)
-}
-
-func rollBack(slot *pool.Slot, until time.Duration) {
-	a, err := slot.Run(pool.Rollback{}, until)
-	if err == nil && a.State != query.StateIdle {
-		slot.Discard()
-		return
-	}
-	slot.Release()
+	go slot.RollBack()
 }
 
 // statement runs a statement in the transaction, and opens it on a target if
@@ -119,30 +106,30 @@
 		return *early
 	}
 	if t.slot == nil {
-		if r := t.start(ctx, q.ID); r != nil {
+		if r := t.start(ctx, q.ID, n.plan); r != nil {
 			return *r
 		}
 	}
 	until := s.front.Now() + t.route.Timeout
-	if err := t.slot.Align(&s.state, n.plan, until); err != nil {
+	if err := t.slot.Align(&s.state, until); err != nil {
 		return t.broken(fmt.Sprintf("the target's connection was lost: %v", err))
 	}
 	return t.run(ctx, n, until)
 }
 
-// start opens the transaction on a target.
-func (t *transaction) start(ctx context.Context, id string) *query.Reply {
+// start opens the transaction on a target, with its first statement's plan.
+func (t *transaction) start(ctx context.Context, id string, plan *query.Plan) *query.Reply {
 	a, early := t.session.newAttempt(id, t.route, !t.readOnly)
 	if early != nil {
 		return t.refused(*early)
 	}
 	t.attempt = a
 	for {
-		slot, need, err := a.slot(ctx, nil)
+		slot, need, err := a.slot(ctx)
 		if err != nil {
 			return t.refused(a.giveUp(err))
 		}
-		answer, err := slot.Run(pool.Begin{ReadOnly: t.readOnly, After: need.Floor}, a.limit(statement{}))
+		answer, err := slot.Begin(pool.Begin{ReadOnly: t.readOnly, After: need.Floor}, &t.session.state, plan, a.limit(statement{}))
 		if err == nil && answer.Failure == nil {
 			t.slot, t.need = slot, need
 			return nil
@@ -185,7 +172,7 @@
 func (t *transaction) run(ctx context.Context, n statement, until time.Duration) query.Reply {
 	s := t.session
 	for {
-		answer, err := t.slot.Run(n.order(query.Position{}), until)
+		answer, err := t.slot.Execute(n.order(query.Position{}), &s.state, n.plan, until)
 		if err != nil {
 			return t.broken("the target's connection was lost")
 		}
@@ -232,7 +219,7 @@
 		return s.failure(query.CodeAborted, reason)
 	}
 	if t.slot == nil {
-		if r := t.start(ctx, q.ID); r != nil {
+		if r := t.start(ctx, q.ID, nil); r != nil {
 			s.tx = nil
 			r.State = query.StateIdle
 			return *r
@@ -251,11 +238,7 @@
 	t.slot = nil
 	until := s.front.Now() + t.route.Timeout
 	answer, err := slot.Run(pool.Forward{Query: q}, until)
-	if err == nil && answer.State != query.StateIdle {
-		slot.Discard()
-	} else {
-		slot.Release()
-	}
+	slot.Finish(answer.State)
 	if err != nil {
 		return t.doubt(q, slot, "the target's answer to the commit was lost", err)
 	}
--- a/internal/site/server.go
+++ b/internal/site/server.go
@@ -24,11 +24,15 @@
 	held     uint64
 	log      []entry
 	conns    map[net.Conn]bool
-	dark     bool
-	full     bool
-	mute     int
-	deaf     bool
-	runs     map[string]int
+	// through is the address under which the server registers, if not its own.
+	through string
+	// refused counts the connections over the limit.
+	refused int
+	dark    bool
+	full    bool
+	mute    int
+	deaf    bool
+	runs    map[string]int
 }
 
 // entry is one committed write.
@@ -95,6 +99,13 @@
 	return s.runs[id]
 }
 
+// Refused returns how many connections were refused over the limit.
+func (s *Server) Refused() int {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.refused
+}
+
 // Connections returns how many connections are open.
 func (s *Server) Connections() int {
 	s.lock.Lock()
@@ -102,6 +113,19 @@
 	return len(s.conns)
 }
 
+// Count returns how many entries of the log a request wrote.
+func (s *Server) Count(id string) int {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	n := 0
+	for _, e := range s.log {
+		if e.id == id {
+			n++
+		}
+	}
+	return n
+}
+
 // Has reports whether the log holds what a request wrote.
 func (s *Server) Has(id string) bool {
 	s.lock.Lock()
@@ -184,6 +208,9 @@
 	}
 	d.lock.Lock()
 	tooMany := len(d.conns) >= d.Group.Connections
+	if tooMany {
+		d.refused++
+	}
 	d.lock.Unlock()
 	switch {
 	case len(f) < 3 || f[0] != "STARTUP" || f[1] != d.Group.Name || len(f) > 3 && f[3] != d.ID:
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -23,6 +23,9 @@
 	Lag time.Duration
 	// Work is the time of one statement.
 	Work time.Duration
+	// Through returns the address under which a server registers, when it is
+	// reached through something; nil for its own.
+	Through func(address string) string
 }
 
 // Site is a stand-in for the platform and its servers.
@@ -91,6 +94,9 @@
 			ID: fmt.Sprintf("%s-%d", name, i), Group: g, Zone: zone, listener: l,
 			primary: i == 0, term: 1, conns: map[net.Conn]bool{}, runs: map[string]int{},
 		}
+		if s.shape.Through != nil {
+			v.through = s.shape.Through(v.Address())
+		}
 		g.servers = append(g.servers, v)
 		go v.serve()
 		g.announce(v)
@@ -163,6 +169,14 @@
 // announce writes a server's entry.
 func (g *Group) announce(v *Server) { g.announceAs(v, "ready") }
 
+// registered returns the address under which the server registers.
+func (s *Server) registered() string {
+	if s.through != "" {
+		return s.through
+	}
+	return s.Address()
+}
+
 // Drain reports that a server is leaving.
 func (s *Server) Drain() { s.Group.announceAs(s, "draining") }
 
@@ -172,7 +186,7 @@
 		role = "primary"
 	}
 	g.site.Store.Put("servers/"+v.ID, map[string]any{
-		"service": g.Name, "address": v.Address(), "zone": v.Zone, "version": "v1", "slots": 3,
+		"service": g.Name, "address": v.registered(), "zone": v.Zone, "version": "v1", "slots": 3,
 		"state": state, "cold_left_ms": 0, "db_role": role, "seq": 1, "born": 1,
 	})
 }
--- a/pool/budget.go
+++ b/pool/budget.go
@@ -9,17 +9,37 @@
 // connections.
 const idleLimit = 500 * time.Millisecond
 
+// keepLimit is how long the connections that a VM may keep go unused. A new
+// one takes the target the time of a statement; one that is older than a few
+// seconds may have gone silent unnoticed.
+const keepLimit = 4 * time.Second
+
+// Keep sets how many connections to each target may go unused for longer.
+func (g *Group) Keep(count int) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	g.kept = count
+}
+
 // trim closes idle connections above the budget or unused for long, and all
 // of a target that is draining.
 func (g *Group) trim(s *server) {
 	now := g.Now()
-	for len(s.idle) > 0 && (s.open+s.dialing > g.budgetOf(s, now) || s.Draining || now-s.idle[0].used > idleLimit) {
+	for len(s.idle) > 0 && (s.open+s.dialing > g.budgetOf(s, now) || s.Draining || now-s.idle[0].used > g.idleLimit(s)) {
 		s.idle[0].link.Close()
 		s.idle = s.idle[1:]
 		s.open--
 	}
 }
 
+// idleLimit returns how long the connection unused for longest may stay.
+func (g *Group) idleLimit(s *server) time.Duration {
+	if s.open <= g.kept {
+		return keepLimit
+	}
+	return idleLimit
+}
+
 // grantLife is how long a granted budget counts.
 const grantLife = time.Second
 
--- a/pool/dial.go
+++ b/pool/dial.go
@@ -27,16 +27,16 @@
 // dial opens a connection in the background. The lock is held.
 func (g *Group) dial(s *server) {
 	s.dialing++
-	t := s.Target
+	t, wiring := s.Target, g.wiring
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), dialLimit)
 		defer cancel()
 		link, p, err := g.Dialer.Dial(ctx, t)
-		g.dialed(s, link, p, err)
+		g.dialed(s, &connection{link: link, wiring: wiring}, p, err)
 	}()
 }
 
-func (g *Group) dialed(s *server, link Link, p query.Position, err error) {
+func (g *Group) dialed(s *server, c *connection, p query.Position, err error) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
 	s.dialing--
@@ -49,15 +49,17 @@
 	}
 	s.heard = now
 	s.alive()
-	if s.gone {
-		link.Close()
+	if s.gone || c.wiring != g.wiring {
+		c.link.Close()
+		g.dispatch()
 		return
 	}
 	if p.Reaches(s.position) {
 		s.position = p
 	}
 	s.open++
-	s.idle = append(s.idle, &connection{link: link, used: now})
+	c.used = now
+	s.idle = append(s.idle, c)
 	g.trim(s)
 	g.dispatch()
 }
--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -22,6 +23,8 @@
 type Need struct {
 	// Leader demands the group's primary.
 	Leader bool
+	// Target demands one target, whatever its role; empty leaves the choice.
+	Target string
 	// Floor is the position that the target must show.
 	Floor query.Position
 	// FloorAge is how long ago the primary reached the floor.
@@ -96,7 +99,7 @@
 		case s := <-w.slot:
 			return s, nil
 		case <-patience:
-			if g.crowded() {
+			if g.crowded(&w.need) {
 				waiting, reason = false, ErrOverloaded
 			}
 			patience = time.After(patiencePause)
@@ -131,12 +134,12 @@
 	return t.C, func() { t.Stop() }
 }
 
-// crowded reports whether those who wait do so for a leader that is reached,
-// and not for one that is being replaced or has gone silent.
-func (g *Group) crowded() bool {
+// crowded reports whether a need waits for a target that is reached, and not
+// for one that is being replaced or has gone silent.
+func (g *Group) crowded(n *Need) bool {
 	g.lock.Lock()
 	defer g.lock.Unlock()
-	s := g.servers[g.leader]
+	s := g.servers[cmp.Or(n.Target, g.leader)]
 	return s != nil && !s.gone && !s.down() && !s.Draining && !s.silent(g.Now())
 }
 
@@ -199,6 +202,7 @@
 func (g *Group) newSlot(s *server, c *connection, now time.Duration) *Slot {
 	n := &Slot{group: g, target: s.ID, server: s, conn: c, leader: s.ID == g.leader}
 	s.pending[n] = now
+	s.window.occupy(n)
 	return n
 }
 
@@ -228,9 +232,9 @@
 // choose returns the target with the lowest expected time, or nil while none
 // is suitable.
 func (g *Group) choose(n *Need, now time.Duration) *server {
-	if n.Leader {
-		s := g.servers[g.leader]
-		if s == nil || !s.usable(now) || slices.Contains(n.Tried, s.ID) {
+	if id := g.demanded(n); id != "" || n.Leader {
+		s := g.servers[id]
+		if s == nil || !s.usable(now) || !s.window.open() || slices.Contains(n.Tried, s.ID) {
 			return nil
 		}
 		return s
@@ -246,9 +250,18 @@
 	return best
 }
 
+// demanded returns the one target that a need allows; empty if there is a
+// choice, or if nobody leads.
+func (g *Group) demanded(n *Need) string {
+	if n.Leader {
+		return g.leader
+	}
+	return n.Target
+}
+
 // costOf weighs a target for a read.
 func (g *Group) costOf(s *server, n *Need, now time.Duration) (time.Duration, bool) {
-	if !s.usable(now) || slices.Contains(n.Tried, s.ID) {
+	if !s.usable(now) || !s.window.open() || slices.Contains(n.Tried, s.ID) {
 		return 0, false
 	}
 	c := s.cost(now, g.Zone)
@@ -282,7 +295,8 @@
 	defer g.lock.Unlock()
 	v := s.server
 	delete(v.pending, s)
-	if s.broken || v.gone {
+	v.window.vacate(s)
+	if s.broken || v.gone || s.conn.wiring != g.wiring {
 		s.conn.link.Close()
 		v.open--
 		g.dispatch()
--- a/pool/group.go
+++ b/pool/group.go
@@ -25,8 +25,12 @@
 	waiting []*waiter
 	leader  string
 	budget  int
+	kept    int
+	// wiring grows when links opened before are to be replaced.
+	wiring  int
 	samples Samples
 	flow    flow
+	courses courses
 }
 
 // Configure sets the targets that are registered, and how many connections to
@@ -78,6 +82,22 @@
 	delete(g.servers, s.ID)
 }
 
+// Rewire replaces the links that are open: those that are idle at once, the
+// others as soon as they are given back.
+func (g *Group) Rewire() {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	g.wiring++
+	for _, s := range g.servers {
+		for _, c := range s.idle {
+			c.link.Close()
+			s.open--
+		}
+		s.idle = nil
+	}
+	g.dispatch()
+}
+
 // SetLeader names the target that leads the group; empty if none does.
 func (g *Group) SetLeader(id string) {
 	g.lock.Lock()
--- a/pool/observe.go
+++ b/pool/observe.go
@@ -41,6 +41,16 @@
 	return h
 }
 
+// Position returns the highest position that a target has shown.
+func (g *Group) Position(id string) query.Position {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	if s := g.servers[id]; s != nil {
+		return s.position
+	}
+	return query.Position{}
+}
+
 // Sample records a position that the group's primary had reached; the caller
 // knows that the target still led when it answered.
 func (g *Group) Sample(sent time.Duration, p query.Position) {
@@ -121,6 +131,7 @@
 	g.lock.Lock()
 	defer g.lock.Unlock()
 	s.server.pending[s] = now
+	s.server.window.occupy(s)
 	s.overtaken = 0
 	s.running = true
 }
@@ -134,6 +145,10 @@
 	// Between the statements of a transaction the target owes nothing.
 	v.pending[s] = now + time.Hour
 	s.running = false
+	v.window.vacate(s)
+	if len(g.waiting) > 0 {
+		defer g.dispatch()
+	}
 	if err != nil {
 		return
 	}
@@ -146,6 +161,7 @@
 		time.AfterFunc(v.fullUntil-now, g.wake)
 	case isWork(o):
 		v.fulls = 0
+		v.window.answered()
 		v.answered(now, now-sent)
 	}
 	if r.Failure != nil && r.Failure.Code == query.CodeReadOnly && s.leader {
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -59,6 +59,8 @@
 	answer func(target string, o pool.Order) (query.Reply, error)
 	fail   map[string]error
 	opened map[string]int
+	// flights are the orders that were sent together.
+	flights [][]pool.Order
 }
 
 func (d *dialer) Dial(_ context.Context, t pool.Target) (pool.Link, query.Position, error) {
@@ -84,6 +86,9 @@
 
 func (l *link) Send(o ...pool.Order) error {
 	l.orders = append(l.orders, o...)
+	l.dialer.lock.Lock()
+	l.dialer.flights = append(l.dialer.flights, o)
+	l.dialer.lock.Unlock()
 	return nil
 }
 
@@ -214,6 +219,21 @@
 		c.acquire(c.need(true)).Release()
 	})
 
+	ginkgo.It("answers statements that come singly: keeps a connection between them, not those of a burst", func() {
+		c := newCrew(3)
+		c.Keep(1)
+		burst := []*pool.Slot{c.acquire(c.need(true)), c.acquire(c.need(true)), c.acquire(c.need(true))}
+		for _, s := range burst {
+			s.Release()
+		}
+		for range 5 {
+			c.hand.move(time.Second)
+			c.Configure(c.Targets(), 3)
+			c.acquire(c.need(true)).Release()
+		}
+		gomega.Expect(c.dialer.opened["a"]).To(gomega.Equal(3))
+	})
+
 	ginkgo.It("gives a draining target no new work", func() {
 		c := newCrew(2)
 		c.Configure([]pool.Target{
@@ -224,6 +244,65 @@
 	})
 })
 
+var _ = ginkgo.Describe("A far leader", func() {
+	ginkgo.It("is told a session's values, its plan and the opening of a transaction in one trip", func() {
+		c := newCrew(1)
+		state := session.State{}
+		state.Set("tenant", "x")
+		state.Set("voice", "alto")
+		plan := query.Plan{Access: query.AccessRead, Shape: "q2c"}
+		s := c.acquire(c.need(true))
+		_, err := s.Begin(pool.Begin{}, &state, &plan, c.hand.Now()+time.Second)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = s.Execute(pool.ForwardPlan{Plan: plan}, &state, &plan, c.hand.Now()+time.Second)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(c.dialer.flights).To(gomega.HaveLen(2))
+		gomega.Expect(c.dialer.flights[0]).To(gomega.HaveLen(4))
+		gomega.Expect(c.dialer.flights[1]).To(gomega.HaveLen(1))
+		s.Release()
+	})
+
+	ginkgo.It("loses a connection on which a value could not be set, and with it the transaction", func() {
+		c := newCrew(1)
+		c.dialer.answer = func(_ string, o pool.Order) (query.Reply, error) {
+			if _, ok := o.(pool.Align); ok {
+				return query.Reply{Failure: &query.Failure{Code: query.CodeFailed}}, nil
+			}
+			return query.Reply{State: query.StateOpen}, nil
+		}
+		state := session.State{}
+		state.Set("tenant", "x")
+		s := c.acquire(c.need(true))
+		_, err := s.Begin(pool.Begin{}, &state, nil, c.hand.Now()+time.Second)
+		gomega.Expect(err).To(gomega.HaveOccurred())
+		gomega.Expect(s.Broken()).To(gomega.BeTrue())
+		s.Release()
+	})
+
+	ginkgo.It("answers replicas far behind: current reads turn to it, and back when they caught up", func() {
+		c := newCrew(1)
+		gomega.Expect(c.Course()).To(gomega.Equal(pool.CourseReplica))
+		c.Took(pool.CourseReplica, 200*time.Millisecond)
+		gomega.Expect(c.Course()).To(gomega.Equal(pool.CourseLeader))
+		for range 40 {
+			c.hand.move(100 * time.Millisecond)
+			c.Took(pool.CourseLeader, 60*time.Millisecond)
+		}
+		gomega.Expect(c.Course()).To(gomega.Equal(pool.CourseReplica))
+		c.Took(pool.CourseReplica, 45*time.Millisecond)
+		gomega.Expect(c.Course()).To(gomega.Equal(pool.CourseReplica))
+	})
+
+	ginkgo.It("answers its own overload: reads that it could not serve turn to replicas", func() {
+		c := newCrew(1)
+		c.Took(pool.CourseReplica, 200*time.Millisecond)
+		for range 3 {
+			c.Took(pool.CourseLeader, 600*time.Millisecond)
+		}
+		gomega.Expect(c.Course()).To(gomega.Equal(pool.CourseReplica))
+	})
+})
+
 var _ = ginkgo.Describe("Who waits, who is refused", func() {
 	ginkgo.It("serves the more urgent first", func() {
 		c := newCrew(1)
@@ -266,6 +345,48 @@
 		held.Release()
 	})
 
+	ginkgo.It("answers a full target: fewer statements go there at a time, the rest wait here by priority", func() {
+		c := newCrew(40)
+		c.dialer.answer = func(string, pool.Order) (query.Reply, error) {
+			return query.Reply{Failure: &query.Failure{Code: query.CodeBusy}}, nil
+		}
+		for range 5 {
+			s := c.acquire(c.need(true))
+			_, err := s.Run(pool.Forward{}, c.hand.Now()+time.Second)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			s.Release()
+			c.hand.move(time.Second)
+		}
+		c.dialer.answer = nil
+		held := c.acquire(c.need(true))
+		n := c.need(true)
+		n.Until = c.hand.Now()
+		_, err := c.Acquire(context.Background(), n)
+		gomega.Expect(err).To(gomega.HaveOccurred())
+		held.Release()
+		for range 60 {
+			s := c.acquire(c.need(true))
+			c.run(s, 20*time.Millisecond)
+			s.Release()
+		}
+		many := []*pool.Slot{}
+		for range 6 {
+			many = append(many, c.acquire(c.need(true)))
+		}
+		for _, s := range many {
+			s.Release()
+		}
+	})
+
+	ginkgo.It("answers transactions that rest: they leave room for others' statements", func() {
+		c := newCrew(40)
+		for range 20 {
+			s := c.acquire(c.need(true))
+			_, err := s.Begin(pool.Begin{}, &session.State{}, nil, c.hand.Now()+time.Second)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		}
+	})
+
 	ginkgo.It("answers a crowd: who would be late is refused in time to try elsewhere", func() {
 		c := newCrew(1)
 		held := c.acquire(c.need(true))
@@ -342,6 +463,13 @@
 		gomega.Expect(ok).To(gomega.BeFalse())
 		gomega.Expect(s.Age(group.At(1, 6), time.Second)).To(gomega.Equal(300 * time.Millisecond))
 	})
+
+	ginkgo.It("learn nothing from an answer without a position", func() {
+		s := &pool.Samples{}
+		s.Add(time.Second, query.Position{})
+		_, _, ok := s.Covering(0)
+		gomega.Expect(ok).To(gomega.BeFalse())
+	})
 })
 
 // TestSharesKeepTheLimit claims at random, at the figures of the users' sites
--- a/pool/samples.go
+++ b/pool/samples.go
@@ -27,8 +27,11 @@
 )
 
 // Add records the position of an answer whose statement was sent at a time
-// and during which the target led.
+// and during which the target led. An answer without a position shows nothing.
 func (s *Samples) Add(sent time.Duration, p query.Position) {
+	if p.IsZero() {
+		return
+	}
 	n := len(s.ring)
 	if n > 0 {
 		last := s.ring[n-1]
--- a/pool/server.go
+++ b/pool/server.go
@@ -36,6 +36,7 @@
 // server is one target with this VM's connections to it.
 type server struct {
 	Target
+	window  window
 	gone    bool
 	idle    []*connection
 	open    int
@@ -76,7 +77,7 @@
 }
 
 func newServer(t Target, now time.Duration) *server {
-	return &server{Target: t, pending: map[*Slot]time.Duration{}, heard: now}
+	return &server{Target: t, window: newWindow(), pending: map[*Slot]time.Duration{}, heard: now}
 }
 
 // usable reports whether new work may go to the target at all.
@@ -98,6 +99,7 @@
 	if now < s.fullUntil {
 		return
 	}
+	s.window.full()
 	s.fullUntil = now + min(firstFull<<s.fulls, maxFull)
 	s.fulls = min(s.fulls+1, 8)
 }
@@ -123,7 +125,7 @@
 // cost estimates how long a new statement takes on the target.
 func (s *server) cost(now time.Duration, zone string) time.Duration {
 	c := s.expected(now, zone)
-	load := 1 + float64(len(s.pending))/float64(max(s.Slots, 1))
+	load := 1 + float64(s.window.active)/float64(max(s.Slots, 1))
 	return time.Duration(float64(c) * load)
 }
 
@@ -182,14 +184,10 @@
 	s.lagSeen = now
 }
 
-// lagProbe is the time between two tries of a replica that probably lags too
-// far, which show when it has caught up.
-const lagProbe = 250 * time.Millisecond
-
 // behind reports whether a replica probably lacks a position of some age, and
 // has been tried a moment ago.
 func (s *server) behind(p query.Position, age, now time.Duration) bool {
-	return !s.shows(p, age, now) && now-s.lagTried < lagProbe
+	return !s.shows(p, age, now) && now-s.lagTried < s.probePause(now)
 }
 
 // shows reports whether the target probably shows a position of some age.
--- a/pool/share.go
+++ b/pool/share.go
@@ -62,6 +62,10 @@
 // part.
 func (l Limits) Base() int { return max(l.Connections/max(2*l.VMs, 1), 1) }
 
+// Kept is how many connections a VM may keep without using them: none if that
+// took another VM's base.
+func (l Limits) Kept() int { return l.Connections / max(2*l.VMs, 1) }
+
 // Divide takes in a VM's claim on a target and returns how many connections
 // it may hold, at least one.
 func (s *Shares) Divide(now time.Duration, vm string, c Claim, l Limits) int {
