Back off from a store that does not answer

Change: the pause between tries doubles, to 300 ms on the VMs on which a zone relies, to 2 s on the others, which hear from those that it is back.

--- /dev/null
+++ b/clock/clock_test.go
@@ -0,0 +1,36 @@
+package clock_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"amaranthsill/clock"
+)
+
+func TestClock(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "clock")
+}
+
+var _ = ginkgo.Describe("A backoff", func() {
+	ginkgo.It("doubles up to its most, with half as much again at random", func() {
+		b := clock.Backoff{Least: 100 * time.Millisecond, Most: time.Second}
+		for _, least := range []time.Duration{100, 200, 400, 800, 1000, 1000} {
+			least *= time.Millisecond
+			gomega.Expect(b.Next()).To(gomega.And(gomega.BeNumerically(">=", least), gomega.BeNumerically("<=", least*3/2)))
+		}
+		b.Reset()
+		gomega.Expect(b.Next()).To(gomega.BeNumerically("<=", 150*time.Millisecond))
+	})
+
+	ginkgo.It("ends its pause with the context", func() {
+		b := clock.Backoff{Least: time.Hour, Most: time.Hour}
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		b.Pause(ctx)
+	})
+})
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -4,11 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
+	"amaranthsill/clock"
 	"amaranthsill/store"
 	"amaranthsill/succession"
 )
@@ -30,9 +30,14 @@
 	spreaderCount = 2
 	// spreadKey orders the VMs of a zone.
 	spreadKey = "spread"
-	// followPause is the pause after a call that failed; jitter doubles it
-	// at most.
-	followPause = 150 * time.Millisecond
+	// followPause is the first pause after a call that failed, and spreaderPause
+	// the longest of a VM on which others of its zone rely.
+	followPause   = 150 * time.Millisecond
+	spreaderPause = 300 * time.Millisecond
+	// relyingPause is the longest pause of the others: while the store is away
+	// their calls would only add to its load, and when it is back they hear of
+	// it from those.
+	relyingPause = 2 * time.Second
 )
 
 // follower keeps the directory up to date with the store.
@@ -45,13 +50,16 @@
 
 // run follows the store until the context ends.
 func (f *follower) run(ctx context.Context) {
+	b := clock.Backoff{Least: followPause}
 	for ctx.Err() == nil {
 		err := f.step(ctx)
 		if err == nil || ctx.Err() != nil {
+			b.Reset()
 			continue
 		}
 		f.storeFailed("following changes", err)
-		pauseFor(ctx, followPause+rand.N(followPause))
+		b.Most = f.longestPause()
+		b.Pause(ctx)
 	}
 }
 
@@ -96,11 +104,10 @@
 // hear lets a spreader of the own zone tell what is new, if this VM is none
 // itself. It reports whether one did that has a fresh confirmation.
 func (f *follower) hear(ctx context.Context) bool {
-	spreaders := f.spreaders()
-	if slices.ContainsFunc(spreaders, func(p Peer) bool { return p.Name == f.Settings.VM() }) {
+	if f.spreads() {
 		return false
 	}
-	for _, p := range spreaders {
+	for _, p := range f.spreaders() {
 		a := f.fleet.ask(ctx, p.Address, f.Now(), hearWait)
 		if a == nil || a.GetAge() < 0 || time.Duration(a.GetAge())*time.Millisecond > recallAfter {
 			continue
@@ -113,6 +120,19 @@
 	return false
 }
 
+// longestPause is that between calls to a store that does not answer.
+func (f *follower) longestPause() time.Duration {
+	if !f.synced || f.spreads() {
+		return spreaderPause
+	}
+	return relyingPause
+}
+
+// spreads reports whether this VM follows the store for its zone.
+func (v *VM) spreads() bool {
+	return slices.ContainsFunc(v.spreaders(), func(p Peer) bool { return p.Name == v.Settings.VM() })
+}
+
 // spreaders returns the VMs that follow the store for a zone.
 func (v *VM) spreaders() []Peer {
 	near := slices.DeleteFunc(v.order(spreadKey), func(p Peer) bool { return p.Zone != v.Settings.Zone() })
--- a/edge/keep.go
+++ b/edge/keep.go
@@ -6,9 +6,9 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"time"
 
+	"amaranthsill/clock"
 	"amaranthsill/store"
 	"amaranthsill/succession"
 )
@@ -24,6 +24,9 @@
 	entryLife = 8 * time.Second
 	// entryPause is the time between two renewals of the entry.
 	entryPause = 2500 * time.Millisecond
+	// registerPause is the longest pause between two tries to register; a VM
+	// whose entry lapsed is missed by the others for so long at most.
+	registerPause = time.Second
 	// repairSpread spreads the VMs that replace a lapsed lease.
 	repairSpread = 250 * time.Millisecond
 )
@@ -80,7 +83,7 @@
 	if !ever || c.Now()-stored > recallAfter {
 		return false
 	}
-	return !slices.ContainsFunc(c.spreaders(), func(p Peer) bool { return p.Name == c.Settings.VM() })
+	return !c.spreads()
 }
 
 // repair reads the record again whose lease has ended, and gives it another
@@ -122,12 +125,14 @@
 }
 
 func (r *registrar) run(ctx context.Context) {
+	b := clock.Backoff{Least: followPause, Most: registerPause}
 	for ctx.Err() == nil {
 		if err := r.step(ctx); err != nil {
 			r.storeFailed("registering", err)
-			pauseFor(ctx, followPause+rand.N(followPause))
+			b.Pause(ctx)
 			continue
 		}
+		b.Reset()
 		r.registered.Store(true)
 		r.wait(ctx)
 	}
@@ -161,6 +166,7 @@
 		Name:        r.Settings.VM(),
 		Zone:        r.Settings.Zone(),
 		Address:     r.Settings.Peers(),
+		Relay:       r.Settings.Relay(),
 		Incarnation: r.incarnation,
 	})
 	if err != nil {
