--- a/edge/hold.go
+++ b/edge/hold.go
@@ -71,10 +71,11 @@
 	}
 }
 
-// holdingOf decides who holds a group's connections. While VMs that start with
-// this one may not be registered yet, all connect themselves.
+// holdingOf decides who holds a group's connections. While most VMs that start
+// with this one may not be registered yet, all connect themselves; a VM that
+// starts alone knows the others from the store.
 func (s *steward) holdingOf(group string, connections, vms int, peers []Peer) holding {
-	if connections >= relayBelow*vms || len(peers) < vms {
+	if connections >= relayBelow*vms || 2*len(peers) < vms {
 		return holding{Holders: relay.Holders{Self: true}, vms: vms}
 	}
 	h := holding{relayed: true}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -131,6 +131,7 @@
 	}
 	slot, err := r.acquire(ctx, until)
 	if err != nil {
+		r.server.Log.Info("relayed statement found no connection", "request", q.ID, "target", r.hello.Target, "reason", err.Error())
 		return busy(err.Error(), query.StateIdle), nil
 	}
 	if q.Kind == kindBegin {
