--- a/cmd/amaranthsilld/edge.go
+++ b/cmd/amaranthsilld/edge.go
@@ -35,12 +35,19 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	// Settings that change take effect at the next start.
-	signal.Ignore(syscall.SIGHUP)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	lines := logline.NewWriter(os.Stdout)
 	defer lines.Close()
 	log := logline.New(lines)
-	vm := &edge.VM{Settings: settings, Adapter: platform.NewAdapter(settings), Now: clock.Boot, Log: log}
+	vm := &edge.VM{
+		Settings: settings,
+		File:     *file,
+		Hangups:  hangups,
+		Adapter:  platform.NewAdapter(settings),
+		Now:      clock.Boot,
+		Log:      log,
+	}
 	if err := vm.Run(ctx); err != nil {
 		log.Error(err, "VM failed")
 		return exitFailed
--- a/cmd/amaranthsilld/main.go
+++ b/cmd/amaranthsilld/main.go
@@ -29,8 +29,18 @@
 }
 
 func run(args []string) int {
-	if len(args) > 0 && args[0] == "edge" {
+	command := ""
+	if len(args) > 0 {
+		command = args[0]
+	}
+	switch command {
+	case "edge":
 		return runEdge(args[1:])
+	case "check":
+		return runCheck(args[1:], os.Stdout, os.Stderr)
+	case "--version", "-version":
+		fmt.Println(version())
+		return exitDone
 	}
 	flags := flag.NewFlagSet("amaranthsilld", flag.ContinueOnError)
 	file := flags.String("settings", "vm.json", "file with this VM's settings, JSON with comments")
--- a/edge/settings_test.go
+++ b/edge/settings_test.go
@@ -39,6 +39,19 @@
 		gomega.Expect(s.Grace()).To(gomega.Equal(6 * time.Second))
 	})
 
+	ginkgo.It("take in what can change while a VM runs, and name what cannot", func() {
+		s, err := edge.ParseSettings("vm.json", []byte(settings))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		text := strings.NewReplacer("284", "512", `"6s"`, `"9s"`, "10.200.1.7", "10.200.1.9").Replace(settings)
+		n, err := edge.ParseSettings("vm.json", []byte(text))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		next, fixed := s.Reload(n)
+		gomega.Expect(next.Memory()).To(gomega.Equal(int64(512 << 20)))
+		gomega.Expect(next.Grace()).To(gomega.Equal(9 * time.Second))
+		gomega.Expect(next.Store()).To(gomega.Equal(s.Store()))
+		gomega.Expect(fixed).To(gomega.Equal([]string{"store"}))
+	})
+
 	faults := map[string]struct{ old, replacement, message string }{
 		"a field that is missing":     {`"vm": "front-xela-a-1",`, ``, "write the VM's name under vm"},
 		"an address that is missing":  {`"store": "10.200.1.7:8783",`, ``, "under store"},
--- a/edge/vm.go
+++ b/edge/vm.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"strconv"
 	"sync"
@@ -53,20 +54,26 @@
 // VM is one entry VM. Set the exported fields before Run.
 type VM struct {
 	Settings Settings
-	Adapter  Adapter
+	// File is where the settings came from, to be looked at again; empty if
+	// they never change. Hangups tells that they changed.
+	File    string
+	Hangups <-chan os.Signal
+	Adapter Adapter
 	// Now is a clock that counts suspended time.
 	Now func() time.Duration
 	Log logr.Logger
 
 	incarnation string
-	catalog     *catalog.Catalog
-	grants      *succession.Grants
-	directory   *Directory
-	mover       *succession.Mover
-	fleet       *fleet
-	controls    *controls
-	dialer      *relay.Dialer
-	relays      *relay.Server
+	// reloaded are settings that were read while the VM runs.
+	reloaded  atomic.Pointer[Settings]
+	catalog   *catalog.Catalog
+	grants    *succession.Grants
+	directory *Directory
+	mover     *succession.Mover
+	fleet     *fleet
+	controls  *controls
+	dialer    *relay.Dialer
+	relays    *relay.Server
 	// holdings are who holds which connections, by group.
 	holdings   atomic.Pointer[map[string]holding]
 	front      *front.Front
@@ -108,6 +115,7 @@
 	go (&recaller{fleet: v.fleet}).run(work)
 	go (&claimer{fleet: v.fleet}).run(work)
 	go (&steward{VM: v}).run(work)
+	go (&reloader{VM: v}).run(work)
 	go v.dialer.Watch(work)
 	go v.serveRelays(work, listeners)
 	v.serveHTTP(listeners)
@@ -278,14 +286,14 @@
 	begun := v.Now()
 	v.stopping.Store(true)
 	v.Log.Info("VM stops", "sessions", v.front.Sessions())
-	pauseFor(ctx, min(outOfRotation, v.Settings.Grace()*2/5))
+	pauseFor(ctx, min(outOfRotation, v.settings().Grace()*2/5))
 	if v.callers != nil {
 		// A listener that fails to close ends with the process.
 		_ = v.callers.Close()
 	}
-	half := v.Settings.Grace()/2 - (v.Now() - begun)
+	half := v.settings().Grace()/2 - (v.Now() - begun)
 	time.AfterFunc(max(half, 0), v.front.Cut)
-	left := v.Settings.Grace()*8/10 - (v.Now() - begun)
+	left := v.settings().Grace()*8/10 - (v.Now() - begun)
 	limited, cancel := context.WithTimeout(ctx, max(left, 0))
 	defer cancel()
 	relayed := make(chan struct{})
