Estimate waits from busy times, follow the store with one VM of a zone

At the start after a loss of power a call that hung in a silent store held up all for a second. Change: only times in which statements wait count; a first try to read everything has 0.7 s; the second follower of a zone hears from the first; a VM asks for changes each 0.75 s in its first 5 s; answers between VMs under 8 KB are not compressed. Ruled out: no estimate at all; what is hopeless would wait for its patience.

--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -35,6 +35,9 @@
 	peerIdle = 10 * time.Second
 	// maxPeerMessage holds a configuration of a megabyte with room.
 	maxPeerMessage = 8 << 20
+	// compressFrom is the size in bytes from which an answer is compressed; most
+	// are a few hundred bytes, for which it costs more than it spares.
+	compressFrom = 8 << 10
 	// knownAfter is how long a VM must have been registered before all others
 	// are taken to know it: OutageLength and the time in which a change in
 	// the store is noticed, with room.
@@ -66,7 +69,7 @@
 // handler returns what answers other VMs.
 func (f *fleet) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(peerpbconnect.NewFleetHandler(server{f}, connect.WithReadMaxBytes(maxPeerMessage)))
+	mux.Handle(peerpbconnect.NewFleetHandler(server{f}, connect.WithReadMaxBytes(maxPeerMessage), connect.WithCompressMinBytes(compressFrom)))
 	return mux
 }
 
@@ -209,7 +212,7 @@
 		wait.Go(func() { answers[i] = r.ask(ctx, p.Address, sent, 0) })
 	}
 	if len(others) == 0 {
-		for _, address := range r.Settings.Seeds() {
+		for _, address := range r.settings().Seeds() {
 			wait.Go(func() { r.ask(ctx, address, sent, 0) })
 		}
 	}
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -22,14 +22,23 @@
 	// batchPause is the time between two calls while changes come quickly; it
 	// is short beside the seconds in which a change has to be in force.
 	batchPause = 150 * time.Millisecond
+	// startTime is how long after a VM's start many others may start as well,
+	// and startPause the pause between two calls in that time.
+	startTime  = 5 * time.Second
+	startPause = 750 * time.Millisecond
 	// hearWait is how long a spreader may wait for something new; its
 	// confirmation must still be fresh afterwards.
 	hearWait = 250 * time.Millisecond
-	// spreaderCount is how many VMs of a zone follow the store for it; the
-	// second stands in for the first.
+	// spreaderCount is how many VMs of a zone may follow the store for it; the
+	// second hears from the first, and stands in for it.
 	spreaderCount = 2
 	// spreadKey orders the VMs of a zone.
 	spreadKey = "spread"
+	// firstSync and mostSync bound the tries to read everything. A store that was
+	// silent at the first try, as after a loss of power, may answer the next at
+	// once; a slow one needs several seconds for a large configuration.
+	firstSync = 700 * time.Millisecond
+	mostSync  = 8 * time.Second
 	// followPause is the first pause after a call that failed, and spreaderPause
 	// the longest of a VM on which others of its zone rely.
 	followPause   = 150 * time.Millisecond
@@ -44,6 +53,8 @@
 type follower struct {
 	*VM
 	synced bool
+	// limit bounds the next try to read everything.
+	limit time.Duration
 	// called is when changes were last asked for.
 	called time.Duration
 }
@@ -94,20 +105,23 @@
 // batch waits a moment when changes come in quick succession, so that one
 // call brings several.
 func (f *follower) batch(ctx context.Context) {
-	now := f.Now()
-	if now-f.called < batchPause {
-		pauseFor(ctx, batchPause)
+	pause := batchPause
+	if f.Now()-f.begun < startTime {
+		pause = startPause
+	}
+	if f.Now()-f.called < pause {
+		pauseFor(ctx, pause)
 	}
 	f.called = f.Now()
 }
 
-// hear lets a spreader of the own zone tell what is new, if this VM is none
-// itself. It reports whether one did that has a fresh confirmation.
+// hear lets a spreader of the own zone tell what is new that comes before this
+// VM. It reports whether one did that has a fresh confirmation.
 func (f *follower) hear(ctx context.Context) bool {
-	if f.spreads() {
-		return false
-	}
 	for _, p := range f.spreaders() {
+		if p.Name == f.Settings.VM() {
+			return false
+		}
 		a := f.fleet.ask(ctx, p.Address, f.Now(), hearWait)
 		if a == nil || a.GetAge() < 0 || time.Duration(a.GetAge())*time.Millisecond > recallAfter {
 			continue
@@ -128,7 +142,7 @@
 	return relyingPause
 }
 
-// spreads reports whether this VM follows the store for its zone.
+// spreads reports whether this VM may follow the store for its zone.
 func (v *VM) spreads() bool {
 	return slices.ContainsFunc(v.spreaders(), func(p Peer) bool { return p.Name == v.Settings.VM() })
 }
@@ -142,6 +156,9 @@
 // sync reads everything at once. Changes are followed from the lowest of the
 // answers' revisions on, so that none is missed.
 func (f *follower) sync(ctx context.Context) error {
+	f.limit = min(max(2*f.limit, firstSync), mostSync)
+	ctx, cancel := context.WithTimeout(ctx, f.limit)
+	defer cancel()
 	sent := f.Now()
 	var targets, own listing
 	var configuration reading
@@ -159,6 +176,7 @@
 	f.confirmFrom(own.items, sent)
 	f.directory.Completed(min(targets.revision, own.revision, configuration.revision))
 	f.synced = true
+	f.limit = 0
 	f.storeAnswered()
 	f.poke()
 	return nil
--- a/edge/keep.go
+++ b/edge/keep.go
@@ -77,13 +77,14 @@
 	}
 }
 
-// heardLately reports whether a spreader confirms the record for this VM.
+// heardLately reports whether another VM confirms the record for this one.
 func (c *confirmer) heardLately() bool {
 	_, stored, ever := c.grants.Stored()
 	if !ever || c.Now()-stored > recallAfter {
 		return false
 	}
-	return !c.spreads()
+	spreaders := c.spreaders()
+	return len(spreaders) > 0 && spreaders[0].Name != c.Settings.VM()
 }
 
 // repair reads the record again whose lease has ended, and gives it another
--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -73,7 +73,7 @@
 }
 
 // hopeless reports whether those who wait already will take longer than the
-// need's time, as far as connections came free lately.
+// need's patience, as far as connections came free lately while some waited.
 func (g *Group) hopeless(n Need, now time.Duration) bool {
 	ahead := 0
 	for _, w := range g.waiting {
@@ -81,12 +81,12 @@
 			ahead++
 		}
 	}
-	rate := g.flow.rate(now)
-	return ahead >= leastQueue && rate > 0 && time.Duration(float64(ahead)/rate*float64(time.Second)) > n.Until-now
+	until := cmp.Or(n.Patience, n.Until)
+	return ahead >= leastQueue && g.flow.wait(now, ahead) > max(until-now, 0)
 }
 
 // leastQueue is the number of waiters below which an estimate says little.
-const leastQueue = 12
+const leastQueue = 4
 
 func (g *Group) await(ctx context.Context, w *waiter) (*Slot, error) {
 	timer := time.NewTimer(max(w.need.Until-g.Now(), 0))
@@ -172,6 +172,7 @@
 	}
 	clear(g.waiting[len(left):])
 	g.waiting = left
+	g.flow.mark(now, len(left) > 0)
 	for _, s := range g.servers {
 		s.demand.add(now, s.open-len(s.idle)+s.wanted)
 	}
@@ -188,7 +189,7 @@
 		if s.ID != g.leader && !s.shows(w.need.Floor, w.need.FloorAge, now) {
 			s.lagTried = now
 		}
-		g.flow.add(now)
+		g.flow.add()
 		w.slot <- g.newSlot(s, c, now)
 		return true
 	}
--- a/pool/flow.go
+++ b/pool/flow.go
@@ -2,26 +2,59 @@
 
 import "time"
 
-// flowWindow is the time over which connections that came free are counted.
-const flowWindow = 500 * time.Millisecond
+const (
+	// flowWindow is the time over which connections that came free are counted.
+	flowWindow = 500 * time.Millisecond
+	// leastBusy is the time for which statements must have waited before a rate
+	// says anything.
+	leastBusy = 100 * time.Millisecond
+)
 
 // flow counts the connections that were handed out in the last one to two
-// windows.
+// windows while statements waited for one, and for how long they did. What is
+// handed out while nobody waits tells of the demand, not of the targets.
 type flow struct {
-	from         time.Duration
-	now, earlier int
+	from   time.Duration
+	marked time.Duration
+	// waiting reports that statements have waited since the last mark.
+	waiting      bool
+	now, earlier span
 }
 
-func (f *flow) add(now time.Duration) {
-	f.turn(now)
-	f.now++
+// span is a time in which statements waited, and how many were served in it.
+type span struct {
+	served int
+	busy   time.Duration
 }
 
-// rate returns the connections handed out a second; zero if nothing is known.
-func (f *flow) rate(now time.Duration) float64 {
+// mark notes whether statements wait from now on.
+func (f *flow) mark(now time.Duration, waiting bool) {
+	if f.waiting {
+		f.now.busy += now - f.marked
+	}
+	f.marked = now
+	f.waiting = waiting
 	f.turn(now)
-	span := flowWindow + now - f.from
-	return float64(f.now+f.earlier) / span.Seconds()
+}
+
+// add notes that a connection was handed out.
+func (f *flow) add() {
+	if f.waiting {
+		f.now.served++
+	}
+}
+
+// wait returns how long those who wait will probably take to be served; zero if
+// nothing is known.
+func (f *flow) wait(now time.Duration, waiting int) time.Duration {
+	f.mark(now, f.waiting)
+	busy := f.now.busy + f.earlier.busy
+	if busy < leastBusy {
+		return 0
+	}
+	// The one that is being served counts as half.
+	served := float64(f.now.served+f.earlier.served) + 0.5
+	return time.Duration(float64(waiting) / served * float64(busy))
 }
 
 func (f *flow) turn(now time.Duration) {
@@ -31,8 +64,11 @@
 	case now-f.from < 2*flowWindow:
 		f.earlier = f.now
 	default:
-		f.earlier = 0
+		f.earlier = span{}
+		if f.waiting {
+			f.earlier = f.now
+		}
 	}
 	f.from = now
-	f.now = 0
+	f.now = span{}
 }
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -387,6 +387,38 @@
 		}
 	})
 
+	ginkgo.It("answers a burst after a calm time: what came singly before says nothing of what could be served", func() {
+		c := newCrew(8)
+		for range 4 {
+			c.acquire(c.need(true)).Release()
+			c.hand.move(400 * time.Millisecond)
+		}
+		held := []*pool.Slot{}
+		for range 4 {
+			held = append(held, c.acquire(c.need(true)))
+		}
+		served := make(chan error, 20)
+		for range 20 {
+			go func() {
+				n := c.need(true)
+				n.Until += 500 * time.Millisecond
+				n.Patience = c.hand.Now() + 150*time.Millisecond
+				s, err := c.Acquire(context.Background(), n)
+				if err == nil {
+					s.Release()
+				}
+				served <- err
+			}()
+		}
+		gomega.Eventually(c.Waiting).Should(gomega.Equal(20))
+		for _, s := range held {
+			s.Release()
+		}
+		for range 20 {
+			gomega.Expect(<-served).To(gomega.Succeed())
+		}
+	})
+
 	ginkgo.It("answers a crowd: who would be late is refused in time to try elsewhere", func() {
 		c := newCrew(1)
 		held := c.acquire(c.need(true))
