Let sessions wait for a VM that starts, and show a VM's state as metrics

Change: a VM listens at once, and sessions wait for it up to a second before they are refused; readiness as before. Gauges for configuration, record, VMs, queues, connections, lag and lost log lines. Tests: edge "lets sessions wait for a moment when all VMs start" failed before; "waits for an address that is still taken" takes the address before the VM starts now, since it is taken by the VM at once.

--- a/cmd/amaranthsilld/edge.go
+++ b/cmd/amaranthsilld/edge.go
@@ -45,6 +45,7 @@
 		File:     *file,
 		Hangups:  hangups,
 		Adapter:  platform.NewAdapter(settings),
+		Dropped:  lines.Dropped,
 		Now:      clock.Boot,
 		Log:      log,
 	}
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -48,6 +49,7 @@
 type vm struct {
 	callers string
 	ready   string
+	metrics string
 	cut     atomic.Bool
 	// blocked is the ID of a target that this VM alone does not reach.
 	blocked atomic.Value
@@ -81,7 +83,12 @@
 
 // start runs a VM whose calls to the store pass a gate of its own.
 func (f *fixture) start(name, zone string, first bool) *vm {
-	v := &vm{callers: free(), ready: free(), ended: make(chan struct{})}
+	return f.startAt(free(), name, zone, first)
+}
+
+// startAt runs a VM whose callers come to the given address.
+func (f *fixture) startAt(callers, name, zone string, first bool) *vm {
+	v := &vm{callers: callers, ready: free(), metrics: free(), ended: make(chan struct{})}
 	gate := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		if v.cut.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -91,7 +98,7 @@
 	}))
 	text := fmt.Sprintf(`{"vm": %q, "zone": %q, "callers": %q, "ready": %q, "peers": %q, "metrics": %q, "relay": %q,
 		"store": %q, "duty": %q, "memory": 512, "grace": "2s", "first": %t}`,
-		name, zone, v.callers, v.ready, free(), free(), free(), gate.Listener.Addr(), f.site.Address, first)
+		name, zone, v.callers, v.ready, free(), v.metrics, free(), gate.Listener.Addr(), f.site.Address, first)
 	settings, err := edge.ParseSettings("vm.json", []byte(text))
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	ctx, stop := context.WithCancel(context.Background())
@@ -323,13 +330,27 @@
 		v.session("choir-own").must("WRITE bar 1")
 	})
 
-	ginkgo.It("waits for an address that is still taken", func() {
+	ginkgo.It("lets sessions wait for a moment when all VMs start, as after a loss of power", func() {
 		f := open(shape, 1)
 		f.site.Store.SetDown(true)
 		v := f.start("vm-late", zones[1], false)
-		taken, err := net.Listen("tcp4", v.callers)
+		time.AfterFunc(300*time.Millisecond, func() { f.site.Store.SetDown(false) })
+		gomega.Eventually(func() error {
+			_, err := net.DialTimeout("tcp4", v.callers, time.Second)
+			return err
+		}, "250ms", "5ms").Should(gomega.Succeed())
+		c, err := v.connect("choir-own")
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
-		f.site.Store.SetDown(false)
+		defer func() { _ = c.conn.Close() }()
+		c.must("READ bar")
+	})
+
+	ginkgo.It("waits for an address that is still taken", func() {
+		f := open(shape, 1)
+		address := free()
+		taken, err := net.Listen("tcp4", address)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		v := f.startAt(address, "vm-late", zones[1], false)
 		gomega.Consistently(v.isReady, "700ms", "50ms").Should(gomega.BeFalse())
 		gomega.Expect(taken.Close()).To(gomega.Succeed())
 		gomega.Eventually(v.isReady, patience, "20ms").Should(gomega.BeTrue())
@@ -503,3 +524,22 @@
 		gomega.Expect(a.code).To(gomega.Equal("ABORTED"))
 	})
 })
+
+var _ = ginkgo.Describe("Metrics", func() {
+	ginkgo.It("show the configuration, the record, the VMs and each group's load", func() {
+		f := open(shape, 2)
+		f.vms[0].session("choir-own").must("WRITE bar 1")
+		a, err := http.Get("http://" + f.vms[0].metrics + "/metrics")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		defer func() { _ = a.Body.Close() }()
+		text, err := io.ReadAll(a.Body)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		for _, line := range []string{
+			"amaranthsill_configuration_version 3", "amaranthsill_vms 2", "amaranthsill_record_age_seconds 0.",
+			`amaranthsill_waiting_statements{group="choir"} 0`, `amaranthsill_target_connections{group="choir",use="idle"}`,
+			`amaranthsill_statements_total{outcome="done",route="choir-own"} 1`,
+		} {
+			gomega.Expect(string(text)).To(gomega.ContainSubstring(line))
+		}
+	})
+})
--- a/edge/vm.go
+++ b/edge/vm.go
@@ -59,6 +59,9 @@
 	File    string
 	Hangups <-chan os.Signal
 	Adapter Adapter
+	// Dropped returns how many log lines were lost to a slow reader; nil if
+	// nobody counts.
+	Dropped func() int64
 	// Now is a clock that counts suspended time.
 	Now func() time.Duration
 	Log logr.Logger
@@ -119,8 +122,8 @@
 	go v.dialer.Watch(work)
 	go v.serveRelays(work, listeners)
 	v.serveHTTP(listeners)
-	if v.awaitReady(ctx) {
-		v.serveCallers(work, ctx)
+	if v.serveCallers(work, ctx) && v.awaitReady(ctx) {
+		v.ready.Store(true)
 	}
 	<-ctx.Done()
 	v.stop(work, r)
@@ -166,11 +169,13 @@
 		Log:         v.Log,
 	}
 	v.metrics = prometheus.NewRegistry()
+	v.metrics.MustRegister(newCollector(v))
 	v.front = &front.Front{
 		Catalog: v.catalog,
 		Leaders: v.grants,
 		Group:   v.knownPool,
 		Wire:    v.Adapter.Wire,
+		Open:    v.readied,
 		Now:     v.Now,
 		Meter:   front.NewMeter(v.metrics, v.Log),
 		Log:     v.Log,
@@ -224,8 +229,8 @@
 	}()
 }
 
-// awaitReady waits until the VM knows what it serves. Before that nobody
-// listens, so that callers turn to another VM at once.
+// awaitReady waits until the VM knows what it serves. Before that no session
+// starts.
 func (v *VM) awaitReady(ctx context.Context) bool {
 	select {
 	case <-v.readied:
@@ -235,18 +240,19 @@
 	}
 }
 
-func (v *VM) serveCallers(ctx, stopped context.Context) {
+// serveCallers accepts callers; false if the VM was stopped before.
+func (v *VM) serveCallers(ctx, stopped context.Context) bool {
 	l, err := v.listenForCallers(stopped)
 	if err != nil {
-		return
+		return false
 	}
 	v.callers = l
-	v.ready.Store(true)
 	go func() {
 		if err := v.front.Serve(ctx, l); err != nil {
 			v.Log.Error(err, "serving callers ended")
 		}
 	}()
+	return true
 }
 
 // listenPause is the time between two tries to listen for callers.
