Leave targets their connections when no holder is reached

Change: such a VM takes one direct link to a target; more are left to the holders, which says nothing of the target. VMs that reach targets themselves are asked first whether a leader answers.

--- a/edge/witness.go
+++ b/edge/witness.go
@@ -23,7 +23,7 @@
 func (f *fleet) outvoted(ctx context.Context, group, target string) bool {
 	ctx, cancel := context.WithTimeout(ctx, witnessLimit)
 	defer cancel()
-	witnesses := f.witnesses(target)
+	witnesses := f.witnesses(group, target)
 	answers := make(chan bool, len(witnesses))
 	for _, p := range witnesses {
 		go func() {
@@ -40,11 +40,16 @@
 	return 2*reaching > len(witnesses)+1
 }
 
-// witnesses returns some other VMs, one of each zone first.
-func (f *fleet) witnesses(key string) []Peer {
+// witnesses returns some other VMs, one of each zone first, and those first that
+// reach the group's targets themselves.
+func (f *fleet) witnesses(group, key string) []Peer {
 	first, rest := []Peer{}, []Peer{}
 	seen := map[string]bool{}
-	for _, p := range f.order(key) {
+	order := f.order(key)
+	if f.holding(group).relayed {
+		order = holdersFirst(group, order)
+	}
+	for _, p := range order {
 		if p.Name == f.Settings.VM() {
 			continue
 		}
--- a/pool/server.go
+++ b/pool/server.go
@@ -197,6 +197,10 @@
 
 // failed takes in a dial that did not succeed.
 func (s *server) failed(now time.Duration, err error) {
+	if errors.Is(err, ErrScarce) {
+		s.retryAt = now + firstBackoff
+		return
+	}
 	f := (*query.Failure)(nil)
 	if errors.As(err, &f) && f.Code == query.CodeTooManyConnections {
 		s.heard = now
--- a/pool/target.go
+++ b/pool/target.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"amaranthsill/query"
@@ -67,6 +68,10 @@
 	Lag      time.Duration
 }
 
+// ErrScarce reports that a target's connections are left to others; it says
+// nothing of the target.
+var ErrScarce = errors.New("connections are left to others")
+
 // Dialer opens links to targets.
 type Dialer interface {
 	// Dial opens a link and returns the target's position. A target that
--- a/relay/dialer.go
+++ b/relay/dialer.go
@@ -52,6 +52,9 @@
 
 	lock  sync.Mutex
 	peers map[string]*peer
+	// lent are the targets to which this VM has a direct link though others
+	// hold their connections.
+	lent map[string]bool
 }
 
 var _ pool.Dialer = (*Dialer)(nil)
@@ -85,6 +88,13 @@
 			d.Log.V(1).Info("holder was not used", "holder", address, "target", t.ID, "reason", err.Error())
 		}
 	}
+	if h.Self {
+		return d.dial(ctx, t)
+	}
+	return d.around(ctx, t)
+}
+
+func (d *Dialer) dial(ctx context.Context, t pool.Target) (pool.Link, query.Position, error) {
 	l, p, err := d.Direct.Dial(ctx, t)
 	if err != nil {
 		return nil, p, fmt.Errorf("dial directly: %w", err)
@@ -92,6 +102,51 @@
 	return l, p, nil
 }
 
+// around connects to a target whose holders are not reached. One such link to a
+// target is all that a VM takes, since its connections are lent to the holders.
+func (d *Dialer) around(ctx context.Context, t pool.Target) (pool.Link, query.Position, error) {
+	if !d.borrow(t.ID) {
+		return nil, query.Position{}, fmt.Errorf("no holder is reached, and this VM has a connection of its own: %w", pool.ErrScarce)
+	}
+	l, p, err := d.dial(ctx, t)
+	if err != nil {
+		d.giveBack(t.ID)
+		return nil, p, err
+	}
+	return &borrowed{Link: l, giveBack: sync.OnceFunc(func() { d.giveBack(t.ID) })}, p, nil
+}
+
+// borrowed is a direct link of a VM that holds no connections.
+type borrowed struct {
+	pool.Link
+	giveBack func()
+}
+
+// Close implements pool.Link.
+func (b *borrowed) Close() {
+	b.giveBack()
+	b.Link.Close()
+}
+
+func (d *Dialer) borrow(target string) bool {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	if d.lent == nil {
+		d.lent = map[string]bool{}
+	}
+	if d.lent[target] {
+		return false
+	}
+	d.lent[target] = true
+	return true
+}
+
+func (d *Dialer) giveBack(target string) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	delete(d.lent, target)
+}
+
 // errAvoided reports a holder that could not be reached a moment ago.
 var errAvoided = errors.New("holder is avoided for a while")
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -285,6 +285,19 @@
 		gomega.Expect(direct.told()).To(gomega.Equal([][]string{{"q2 READ 1"}}))
 	})
 
+	ginkgo.It("is direct only once while no holder is reached, so that targets keep their connections", func() {
+		gone, err := net.Listen("tcp4", "127.0.0.1:0")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(gone.Close()).To(gomega.Succeed())
+		d := dialer(&target{}, gone.Addr().String())
+		first := dial(d)
+		_, _, err = d.Dial(context.Background(), where)
+		gomega.Expect(errors.Is(err, pool.ErrScarce)).To(gomega.BeTrue())
+		first.Close()
+		first.Close()
+		dial(d)
+	})
+
 	ginkgo.It("ends when its holder has gone silent, long before its own deadline", func() {
 		h := newHolder(1)
 		d := dialer(nil, h.address())
