Accept connections in one place, split the pool's tests

Cause: the loops that accept callers and links stood twice. Change: socket.Acceptor, embedded in both; the tests of who waits in a file of their own. No check changed.

--- a/front/front.go
+++ b/front/front.go
@@ -10,7 +10,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -19,6 +18,7 @@
 	"github.com/go-logr/logr"
 
 	"amaranthsill/catalog"
+	"amaranthsill/internal/socket"
 	"amaranthsill/pool"
 	"amaranthsill/query"
 )
@@ -77,42 +77,19 @@
 	Meter *Meter
 	Log   logr.Logger
 
+	socket.Acceptor
 	lock     sync.Mutex
 	sessions map[*session]bool
 	indexes  map[*pool.Group]*index
 	draining bool
-	wait     sync.WaitGroup
 }
 
 // Serve accepts callers until the listener is closed.
 func (f *Front) Serve(ctx context.Context, l net.Listener) error {
-	for {
-		conn, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			f.Log.Error(err, "accepting a caller failed")
-			if err := pause(ctx); err != nil {
-				return fmt.Errorf("accept callers: %w", err)
-			}
-			continue
-		}
-		f.wait.Go(func() { f.serve(ctx, conn) })
-	}
-}
-
-// acceptPause is the time between two tries to accept, when descriptors have
-// run out.
-const acceptPause = 20 * time.Millisecond
-
-func pause(ctx context.Context) error {
-	select {
-	case <-time.After(acceptPause):
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+	if err := f.Accept(ctx, l, f.Log, func(c net.Conn) { f.serve(ctx, c) }); err != nil {
+		return fmt.Errorf("accept callers: %w", err)
 	}
+	return nil
 }
 
 func (f *Front) serve(ctx context.Context, conn net.Conn) {
@@ -156,15 +133,7 @@
 		s.wakeIdle()
 	}
 	f.lock.Unlock()
-	done := make(chan struct{})
-	go func() {
-		f.wait.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
+	f.Await(ctx)
 }
 
 // Shed ends the sessions that are open now, each between two operations.
--- /dev/null
+++ b/pool/wait_test.go
@@ -0,0 +1,234 @@
+package pool_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"amaranthsill/pool"
+	"amaranthsill/query"
+	"amaranthsill/session"
+)
+
+var _ = ginkgo.Describe("Who waits, who is refused", func() {
+	ginkgo.It("serves the more urgent first", func() {
+		c := newCrew(1)
+		held := c.acquire(c.need(true))
+		order := make(chan int, 2)
+		for _, priority := range []int{2, 1} {
+			go func() {
+				n := c.need(true)
+				n.Priority = priority
+				n.Until += time.Hour
+				s, err := c.Acquire(context.Background(), n)
+				if err == nil {
+					order <- priority
+					s.Release()
+				}
+			}()
+			gomega.Eventually(c.Waiting).Should(gomega.Equal(3 - priority))
+		}
+		held.Release()
+		gomega.Expect(<-order).To(gomega.Equal(1))
+		gomega.Expect(<-order).To(gomega.Equal(2))
+	})
+
+	ginkgo.It("answers a burst: refuses at once what could not be served in its time", func() {
+		c := newCrew(1)
+		held := c.acquire(c.need(true))
+		for range 30 {
+			go func() {
+				n := c.need(true)
+				n.Until += time.Hour
+				if s, err := c.Acquire(context.Background(), n); err == nil {
+					s.Release()
+				}
+			}()
+		}
+		gomega.Eventually(c.Waiting).Should(gomega.Equal(30))
+		c.hand.move(600 * time.Millisecond)
+		_, err := c.Acquire(context.Background(), c.need(true))
+		gomega.Expect(errors.Is(err, pool.ErrOverloaded)).To(gomega.BeTrue())
+		held.Release()
+	})
+
+	ginkgo.It("answers a full target: fewer statements go there at a time, the rest wait here by priority", func() {
+		c := newCrew(40)
+		c.dialer.answer = func(string, pool.Order) (query.Reply, error) {
+			return query.Reply{Failure: &query.Failure{Code: query.CodeBusy}}, nil
+		}
+		for range 5 {
+			s := c.acquire(c.need(true))
+			_, err := s.Run(pool.Forward{}, c.hand.Now()+time.Second)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			s.Release()
+			c.hand.move(time.Second)
+		}
+		c.dialer.answer = nil
+		held := c.acquire(c.need(true))
+		n := c.need(true)
+		n.Until = c.hand.Now()
+		_, err := c.Acquire(context.Background(), n)
+		gomega.Expect(err).To(gomega.HaveOccurred())
+		held.Release()
+		for range 60 {
+			s := c.acquire(c.need(true))
+			c.run(s, 20*time.Millisecond)
+			s.Release()
+		}
+		many := []*pool.Slot{}
+		for range 6 {
+			many = append(many, c.acquire(c.need(true)))
+		}
+		for _, s := range many {
+			s.Release()
+		}
+	})
+
+	ginkgo.It("answers transactions that rest: they leave room for others' statements", func() {
+		c := newCrew(40)
+		for range 20 {
+			s := c.acquire(c.need(true))
+			_, err := s.Begin(pool.Begin{}, &session.State{}, nil, c.hand.Now()+time.Second)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		}
+	})
+
+	ginkgo.It("answers a burst after a calm time: what came singly before says nothing of what could be served", func() {
+		c := newCrew(8)
+		for range 4 {
+			c.acquire(c.need(true)).Release()
+			c.hand.move(400 * time.Millisecond)
+		}
+		held := []*pool.Slot{}
+		for range 4 {
+			held = append(held, c.acquire(c.need(true)))
+		}
+		served := make(chan error, 20)
+		for range 20 {
+			go func() {
+				n := c.need(true)
+				n.Until += 500 * time.Millisecond
+				n.Patience = c.hand.Now() + 150*time.Millisecond
+				s, err := c.Acquire(context.Background(), n)
+				if err == nil {
+					s.Release()
+				}
+				served <- err
+			}()
+		}
+		gomega.Eventually(c.Waiting).Should(gomega.Equal(20))
+		for _, s := range held {
+			s.Release()
+		}
+		for range 20 {
+			gomega.Expect(<-served).To(gomega.Succeed())
+		}
+	})
+
+	ginkgo.It("answers a crowd: who would be late is refused in time to try elsewhere", func() {
+		c := newCrew(1)
+		held := c.acquire(c.need(true))
+		n := c.need(true)
+		n.Until += time.Hour
+		n.Patience = c.hand.Now()
+		_, err := c.Acquire(context.Background(), n)
+		gomega.Expect(errors.Is(err, pool.ErrOverloaded)).To(gomega.BeTrue())
+		held.Release()
+	})
+
+	ginkgo.It("answers a failover: who waits for a new leader is not refused early", func() {
+		c := newCrew(1)
+		c.SetLeader("")
+		n := c.need(true)
+		n.Until += time.Hour
+		n.Patience = c.hand.Now()
+		served := make(chan error, 1)
+		go func() {
+			s, err := c.Acquire(context.Background(), n)
+			if err == nil {
+				s.Release()
+			}
+			served <- err
+		}()
+		gomega.Consistently(served, "120ms").ShouldNot(gomega.Receive())
+		c.SetLeader("a")
+		gomega.Expect(<-served).To(gomega.Succeed())
+	})
+
+	ginkgo.It("may be told of its targets anew while statements run", func() {
+		c := newCrew(2)
+		s := c.acquire(c.need(true))
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			for range 1000 {
+				c.Configure([]pool.Target{{ID: "a", Group: "choir", Zone: "xela", Slots: 3}}, 2)
+			}
+		}()
+		for range 1000 {
+			gomega.Expect(s.Target()).To(gomega.Equal("a"))
+		}
+		<-done
+		s.Release()
+	})
+
+	ginkgo.It("answers a failover under load: many who wait for a new leader do not turn others away", func() {
+		c := newCrew(8)
+		c.SetLeader("")
+		served := make(chan error, 20)
+		wait := func() {
+			n := c.need(true)
+			n.Until += 500 * time.Millisecond
+			s, err := c.Acquire(context.Background(), n)
+			if err == nil {
+				s.Release()
+			}
+			served <- err
+		}
+		for range 10 {
+			go wait()
+		}
+		gomega.Eventually(c.Waiting).Should(gomega.Equal(10))
+		c.hand.move(300 * time.Millisecond)
+		for range 10 {
+			go wait()
+		}
+		gomega.Eventually(c.Waiting).Should(gomega.Equal(20))
+		c.SetLeader("a")
+		for range 20 {
+			gomega.Expect(<-served).To(gomega.Succeed())
+		}
+	})
+
+	ginkgo.It("does not suspect a leader whose connections are left to others", func() {
+		c := newCrew(1)
+		s := c.acquire(c.need(true))
+		c.hand.move(time.Second)
+		c.dialer.lock.Lock()
+		c.dialer.fail["a"] = fmt.Errorf("dial: %w", pool.ErrScarce)
+		c.dialer.lock.Unlock()
+		c.Probe("a")
+		gomega.Consistently(func() time.Duration { return c.Health("a").Failing }, "50ms").Should(gomega.BeZero())
+		gomega.Expect(c.Health("a").Unanswered).To(gomega.BeNumerically(">", 500*time.Millisecond))
+		s.Release()
+	})
+
+	ginkgo.It("tells a leader that cannot be reached from one that is slow", func() {
+		c := newCrew(1)
+		s := c.acquire(c.need(true))
+		c.hand.move(time.Second)
+		gomega.Expect(c.Health("a").Failing).To(gomega.BeZero())
+		gomega.Expect(c.Health("a").Unanswered).To(gomega.BeNumerically(">", 500*time.Millisecond))
+		c.dialer.lock.Lock()
+		c.dialer.fail["a"] = context.DeadlineExceeded
+		c.dialer.lock.Unlock()
+		c.Probe("a")
+		gomega.Eventually(func() time.Duration { return c.Health("a").Failing }).Should(gomega.BeNumerically(">", 0))
+		s.Release()
+	})
+})
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -44,7 +44,7 @@
 	if err := r.decoder.Decode(&r.hello); err != nil {
 		return fmt.Errorf("read greeting: %w", err)
 	}
-	g, answer := r.server.accept(r.hello)
+	g, answer := r.server.admit(r.hello)
 	if err := r.answer(answer); err != nil {
 		return err
 	}
--- a/relay/server.go
+++ b/relay/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/go-logr/logr"
 
+	"amaranthsill/internal/socket"
 	"amaranthsill/pool"
 	"amaranthsill/query"
 )
@@ -26,9 +27,6 @@
 	// waitLimit is how long an order waits for a connection while the target is
 	// at work for others; the VM that sent it then decides anew.
 	waitLimit = 150 * time.Millisecond
-	// acceptPause is the time between two tries to accept, when descriptors
-	// have run out.
-	acceptPause = 20 * time.Millisecond
 	// relayPriority is that of routes which are neither the most urgent nor
 	// the least; the VM that sends an order has put its own in order.
 	relayPriority = 1
@@ -43,37 +41,18 @@
 	Now func() time.Duration
 	Log logr.Logger
 
+	socket.Acceptor
 	lock     sync.Mutex
 	relays   map[*relay]bool
 	stopping bool
-	wait     sync.WaitGroup
 }
 
 // Serve accepts links until the listener is closed.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
-	for {
-		conn, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			s.Log.Error(err, "accepting a link failed")
-			if err := pause(ctx); err != nil {
-				return fmt.Errorf("accept links: %w", err)
-			}
-			continue
-		}
-		s.wait.Go(func() { s.serve(ctx, conn) })
-	}
-}
-
-func pause(ctx context.Context) error {
-	select {
-	case <-time.After(acceptPause):
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+	if err := s.Accept(ctx, l, s.Log, func(c net.Conn) { s.serve(ctx, c) }); err != nil {
+		return fmt.Errorf("accept links: %w", err)
 	}
+	return nil
 }
 
 // Drain ends links between their orders and transactions, and returns once all
@@ -85,15 +64,7 @@
 		r.endIdle()
 	}
 	s.lock.Unlock()
-	done := make(chan struct{})
-	go func() {
-		s.wait.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
+	s.Await(ctx)
 }
 
 func (s *Server) isStopping() bool {
@@ -137,9 +108,9 @@
 	delete(s.relays, r)
 }
 
-// accept returns the pool that serves a link, or why there is none. A greeting
+// admit returns the pool that serves a link, or why there is none. A greeting
 // without a target only asks whether the holder runs.
-func (s *Server) accept(h hello) (*pool.Group, query.Reply) {
+func (s *Server) admit(h hello) (*pool.Group, query.Reply) {
 	if h.Target == "" {
 		return nil, query.Reply{}
 	}
