Do not replace a leader for failures of before it led

Ruled out: the fence and the choice of the candidate; both logs show them in order. Change: only what failed since the target leads counts, and only if it was tried since; a VM that is asked tries again unless it did within 250 ms.

--- a/edge/steward.go
+++ b/edge/steward.go
@@ -225,12 +225,23 @@
 	if h.Unanswered > probeAfter || h.Failing > 0 {
 		g.Probe(t.ID)
 	}
+	return causeOf(h, now-w.since)
+}
+
+// causeOf returns why a leader of this health has to be replaced that has led
+// for some time; empty if it has not. What failed before it led, and was not
+// tried since, says nothing of it.
+func causeOf(h pool.Health, led time.Duration) string {
+	failing := min(h.Failing, led)
+	if h.Failed > led {
+		failing = 0
+	}
 	switch {
-	case h.Failing > refusedLimit && h.Refused:
+	case failing > refusedLimit && h.Refused:
 		return "its address refuses connections"
-	case h.Failing > silentLimit && !h.Refused:
+	case failing > silentLimit && !h.Refused:
 		return "it does not answer over fresh connections"
-	case h.ReadOnly > readOnlyLimit:
+	case min(h.ReadOnly, led) > readOnlyLimit:
 		return "it refuses writes"
 	default:
 		return ""
--- a/pool/dial.go
+++ b/pool/dial.go
@@ -86,7 +86,8 @@
 	}()
 }
 
-// heardLately is how long ago an answer of a target is proof that it runs.
+// heardLately is how long ago an answer of a target is proof that it runs, and a
+// failure that it does not.
 const heardLately = 250 * time.Millisecond
 
 // Reaches reports whether a target answers this VM, and tries it if it has not
@@ -95,7 +96,7 @@
 	g.lock.Lock()
 	s := g.servers[id]
 	now := g.Now()
-	if s == nil || now-s.heard < heardLately || s.down() {
+	if s == nil || now-s.heard < heardLately || s.down() && now-s.failedAt < heardLately {
 		reached := s != nil && !s.down()
 		g.lock.Unlock()
 		return reached
--- a/pool/observe.go
+++ b/pool/observe.go
@@ -12,6 +12,8 @@
 	// Failing is for how long connections could not be opened and nothing
 	// was heard; zero if the target is reached.
 	Failing time.Duration
+	// Failed is how long ago a connection was last tried in vain.
+	Failed time.Duration
 	// Refused reports that its machine answered that nobody listens.
 	Refused bool
 	// Unanswered is for how long it has owed an answer.
@@ -34,6 +36,7 @@
 	h := Health{Unanswered: s.unanswered(now), Heard: now - s.heard, Refused: s.refused}
 	if s.failing != 0 {
 		h.Failing = max(now-s.failing, 1)
+		h.Failed = now - s.failedAt
 	}
 	if s.readOnly != 0 {
 		h.ReadOnly = max(now-s.readOnly, 1)
--- a/pool/server.go
+++ b/pool/server.go
@@ -62,6 +62,8 @@
 	// they do not.
 	failing  time.Duration
 	failures int
+	// failedAt is when the last dial failed.
+	failedAt time.Duration
 	// refused reports that the last failure was an answer of the machine.
 	refused  bool
 	retryAt  time.Duration
@@ -210,6 +212,7 @@
 	if s.failing == 0 {
 		s.failing = max(now, 1)
 	}
+	s.failedAt = now
 	s.failures++
 	s.refused = isRefusal(err)
 	pause := firstBackoff << min(s.failures-1, 8)
--- a/pool/wait_test.go
+++ b/pool/wait_test.go
@@ -205,6 +205,23 @@
 		}
 	})
 
+	ginkgo.It("tries a target again that failed long ago, before it says that it is not reached", func() {
+		c := newCrew(1)
+		c.dialer.lock.Lock()
+		c.dialer.fail["b"] = context.DeadlineExceeded
+		c.dialer.lock.Unlock()
+		c.Probe("b")
+		gomega.Eventually(func() time.Duration { return c.Health("b").Failing }).Should(gomega.BeNumerically(">", 0))
+		gomega.Expect(c.Reaches(context.Background(), "b")).To(gomega.BeFalse())
+		c.dialer.lock.Lock()
+		delete(c.dialer.fail, "b")
+		c.dialer.lock.Unlock()
+		c.hand.move(5 * time.Second)
+		gomega.Expect(c.Health("b").Failed).To(gomega.Equal(5 * time.Second))
+		gomega.Expect(c.Reaches(context.Background(), "b")).To(gomega.BeTrue())
+		gomega.Expect(c.Health("b").Failing).To(gomega.BeZero())
+	})
+
 	ginkgo.It("does not suspect a leader whose connections are left to others", func() {
 		c := newCrew(1)
 		s := c.acquire(c.need(true))
