End relayed links and transactions of VMs that say nothing more

Cause: read in the code: a holder waited without an end for the next order of a transaction. A VM that loses power sends no end, so its transaction would have kept one of a target's few connections until the kernel gave up, minutes later. Test: relay "rolls back what a VM left open that says nothing more" failed before.

--- a/edge/vm.go
+++ b/edge/vm.go
@@ -139,7 +139,6 @@
 	v.groups = map[string]*pool.Group{}
 	v.holdings.Store(&map[string]holding{})
 	v.dialer = v.newDialer()
-	v.relays = &relay.Server{Group: v.heldPool, Now: v.Now, Log: v.Log}
 	v.readied = make(chan struct{})
 	v.poked = make(chan struct{}, 1)
 	v.moved = make(chan string, maxGroups)
@@ -169,7 +168,6 @@
 		Log:         v.Log,
 	}
 	v.metrics = prometheus.NewRegistry()
-	v.metrics.MustRegister(newCollector(v))
 	v.front = &front.Front{
 		Catalog: v.catalog,
 		Leaders: v.grants,
@@ -179,6 +177,8 @@
 		Meter:   front.NewMeter(v.metrics, v.Log),
 		Log:     v.Log,
 	}
+	v.relays = &relay.Server{Group: v.heldPool, TransactionIdle: v.front.TransactionIdle, Now: v.Now, Log: v.Log}
+	v.metrics.MustRegister(newCollector(v))
 }
 
 // maxGroups bounds the moves that have ended and are not yet noted.
--- a/front/session.go
+++ b/front/session.go
@@ -118,7 +118,7 @@
 // awaitInside waits while a transaction is open, which may be idle only for a
 // while.
 func (s *session) awaitInside() bool {
-	idle := s.front.transactionIdle()
+	idle := s.front.TransactionIdle()
 	if s.isDropped() {
 		idle = 0
 	}
@@ -285,7 +285,9 @@
 // defaultIdle applies before the first configuration.
 const defaultIdle = 3 * time.Second
 
-func (f *Front) transactionIdle() time.Duration {
+// TransactionIdle returns how long a transaction may rest, as the configuration
+// in force has it.
+func (f *Front) TransactionIdle() time.Duration {
 	c := f.Catalog.Current()
 	if c == nil || c.TransactionIdle <= 0 {
 		return defaultIdle
--- a/relay/doc.go
+++ b/relay/doc.go
@@ -13,7 +13,7 @@
 //
 // On a holder:
 //
-//	s := &relay.Server{Group: pools, Now: clock.Boot, Log: log}
+//	s := &relay.Server{Group: pools, TransactionIdle: idle, Now: clock.Boot, Log: log}
 //	go s.Serve(ctx, listener)
 //
 // On the other VMs, in place of a dialer that connects to targets:
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -80,13 +80,27 @@
 	if r.slot == nil && r.server.isStopping() {
 		return false
 	}
-	if err := r.conn.SetReadDeadline(time.Time{}); err != nil {
+	limit := idleLink
+	if r.slot != nil {
+		limit = r.server.TransactionIdle() + idleMargin
+	}
+	if err := r.conn.SetReadDeadline(time.Now().Add(limit)); err != nil {
 		return false
 	}
 	r.setIdle(r.slot == nil)
 	return true
 }
 
+// The times after which a VM that says nothing on a link is taken as gone, so
+// that a connection, and a transaction that is open on it, goes to others.
+const (
+	// idleLink is longer than a VM keeps a link that it does not use.
+	idleLink = 15 * time.Second
+	// idleMargin is how much later than the caller's own VM a holder ends a
+	// transaction that rests.
+	idleMargin = time.Second
+)
+
 func (r *relay) setIdle(idle bool) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -151,6 +151,8 @@
 		Group: func(string) (*pool.Group, bool) { return h.pool, true },
 		Now:   clock.Boot,
 		Log:   logr.Discard(),
+
+		TransactionIdle: func() time.Duration { return 100 * time.Millisecond },
 	}
 	var err error
 	h.listener, err = net.Listen("tcp4", "127.0.0.1:0")
@@ -262,6 +264,16 @@
 		gomega.Eventually(h.told).Should(gomega.Equal([][]string{{"begin", "rollback"}}))
 	})
 
+	ginkgo.It("rolls back what a VM left open that says nothing more", func() {
+		h := newHolder(1)
+		l := dial(dialer(nil, h.address()))
+		tell(l, pool.Begin{})
+		gomega.Eventually(h.told, "4s").Should(gomega.Equal([][]string{{"begin", "rollback"}}))
+		gomega.Expect(l.SetDeadline(time.Now().Add(time.Second))).To(gomega.Succeed())
+		_, err := l.Receive()
+		gomega.Expect(err).To(gomega.HaveOccurred())
+	})
+
 	ginkgo.It("is lost with the target's connection, so that nothing is promised", func() {
 		h := newHolder(1)
 		l := dial(dialer(nil, h.address()))
--- a/relay/server.go
+++ b/relay/server.go
@@ -37,6 +37,8 @@
 type Server struct {
 	// Group returns the pool of a group whose connections this VM holds.
 	Group func(name string) (*pool.Group, bool)
+	// TransactionIdle returns how long a caller's transaction may rest.
+	TransactionIdle func() time.Duration
 	// Now is a clock that counts suspended time.
 	Now func() time.Duration
 	Log logr.Logger
