Ask others again before a claim that waited for the store

Change: if the store took longer than 0.5 s, the others are asked again before the claim is written. Not to begin a move is always safe; the model is unchanged. Test: succession "is not begun when its reason is gone once the store answers".

--- a/edge/steward.go
+++ b/edge/steward.go
@@ -276,10 +276,14 @@
 			s.moved <- name
 			return
 		}
-		err := s.mover.Move(ctx, name, lead, cause)
+		err := s.mover.MoveIf(ctx, name, lead, cause, func(ctx context.Context) bool {
+			return !doubtful || !s.fleet.outvoted(ctx, name, lead.Target)
+		})
 		switch {
 		case errors.Is(err, succession.ErrOvertaken):
 			s.Log.V(1).Info("another VM moves the leadership", "group", name)
+		case errors.Is(err, succession.ErrNeedless):
+			s.Log.Info("most VMs reach the leader; it is not replaced", "group", name, "leader", lead.Target, "cause", cause)
 		case err != nil:
 			s.Log.Error(err, "leadership was not moved", "group", name, "from", lead.Target, "cause", cause)
 		}
--- a/succession/move.go
+++ b/succession/move.go
@@ -42,7 +42,8 @@
 }
 
 // claim writes that this VM moves the leadership.
-func (v *move) claim(ctx context.Context, from Lead) error {
+func (v *move) claim(ctx context.Context, from Lead, still func(context.Context) bool) error {
+	asked := v.Now()
 	duty := make(chan dutyRead, 1)
 	go func() { duty <- v.readDuty(ctx) }()
 	r, err := v.read(ctx)
@@ -56,6 +57,9 @@
 	if d.err != nil {
 		return d.err
 	}
+	if v.Now()-asked > claimLimit && !still(ctx) {
+		return ErrNeedless
+	}
 	v.begun = v.Now()
 	lead := Lead{Target: from.Target, Mover: v.writer()}
 	v.record, err = v.write(ctx, r, r.With(v.group, lead), &d.item)
--- a/succession/mover.go
+++ b/succession/mover.go
@@ -27,6 +27,8 @@
 	ErrOvertaken = errors.New("another VM changed the record of leaders")
 	// ErrNoCandidate reports that no target can be promoted yet.
 	ErrNoCandidate = errors.New("no target can be promoted")
+	// ErrNeedless reports that the reason for a move was gone before it began.
+	ErrNeedless = errors.New("reason for moving the leadership is gone")
 	// ErrLate reports that a move took so long that others may take it over.
 	ErrLate = errors.New("move of the leadership took too long")
 )
@@ -39,6 +41,9 @@
 	// writeMargin covers the time from a move's beginning to the moment when
 	// its record is written, beyond which nobody can confirm an older one.
 	writeMargin = 2 * time.Second
+	// claimLimit is how old a reason may be when the claim is written; a cut that
+	// heals lets a call to the store through that waited for it.
+	claimLimit = 500 * time.Millisecond
 	// callWindow is how long after its write of the record a VM may still
 	// call a promotion.
 	callWindow = 4 * time.Second
@@ -165,10 +170,16 @@
 // Move moves a group's leadership away from a target, or takes over a move
 // that another VM did not finish. The reason is for the log.
 func (m *Mover) Move(ctx context.Context, group string, from Lead, reason string) error {
+	return m.MoveIf(ctx, group, from, reason, func(context.Context) bool { return true })
+}
+
+// MoveIf is like Move, and asks whether the reason still stands if the store took
+// long to answer before the claim is written. Its error wraps ErrNeedless if not.
+func (m *Mover) MoveIf(ctx context.Context, group string, from Lead, reason string, still func(context.Context) bool) error {
 	m.count(1)
 	defer m.count(-1)
 	v := &move{Mover: m, group: group, old: from.Target}
-	err := v.claim(ctx, from)
+	err := v.claim(ctx, from, still)
 	if err != nil {
 		return fmt.Errorf("claim leadership of %s: %w", group, err)
 	}
--- a/succession/succession_test.go
+++ b/succession/succession_test.go
@@ -34,6 +34,8 @@
 	// lose is how many transactions take effect without an answer, and late
 	// how many do so only later.
 	lose, late int
+	// slow is how long a read takes.
+	slow time.Duration
 }
 
 func newLedger() *ledger {
@@ -41,6 +43,7 @@
 }
 
 func (l *ledger) Read(_ context.Context, key string) (store.Item, uint64, error) {
+	time.Sleep(l.slow)
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	i, ok := l.items[key]
@@ -236,6 +239,21 @@
 		gomega.Expect(s.grants.Lead("choir").Target).To(gomega.Equal("a"))
 	})
 
+	ginkgo.It("is not begun when its reason is gone once the store answers", func() {
+		s := newScene()
+		before := s.grants.Record().Revision
+		s.ledger.slow = 600 * time.Millisecond
+		asked := 0
+		err := s.mover("vm-0").MoveIf(context.Background(), "choir", s.grants.Lead("choir"), "test", func(context.Context) bool {
+			asked++
+			return false
+		})
+		gomega.Expect(errors.Is(err, succession.ErrNeedless)).To(gomega.BeTrue())
+		gomega.Expect(asked).To(gomega.Equal(1))
+		gomega.Expect(s.platform.calls).To(gomega.BeEmpty())
+		gomega.Expect(s.grants.Record().Revision).To(gomega.Equal(before))
+	})
+
 	ginkgo.It("survives answers of the store that are lost after the effect", func() {
 		s := newScene()
 		s.reports["b"].Received = group.At(3, 9)
