Let a session go on while its failed transaction is rolled back

The caller's side gives a failed transaction up and goes on; the machine still counted the slot with the rollback under way as the session's, and refused what came next as a slot in use. Ruled out: load by itself; the order of events alone decides, and a test by hand shows it each time. Change: a slot that is rolled back belongs to no session; what the session asks next runs elsewhere, and a connection that is lost under the rollback is not told to it. Tests: group "goes on over another slot while the rollback is under way" and "is not told that its next transaction was lost" failed before.

--- a/group/group_test.go
+++ b/group/group_test.go
@@ -202,6 +202,22 @@
 	return 0
 }
 
+// opened opens the slots that are dialed and returns the run that follows.
+func (b *bench) opened() group.Run {
+	for _, a := range b.actions {
+		if d, ok := a.(group.Dial); ok {
+			b.step(group.Dialed{Slot: d.Slot})
+		}
+	}
+	for _, a := range b.actions {
+		if r, ok := a.(group.Run); ok {
+			return r
+		}
+	}
+	ginkgo.Fail("no request was sent")
+	return group.Run{}
+}
+
 func (b *bench) endings() []group.Ending {
 	out := []group.Ending{}
 	for _, a := range b.actions {
@@ -247,6 +263,44 @@
 	})
 })
 
+var _ = ginkgo.Describe("A session whose transaction is rolled back", func() {
+	ginkgo.It("goes on over another slot while the rollback is under way", func() {
+		b := newBench()
+		run := b.serve()
+		b.step(group.Finished{Run: run, Reply: group.Reply{Status: status(1, group.RolePrimary, 9), First: group.At(1, 9), Open: true}})
+		b.step(group.Vanished{Session: 1})
+		rollback, first := uint64(0), uint64(0)
+		for _, a := range b.actions {
+			if r, ok := a.(group.Rollback); ok {
+				rollback, first = r.Run, r.Slot
+			}
+		}
+		gomega.Expect(rollback).NotTo(gomega.BeZero())
+		b.step(group.Arrived{Request: group.Request{ID: 2, Session: 1, Deadline: b.now + time.Minute}})
+		gomega.Expect(b.endings()).To(gomega.BeEmpty())
+		second := b.opened()
+		gomega.Expect(second.Slot).NotTo(gomega.Equal(first))
+		b.step(group.Finished{Run: second.Run, Reply: group.Reply{Status: status(1, group.RolePrimary, 9), First: group.At(1, 9), Open: true}})
+		b.step(group.Finished{Run: rollback, Reply: group.Reply{Status: status(1, group.RolePrimary, 9), First: group.At(1, 9)}})
+		b.step(group.Arrived{Request: group.Request{ID: 3, Session: 1, Deadline: b.now + time.Minute}})
+		gomega.Expect(b.actions).To(gomega.ContainElement(gomega.HaveField("Slot", second.Slot)))
+	})
+
+	ginkgo.It("is not told that its next transaction was lost with the rollback's connection", func() {
+		b := newBench()
+		run := b.serve()
+		b.step(group.Finished{Run: run, Reply: group.Reply{Status: status(1, group.RolePrimary, 9), First: group.At(1, 9), Open: true}})
+		b.step(group.Vanished{Session: 1})
+		for _, a := range b.actions {
+			if r, ok := a.(group.Rollback); ok {
+				b.step(group.SlotLost{Slot: r.Slot})
+			}
+		}
+		b.step(group.Arrived{Request: group.Request{ID: 2, Session: 1, Deadline: b.now + time.Minute}})
+		gomega.Expect(b.endings()).To(gomega.BeEmpty())
+	})
+})
+
 var _ = ginkgo.Describe("A replica's answer", func() {
 	for name, c := range map[string]struct {
 		reply    group.Status
--- a/group/slots.go
+++ b/group/slots.go
@@ -84,9 +84,7 @@
 }
 
 func (m *Machine) drop(s *slot) {
-	if s.session != 0 {
-		delete(m.pinned, s.session)
-	}
+	m.unpin(s)
 	if s.run != nil {
 		delete(m.runs, s.run.id)
 	}
@@ -103,7 +101,7 @@
 	if s == nil {
 		return
 	}
-	if s.session != 0 {
+	if s.session != 0 && m.pinned[s.session] == s {
 		m.aborted[s.session] = true
 	}
 	if !s.ready {
@@ -180,21 +178,30 @@
 }
 
 func (m *Machine) pin(s *slot, r *run, open bool) {
-	if s.session != 0 {
-		delete(m.pinned, s.session)
-	}
+	m.unpin(s)
 	s.session = 0
 	if open {
 		s.session = r.session
+	}
+	if open && !r.rollback {
 		m.pinned[r.session] = s
 	}
 }
 
-// endOrphan cleans a slot whose caller is gone.
+// unpin ends a session's claim on the slot of its transaction, if it has one.
+func (m *Machine) unpin(s *slot) {
+	if s.session != 0 && m.pinned[s.session] == s {
+		delete(m.pinned, s.session)
+	}
+}
+
+// endOrphan cleans a slot whose caller is gone, or has failed its transaction and
+// goes on: what the caller asks next runs elsewhere.
 func (m *Machine) endOrphan(s *slot) {
 	if s.session == 0 {
 		return
 	}
+	m.unpin(s)
 	r := &run{id: m.nextID(), slot: s, session: s.session, rollback: true, deadline: m.now + m.Limits.Fresh}
 	m.runs[r.id] = r
 	s.run = r
