End a link on which a transaction is opened inside another

Change: the holder ends the link, which rolls back what is open, and logs it; an order of unknown kind ends the link as well. Before, it sent a statement of its own making. Test: relay "ends when a transaction is opened inside another" failed before.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -143,6 +143,9 @@
 	if q.Kind == kindRollback {
 		return query.Reply{}, nil
 	}
+	if q.Kind < kindBegin || q.Kind > kindLocate {
+		return query.Reply{}, fmt.Errorf("relay order of kind %d: %w", q.Kind, ErrOrder)
+	}
 	slot, err := r.acquire(ctx, until)
 	if err != nil {
 		r.server.Log.Info("relayed statement found no connection", "request", q.ID, "target", r.hello.Target, "reason", err.Error())
@@ -193,8 +196,13 @@
 	return slot, nil
 }
 
-// inside runs an order in the open transaction.
+// inside runs an order in the open transaction. One that cannot stand there ends
+// the link, and with it the transaction.
 func (r *relay) inside(q *request, until time.Duration) (query.Reply, error) {
+	if q.Kind != kindForward && q.Kind != kindPlan && q.Kind != kindRollback {
+		r.server.Log.Info("order came inside a transaction", "kind", q.Kind, "target", r.hello.Target, "from", r.conn.RemoteAddr().String())
+		return query.Reply{}, fmt.Errorf("relay order of kind %d inside a transaction: %w", q.Kind, ErrOrder)
+	}
 	if err := r.slot.Align(&r.state, until); err != nil {
 		return query.Reply{}, fmt.Errorf("align transaction: %w", err)
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -236,6 +236,16 @@
 		}}))
 	})
 
+	ginkgo.It("ends when a transaction is opened inside another, which is rolled back", func() {
+		h := newHolder(1)
+		l := dial(dialer(nil, h.address()))
+		tell(l, pool.Begin{})
+		gomega.Expect(l.Send(pool.Begin{})).To(gomega.Succeed())
+		_, err := l.Receive()
+		gomega.Expect(err).To(gomega.HaveOccurred())
+		gomega.Eventually(h.told).Should(gomega.Equal([][]string{{"begin", "rollback"}}))
+	})
+
 	ginkgo.It("answers as busy, and not run, what finds no connection in time", func() {
 		h := newHolder(1)
 		d := dialer(nil, h.address())
