Register a relayed link before its hello is answered

Cause: Server.serve answered the hello before Server.addLink registered the link, so that a link opened just before Server.Drain was not among those that it ends, and stayed open for 15 s. A second window had the same effect: a link that found the server running, and was marked as idle after Drain had passed it over.

Change: admit registers the link, or refuses it, under the lock that Drain takes; a link looks again whether the server stops once it is marked as idle.

The metrics spec read before the first VM had the second one's entry. A VM does not need to know the others to serve callers, so it is not ready too early; the spec waits for the entry for as long as a change in the store may take (recoveryTimeout, as elsewhere), and checks the same lines.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -436,18 +436,27 @@
 var _ = ginkgo.Describe("Metrics", func() {
 	ginkgo.It("report the configuration, the leader record, the VMs and each group's load", func() {
 		f := openFixture(threeZones, 2)
+		// A VM can serve before it knows the others; a change in the store reaches
+		// it within recoveryTimeout.
+		gomega.Eventually(f.vms[0].readMetrics, recoveryTimeout, "20ms").Should(gomega.ContainSubstring("amaranthsill_vms 2"))
 		f.vms[0].session("choir-own").must("WRITE bar 1")
-		a, err := http.Get("http://" + f.vms[0].metrics + "/metrics")
-		gomega.Expect(err).NotTo(gomega.HaveOccurred())
-		defer func() { _ = a.Body.Close() }()
-		text, err := io.ReadAll(a.Body)
-		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		text := f.vms[0].readMetrics()
 		for _, line := range []string{
 			"amaranthsill_configuration_version 3", "amaranthsill_vms 2", "amaranthsill_record_age_seconds 0.",
 			`amaranthsill_waiting_statements{group="choir"} 0`, `amaranthsill_target_connections{group="choir",use="idle"}`,
 			`amaranthsill_statements_total{outcome="done",route="choir-own"} 1`,
 		} {
-			gomega.Expect(string(text)).To(gomega.ContainSubstring(line))
+			gomega.Expect(text).To(gomega.ContainSubstring(line))
 		}
 	})
 })
+
+// readMetrics returns the VM's metrics as text.
+func (v *vm) readMetrics() string {
+	a, err := http.Get("http://" + v.metrics + "/metrics")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = a.Body.Close() }()
+	text, err := io.ReadAll(a.Body)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return string(text)
+}
--- a/relay/server.go
+++ b/relay/server.go
@@ -87,25 +87,30 @@
 	}
 	// The link has ended, whether or not closing succeeds.
 	defer func() { _ = conn.Close() }()
+	defer s.removeLink(r)
 	if err := r.handshake(); err != nil {
 		s.Log.V(1).Info("link not opened", "from", conn.RemoteAddr().String(), "reason", err.Error())
 		return
 	}
-	s.addLink(r)
-	defer s.removeLink(r)
 	err := r.run(ctx)
 	if err != nil && !errors.Is(err, io.EOF) {
 		s.Log.V(1).Info("link closed on error", "from", conn.RemoteAddr().String(), "target", r.hello.Target, "reason", err.Error())
 	}
 }
 
-func (s *Server) addLink(r *serverLink) {
+// addLink registers a link, so that Drain ends it. It returns false if the server
+// is stopping.
+func (s *Server) addLink(r *serverLink) bool {
 	s.lock.Lock()
 	defer s.lock.Unlock()
+	if s.stopping {
+		return false
+	}
 	if s.links == nil {
 		s.links = map[*serverLink]bool{}
 	}
 	s.links[r] = true
+	return true
 }
 
 func (s *Server) removeLink(r *serverLink) {
@@ -114,18 +119,16 @@
 	delete(s.links, r)
 }
 
-// admit returns the pool for a link and the reply to its hello. The hello names
-// a target, but pools are per group: the link acquires connections to its target
-// from the group's pool by pool.Need.Target. The pool is nil if the link is
-// refused, or if the hello names no target and so only asks whether the holder
+// admit registers a link and returns its pool and the reply to its hello. The
+// hello names a target, but pools are per group: the link acquires connections to
+// its target from the group's pool by pool.Need.Target. The pool is nil if the link
+// is refused, or if the hello names no target and so only asks whether the holder
 // answers.
-func (s *Server) admit(h hello) (*pool.Group, query.Reply) {
+func (s *Server) admit(r *serverLink) (*pool.Group, query.Reply) {
+	h := r.hello
 	if h.Target == "" {
 		return nil, query.Reply{}
 	}
-	if s.isStopping() {
-		return nil, busyReply("holder stops", query.StateIdle)
-	}
 	g, ok := s.Group(h.Group)
 	if !ok {
 		return nil, busyReply("no connections of this group are held here", query.StateIdle)
@@ -133,5 +136,8 @@
 	if _, known := g.Target(h.Target); !known || g.Health(h.Target).FailingFor > 0 {
 		return nil, busyReply("target is not reached from here", query.StateIdle)
 	}
+	if !s.addLink(r) {
+		return nil, busyReply("holder stops", query.StateIdle)
+	}
 	return g, query.Reply{Position: g.Position(h.Target)}
 }
--- a/relay/serverlink.go
+++ b/relay/serverlink.go
@@ -31,6 +31,8 @@
 	prepared *query.Plan
 	// slot is the connection of the open transaction; nil if there is none.
 	slot *pool.Slot
+	// used reports that an order has arrived on the link.
+	used bool
 
 	lock sync.Mutex
 	// idle is true while the link waits for an order outside a transaction.
@@ -46,7 +48,7 @@
 	if err := r.decoder.Decode(&r.hello); err != nil {
 		return fmt.Errorf("read hello: %w", err)
 	}
-	g, answer := r.server.admit(r.hello)
+	g, answer := r.server.admit(r)
 	if err := r.sendReply(answer); err != nil {
 		return err
 	}
@@ -65,6 +67,7 @@
 		if err := r.decoder.Decode(&q); err != nil {
 			return fmt.Errorf("read order: %w", err)
 		}
+		r.used = true
 		r.setIdle(false)
 		if r.slot == nil && !r.isHolder() {
 			return r.sendReply(busyReply("connections of this group are held elsewhere now", query.StateIdle))
@@ -88,12 +91,17 @@
 }
 
 // prepareRead sets the read timeout for the next order. It returns false if
-// the link is to be closed instead.
+// the link is to be closed instead. A link that is still unused when the holder
+// stops waits for drainGrace, since its first order may be on its way.
 func (r *serverLink) prepareRead() bool {
-	if r.slot == nil && r.server.isStopping() {
+	stopping := r.server.isStopping()
+	if r.slot == nil && stopping && r.used {
 		return false
 	}
 	limit := linkIdleTimeout
+	if stopping {
+		limit = drainGrace
+	}
 	if r.slot != nil {
 		limit = r.server.TransactionIdleTimeout() + transactionIdleMargin
 	}
@@ -101,6 +109,10 @@
 		return false
 	}
 	r.setIdle(r.slot == nil)
+	if r.slot == nil && !stopping && r.server.isStopping() {
+		// Drain began before the link was marked as idle, and so passed it over.
+		r.endIdle()
+	}
 	return true
 }
 
