--- a/internal/socket/accept.go
+++ b/internal/socket/accept.go
@@ -18,7 +18,11 @@
 // Acceptor accepts connections and serves each in a goroutine of its own. It is meant to
 // be embedded; the zero value is ready for use.
 type Acceptor struct {
-	connections sync.WaitGroup
+	lock sync.Mutex
+	// open is the number of connections being served, and drained is closed when
+	// it becomes zero; nil if nobody waits for that.
+	open    int
+	drained chan struct{}
 }
 
 // Accept calls serve for each connection until the listener is closed, and then returns
@@ -31,7 +35,11 @@
 			return nil
 		}
 		if err == nil {
-			a.connections.Go(func() { serve(conn) })
+			a.begin()
+			go func() {
+				defer a.end()
+				serve(conn)
+			}()
 			continue
 		}
 		log.Error(err, "failed to accept a connection; retrying", "address", l.Addr().String())
@@ -44,14 +52,36 @@
 }
 
 // Await waits until serve has returned for all accepted connections, or the context ends.
+// Connections may be accepted meanwhile, which a sync.WaitGroup would not allow.
 func (a *Acceptor) Await(ctx context.Context) {
-	done := make(chan struct{})
-	go func() {
-		a.connections.Wait()
-		close(done)
-	}()
+	a.lock.Lock()
+	if a.open == 0 {
+		a.lock.Unlock()
+		return
+	}
+	if a.drained == nil {
+		a.drained = make(chan struct{})
+	}
+	drained := a.drained
+	a.lock.Unlock()
 	select {
-	case <-done:
+	case <-drained:
 	case <-ctx.Done():
 	}
 }
+
+func (a *Acceptor) begin() {
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	a.open++
+}
+
+func (a *Acceptor) end() {
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	a.open--
+	if a.open == 0 && a.drained != nil {
+		close(a.drained)
+		a.drained = nil
+	}
+}
