--- a/edge/budget.go
+++ b/edge/budget.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -12,7 +13,7 @@
 	"amaranthsill/pool"
 )
 
-// Timing of claims on target connections, and the key that picks the allocator.
+// Timing of claims on target connections.
 const (
 	// claimInterval is the time between two claims of a VM. A change in demand is
 	// answered within it.
@@ -22,16 +23,13 @@
 	// unresponsiveBackoff is how long a VM that did not answer a claim is not
 	// asked again.
 	unresponsiveBackoff = 3 * time.Second
-	// allocatorOrderKey ranks the VMs; the first one that answers is the
-	// allocator for all.
-	allocatorOrderKey = "divide"
 )
 
 // errNoAllocator reports that no VM is left that could allocate connections.
 var errNoAllocator = errors.New("no VM answers claims on target connections")
 
-// claimer periodically claims target connections from the allocator: the VM that
-// divides the targets' connections among all VMs.
+// claimer periodically claims target connections from each group's allocator: the VM
+// that divides the connections to the group's targets.
 type claimer struct {
 	*fleet
 	// unresponsive holds, by VM, when a claim last went unanswered.
@@ -51,11 +49,11 @@
 	}
 }
 
-// allocator returns the first VM in the ranking that has not left a claim
+// allocator returns the first of a group's allocators that has not left a claim
 // unanswered within unresponsiveBackoff; false if there is none.
-func (c *claimer) allocator() (Peer, bool) {
+func (c *claimer) allocator(group string) (Peer, bool) {
 	now := c.Now()
-	for _, p := range c.rankedPeers(allocatorOrderKey) {
+	for _, p := range c.holdersOf(group).allocators {
 		if at, ok := c.unresponsive[p.Name]; !ok || now-at > unresponsiveBackoff {
 			return p, true
 		}
@@ -63,29 +61,56 @@
 	return Peer{}, false
 }
 
-// claim asks the allocator for connections to the targets of all groups that this
-// VM connects to itself, and passes the budgets to the pools.
+// claim asks the allocators for connections to the targets of all groups that this
+// VM connects to itself, in one call to each, and passes the budgets to the pools.
 func (c *claimer) claim(ctx context.Context) error {
-	allocator, ok := c.allocator()
-	if !ok {
-		return errNoAllocator
-	}
-	q := &peerpb.DivideRequest{Vm: c.Settings.VM()}
 	pools := c.pools()
+	requests := map[Peer]*peerpb.DivideRequest{}
+	errs := []error{}
 	for name, g := range pools {
 		if !c.holdersOf(name).Self {
 			continue
 		}
-		for _, n := range g.Claims() {
+		claims := g.Claims()
+		if len(claims) == 0 {
+			continue
+		}
+		allocator, ok := c.allocator(name)
+		if !ok {
+			errs = append(errs, errNoAllocator)
+			continue
+		}
+		if requests[allocator] == nil {
+			requests[allocator] = &peerpb.DivideRequest{Vm: c.Settings.VM()}
+		}
+		q := requests[allocator]
+		for _, n := range claims {
 			q.Claims = append(q.Claims, &peerpb.Claim{Group: name, Target: n.Target, Open: uint32(n.Open), Wanted: uint32(n.Wanted)})
 		}
 	}
-	if len(q.GetClaims()) == 0 {
-		return nil
+	failed := make(chan error, len(requests))
+	lock := sync.Mutex{}
+	for allocator, q := range requests {
+		go func() {
+			err := c.claimFrom(ctx, allocator, q, pools)
+			if err != nil {
+				lock.Lock()
+				c.unresponsive[allocator.Name] = c.Now()
+				lock.Unlock()
+			}
+			failed <- err
+		}()
+	}
+	for range requests {
+		errs = append(errs, <-failed)
 	}
+	return errors.Join(errs...)
+}
+
+// claimFrom sends claims to one allocator and passes its budgets to the pools.
+func (c *claimer) claimFrom(ctx context.Context, allocator Peer, q *peerpb.DivideRequest, pools map[string]*pool.Group) error {
 	budgets, err := c.requestBudgets(ctx, allocator, q)
 	if err != nil {
-		c.unresponsive[allocator.Name] = c.Now()
 		return err
 	}
 	for i, b := range budgets {
--- a/edge/directory.go
+++ b/edge/directory.go
@@ -1,10 +1,10 @@
 package edge
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -53,10 +53,19 @@
 	Address string `json:"address"`
 	// Relay is where the VM accepts relayed links to targets.
 	Relay string `json:"relay"`
+	// Cores is the VM's processor, in cores; zero if it is unknown.
+	Cores float64 `json:"cores,omitempty"`
 	// Incarnation differs for each start of the VM.
 	Incarnation string `json:"incarnation"`
 }
 
+// position returns the entry without what changes at each start of the VM, so that
+// a restart alone does not change the membership.
+func (p Peer) position() Peer {
+	p.Incarnation = ""
+	return p
+}
+
 // decodePeer decodes a VM's entry. Its error wraps ErrInvalidPeer.
 func decodePeer(i store.Item) (Peer, error) {
 	p := Peer{}
@@ -96,11 +105,20 @@
 	advanced         chan struct{}
 	targets          map[string]*registration[pool.Target]
 	peers            map[string]*registration[Peer]
+	// byGroup holds the targets of each group, and present the membership; nil
+	// after a change, until they are used again.
+	byGroup map[string][]pool.Target
+	present *membership
+	// expiredAt is when Expire last ran.
+	expiredAt time.Duration
 	// recent holds the VMs that counted as running within recentPeerRetention, by
 	// name.
 	recent map[string]recentPeer
 	// selfRemoved is the revision at which this VM's entry was last removed.
 	selfRemoved uint64
+	// quiet suppresses the log lines of single targets and VMs while everything is
+	// read, since they would grow with the fleet.
+	quiet bool
 }
 
 // recentPeer is a VM that counts or recently counted as running, and the times at which
@@ -127,26 +145,24 @@
 	}
 }
 
-// Reset replaces everything under a prefix by the given items. Targets and VMs
-// that are not among them count as removed.
-func (d *Directory) Reset(prefix string, items []store.Item) {
+// Reset replaces everything by the items that the store held at or after a
+// revision. Known keys that are not among them count as removed at that revision,
+// so that peers that ask for changes learn of the removal as well.
+func (d *Directory) Reset(items []store.Item, revision uint64) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	d.init()
 	seen := map[string]bool{}
+	d.quiet = true
 	for _, i := range items {
 		seen[i.Key] = true
 		d.apply(i)
 	}
-	now := d.Now()
-	for id, t := range d.targets {
-		if strings.HasPrefix(t.item.Key, prefix) && !seen[t.item.Key] {
-			d.targetRemoved(id, now)
-		}
-	}
-	for name, p := range d.peers {
-		if strings.HasPrefix(p.item.Key, prefix) && !seen[p.item.Key] {
-			d.peerRemoved(name, now)
+	d.quiet = false
+	d.Log.Info("read everything from the store", "revision", revision, "keys", len(items), "targets", len(d.targets), "vms", len(d.peers))
+	for key, i := range d.items {
+		if !seen[key] && !i.Deleted && i.Revision <= revision {
+			d.apply(store.Item{Key: key, Revision: max(revision, i.Revision+1), Deleted: true})
 		}
 	}
 }
@@ -203,26 +219,18 @@
 	return d.completeRevision
 }
 
-// AwaitNewer returns once CompleteRevision is above the given revision, after the
-// given wait, or when the context ends.
-func (d *Directory) AwaitNewer(ctx context.Context, revision uint64, wait time.Duration) {
+// Advanced returns a channel that is closed once CompleteRevision grows; nil if it is
+// above the given revision already.
+func (d *Directory) Advanced(revision uint64) <-chan struct{} {
 	d.lock.Lock()
-	if d.completeRevision > revision || wait <= 0 {
-		d.lock.Unlock()
-		return
+	defer d.lock.Unlock()
+	if d.completeRevision > revision {
+		return nil
 	}
 	if d.advanced == nil {
 		d.advanced = make(chan struct{})
 	}
-	changed := d.advanced
-	d.lock.Unlock()
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	select {
-	case <-changed:
-	case <-t.C:
-	case <-ctx.Done():
-	}
+	return d.advanced
 }
 
 // applyTarget records a target's entry, or its removal.
@@ -239,6 +247,11 @@
 		return
 	}
 	old := d.targets[id]
+	d.byGroup = nil
+	if old == nil && d.quiet {
+		d.targets[id] = &registration[pool.Target]{entry: t, item: i}
+		return
+	}
 	if old == nil || old.entry.Draining != t.Draining || old.entry.Role != t.Role || old.entry.Incarnation != t.Incarnation {
 		d.Log.Info("target changed", "target", id, "group", t.Group, "zone", t.Zone, "role", t.Role.String(), "draining", t.Draining, "revision", i.Revision)
 	}
@@ -256,6 +269,7 @@
 	if t.entry.Draining {
 		d.Log.Info("draining target left", "target", id)
 		delete(d.targets, id)
+		d.byGroup = nil
 		return
 	}
 	if t.absentSince == 0 {
@@ -279,9 +293,13 @@
 		d.Log.Info("VM's entry cannot be decoded; ignoring it", "key", i.Key, "reason", err.Error())
 		return
 	}
-	if d.peers[name] == nil {
+	old := d.peers[name]
+	if old == nil && !d.quiet {
 		d.Log.Info("VM joined", "peer", name, "zone", p.Zone, "address", p.Address)
 	}
+	if old == nil || old.entry.position() != p.position() {
+		d.present = nil
+	}
 	d.peers[name] = &registration[Peer]{entry: p, item: i}
 }
 
@@ -332,16 +350,26 @@
 	return list
 }
 
-// Expire drops the targets and VMs whose retention after removal is over.
+// expireInterval is the least time between two passes of Expire, which takes time
+// in proportion to the number of keys.
+const expireInterval = 250 * time.Millisecond
+
+// Expire drops the targets and VMs whose retention after removal is over, at most
+// once in expireInterval.
 func (d *Directory) Expire() {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	d.init()
 	now := d.Now()
+	if d.expiredAt != 0 && now-d.expiredAt < expireInterval {
+		return
+	}
+	d.expiredAt = now
 	for id, t := range d.targets {
 		if t.absentSince != 0 && now-t.absentSince > targetRetention {
 			d.Log.Info("target was absent for too long; dropping it", "target", id)
 			delete(d.targets, id)
+			d.byGroup = nil
 		}
 	}
 	d.pruneTombstones()
@@ -361,6 +389,7 @@
 		if p.absentSince != 0 && now-p.absentSince > peerRetention {
 			d.Log.Info("VM was absent for too long; no longer counting it", "peer", name)
 			delete(d.peers, name)
+			d.present = nil
 		}
 	}
 }
@@ -379,46 +408,48 @@
 }
 
 // Targets returns the targets of a group, including those that are absent from
-// the store for less than targetRetention.
+// the store for less than targetRetention. The caller must not change them.
 func (d *Directory) Targets(group string) []pool.Target {
 	d.lock.Lock()
 	defer d.lock.Unlock()
-	list := []pool.Target{}
-	for _, t := range d.targets {
-		if t.entry.Group == group {
-			list = append(list, t.entry)
+	return d.grouped()[group]
+}
+
+// grouped returns the targets by group. The caller holds the lock.
+func (d *Directory) grouped() map[string][]pool.Target {
+	if d.byGroup == nil {
+		d.byGroup = map[string][]pool.Target{}
+		for _, t := range d.targets {
+			d.byGroup[t.entry.Group] = append(d.byGroup[t.entry.Group], t.entry)
 		}
 	}
-	return list
+	return d.byGroup
 }
 
 // Groups returns the sorted names of the groups that have targets.
 func (d *Directory) Groups() []string {
 	d.lock.Lock()
 	defer d.lock.Unlock()
-	names := map[string]bool{}
-	for _, t := range d.targets {
-		names[t.entry.Group] = true
-	}
-	list := []string{}
-	for n := range names {
-		list = append(list, n)
-	}
-	slices.Sort(list)
-	return list
+	return slices.Sorted(maps.Keys(d.grouped()))
 }
 
 // Peers returns the VMs that may be running, sorted by name. This VM is among
 // them if it is registered.
-func (d *Directory) Peers() []Peer {
+func (d *Directory) Peers() []Peer { return slices.Clone(d.members().peers) }
+
+// members returns the VMs that may be running as a membership.
+func (d *Directory) members() *membership {
 	d.lock.Lock()
 	defer d.lock.Unlock()
-	list := []Peer{}
-	for _, p := range d.peers {
-		list = append(list, p.entry)
+	if d.present == nil {
+		list := []Peer{}
+		for _, p := range d.peers {
+			list = append(list, p.entry)
+		}
+		slices.SortFunc(list, func(a, b Peer) int { return strings.Compare(a.Name, b.Name) })
+		d.present = newMembership(list)
 	}
-	slices.SortFunc(list, func(a, b Peer) int { return strings.Compare(a.Name, b.Name) })
-	return list
+	return d.present
 }
 
 // recentPeers returns the other VMs that counted as running within
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -24,8 +23,6 @@
 	yieldTimeout = 400 * time.Millisecond
 	// recallTimeout bounds one Recall call, without the time it is asked to wait.
 	recallTimeout = 400 * time.Millisecond
-	// recallInterval is the time between two rounds of Recall calls.
-	recallInterval = 200 * time.Millisecond
 	// storeStaleAfter is the age of the store's last confirmation of the leader
 	// record from which on other VMs are asked for theirs.
 	storeStaleAfter = 600 * time.Millisecond
@@ -80,27 +77,47 @@
 	return mux
 }
 
-// Yield implements succession.Fleet. A VM that does not answer is asked again
+// Yield implements succession.Fleet. The record travels along the overlay of each
+// zone; VMs that do not confirm it that way within gatherTimeout are asked one by one
 // until the context ends.
 func (f *fleet) Yield(ctx context.Context, r succession.Record) ([]succession.Member, <-chan succession.Member) {
 	others := f.directory.recentPeers()
 	yields := make(chan succession.Member, len(others))
 	members := []succession.Member{}
+	zones := map[string][]recentPeer{}
 	for _, p := range others {
 		members = append(members, f.member(p))
+		zones[p.Zone] = append(zones[p.Zone], p)
 	}
 	encoded, err := r.Encode()
 	if err != nil {
 		f.Log.Error(err, "leader record cannot be encoded; other VMs are not asked to yield")
 		return members, yields
 	}
-	q := &peerpb.YieldRequest{Record: &peerpb.Item{Key: succession.RecordKey, Value: encoded, Revision: r.Revision}}
-	for _, p := range others {
-		go f.requestYield(ctx, p, q, yields)
+	record := &peerpb.Item{Key: succession.RecordKey, Value: encoded, Revision: r.Revision}
+	for zone, inZone := range zones {
+		go f.yieldInZone(ctx, zone, inZone, record, yields)
 	}
 	return members, yields
 }
 
+// yieldInZone passes a record on to the VMs of one zone and sends each that has taken
+// it in to yields.
+func (f *fleet) yieldInZone(ctx context.Context, zone string, inZone []recentPeer, record *peerpb.Item, yields chan<- succession.Member) {
+	yielded := map[string]bool{}
+	for _, s := range f.gatherZone(ctx, zone, record) {
+		yielded[s.GetName()] = s.GetRecord() >= record.GetRevision()
+	}
+	q := &peerpb.YieldRequest{Record: record}
+	for _, p := range inZone {
+		if yielded[p.Name] {
+			yields <- f.member(p)
+			continue
+		}
+		go f.requestYield(ctx, p, q, yields)
+	}
+}
+
 // member returns a VM as a member of the succession. It is established, and so
 // counted in quorums, once it has been registered for establishedAfter. On the
 // first start of the whole system all VMs are established from the beginning.
@@ -175,7 +192,7 @@
 // Recall implements peerpbconnect.FleetHandler.
 func (s fleetServer) Recall(ctx context.Context, q *connect.Request[peerpb.RecallRequest]) (*connect.Response[peerpb.RecallResponse], error) {
 	arrived := s.Now()
-	s.directory.AwaitNewer(ctx, q.Msg.GetSince(), time.Duration(q.Msg.GetWait())*time.Millisecond)
+	s.awaitNews(ctx, q.Msg.GetSince(), q.Msg.GetSeen(), time.Duration(q.Msg.GetWait())*time.Millisecond)
 	waited := s.Now() - arrived
 	// The mover and the grants are read before the revision: a move that begins
 	// in between then began after the request arrived.
@@ -186,89 +203,83 @@
 		age = (s.Now() - confirmedAt).Milliseconds() + 1
 	}
 	r := &peerpb.RecallResponse{Complete: s.directory.CompleteRevision(), Record: revision, Age: age, Resting: idle, Incarnation: s.incarnation, Waited: uint32(waited.Milliseconds())}
+	r.Confirmations = s.grants.Confirmations()
+	if validAt, ever := s.grants.ValidFrom(revision); ever {
+		r.Valid = uint64((s.Now() - validAt).Milliseconds()) + 2
+	}
 	for _, i := range s.directory.ItemsSince(q.Msg.GetSince()) {
 		r.Items = append(r.Items, &peerpb.Item{Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted})
 	}
 	return connect.NewResponse(r), nil
 }
 
+// awaitNews returns once every change up to a later revision is known, once the leader
+// record was confirmed after the given number of confirmations, after the given wait,
+// or when the context ends.
+func (f *fleet) awaitNews(ctx context.Context, revision, confirmations uint64, wait time.Duration) {
+	advanced := f.directory.Advanced(revision)
+	confirmed := f.grants.ConfirmedAfter(confirmations)
+	if advanced == nil || confirmed == nil || wait <= 0 {
+		return
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-advanced:
+	case <-confirmed:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 // itemFromMessage returns the store's item from a message.
 func itemFromMessage(i *peerpb.Item) store.Item {
 	return store.Item{Key: i.GetKey(), Value: i.GetValue(), Revision: i.GetRevision(), Deleted: i.GetDeleted()}
 }
 
-// peerPoller asks the other VMs for changes and confirmations while this VM's
-// last confirmation by the store is older than storeStaleAfter.
-type peerPoller struct{ *fleet }
-
-// run polls the other VMs when needed, until the context ends.
-func (r *peerPoller) run(ctx context.Context) {
-	for ctx.Err() == nil {
-		sleep(ctx, recallInterval+rand.N(recallInterval/4))
-		_, confirmedAt, confirmed := r.grants.StoreConfirmation()
-		if confirmed && r.Now()-confirmedAt < storeStaleAfter {
-			continue
-		}
-		r.poll(ctx)
+// follow asks a VM to wait for something newer, and applies it as recall does.
+func (f *fleet) follow(ctx context.Context, p Peer, wait time.Duration) *peerpb.RecallResponse {
+	a := f.recall(ctx, p.Address, &peerpb.RecallRequest{Wait: uint32(wait.Milliseconds()), Seen: f.sources.lastSeen(p.Name)})
+	f.sources.recordAnswer(p.Name, f.Now(), a != nil, a.GetConfirmations())
+	if len(a.GetItems()) > 0 {
+		f.wakeSupervisor()
 	}
+	return a
 }
 
-// poll asks all other VMs once and applies what they know, including
-// confirmations that they got from the store. Independently of the store, the
-// leader record counts as confirmed if more than two thirds of all VMs, this one
-// included, are moving no leadership and none that answered knows a newer record.
-func (r *peerPoller) poll(ctx context.Context) {
-	sent := r.Now()
-	others := r.directory.recentPeers()
-	answers := make([]*peerpb.RecallResponse, len(others))
-	wait := sync.WaitGroup{}
-	for i, p := range others {
-		wait.Go(func() { answers[i] = r.recall(ctx, p.Address, sent, 0) })
-	}
-	if len(others) == 0 {
-		for _, address := range r.settings().Seeds() {
-			wait.Go(func() { r.recall(ctx, address, sent, 0) })
-		}
-	}
-	wait.Wait()
-	r.wakeSupervisor()
-	revision, _, _ := r.grants.StoreConfirmation()
-	confirming := 1
-	for _, a := range answers {
-		if a == nil {
-			continue
-		}
-		if a.GetRecord() > revision {
-			return
-		}
-		if a.GetResting() {
-			confirming++
-		}
-	}
-	if 3*confirming > 2*(len(others)+1) && r.mover.Idle() && r.grants.ConfirmedSinceStart() {
-		r.grants.ConfirmByPeers(revision, sent)
+// isFresh reports whether a response confirms the leader record as of at most
+// storeStaleAfter ago.
+func (f *fleet) isFresh(a *peerpb.RecallResponse) bool {
+	age := a.GetAge()
+	if a.GetValid() > 0 && (age < 0 || int64(a.GetValid()) < age) {
+		age = int64(a.GetValid())
 	}
+	return age >= 0 && time.Duration(age)*time.Millisecond <= storeStaleAfter
 }
 
-// recall calls Recall on one VM and applies the changes and the confirmation in
-// its response. The given times are when the round began and how long the VM may
-// wait for something newer. It returns nil if the VM does not answer.
-func (f *fleet) recall(ctx context.Context, address string, sent, wait time.Duration) *peerpb.RecallResponse {
-	ctx, cancel := context.WithTimeout(ctx, recallTimeout+wait)
+// recall calls Recall on one VM and applies the changes and the confirmations in its
+// response. It returns nil if the VM does not answer.
+func (f *fleet) recall(ctx context.Context, address string, q *peerpb.RecallRequest) *peerpb.RecallResponse {
+	ctx, cancel := context.WithTimeout(ctx, recallTimeout+time.Duration(q.GetWait())*time.Millisecond)
 	defer cancel()
-	q := &peerpb.RecallRequest{Since: f.directory.CompleteRevision(), Wait: uint32(wait.Milliseconds())}
-	a, err := f.client(address).Recall(ctx, connect.NewRequest(q))
+	sent := f.Now()
+	q.Since = f.directory.CompleteRevision()
+	r, err := f.client(address).Recall(ctx, connect.NewRequest(q))
 	if err != nil {
 		f.Log.V(1).Info("VM did not answer a request for changes", "address", address, "reason", err.Error())
 		return nil
 	}
-	for _, i := range a.Msg.GetItems() {
+	a := r.Msg
+	for _, i := range a.GetItems() {
 		f.directory.Apply(itemFromMessage(i))
 	}
-	f.directory.MarkComplete(a.Msg.GetComplete())
-	if a.Msg.GetAge() >= 0 {
-		answeredAt := sent + time.Duration(a.Msg.GetWaited())*time.Millisecond
-		f.grants.ConfirmRevision(a.Msg.GetRecord(), answeredAt-time.Duration(a.Msg.GetAge())*time.Millisecond)
+	f.directory.MarkComplete(a.GetComplete())
+	answeredAt := sent + time.Duration(a.GetWaited())*time.Millisecond
+	if a.GetAge() >= 0 {
+		f.grants.ConfirmRevision(a.GetRecord(), answeredAt-time.Duration(a.GetAge())*time.Millisecond)
+	}
+	if a.GetValid() > 0 {
+		f.grants.Extend(a.GetRecord(), answeredAt-time.Duration(a.GetValid())*time.Millisecond)
 	}
-	return a.Msg
+	return a
 }
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -27,15 +27,15 @@
 	// be starting too; startupBatchInterval replaces batchInterval in it.
 	startupPeriod        = 5 * time.Second
 	startupBatchInterval = 750 * time.Millisecond
-	// peerFollowTimeout is how long a zone watcher is asked to wait for
-	// something newer. Its confirmation of the leader record must still be fresh
-	// afterwards.
-	peerFollowTimeout = 250 * time.Millisecond
-	// maxZoneWatchers is how many VMs of a zone follow the store for the whole
-	// zone. The second follows the first, and replaces it when it fails.
-	maxZoneWatchers = 2
-	// watcherOrderKey ranks the VMs of a zone; the first are its watchers.
-	watcherOrderKey = "spread"
+	// peerFollowTimeout is how long another VM is asked to wait for something
+	// newer. A confirmation of the leader record ends the wait, so that this is
+	// also the time in which a VM that no longer gets any is noticed.
+	peerFollowTimeout = 450 * time.Millisecond
+	// silentBackoff is how long a VM that did not answer is not followed.
+	silentBackoff = 2 * time.Second
+	// registrationTimeout is how long a VM that starts waits for its registration
+	// before it reads everything, so that it finds the VMs that started with it.
+	registrationTimeout = 500 * time.Millisecond
 	// firstSyncTimeout and maxSyncTimeout bound the attempts to read everything;
 	// each attempt may take twice as long as the one before. A store that was
 	// silent at the first attempt, as after a loss of power, may answer the next
@@ -55,8 +55,6 @@
 // storeFollower keeps the directory in step with the store.
 type storeFollower struct {
 	*VM
-	// synced reports that everything was read and changes are being followed.
-	synced bool
 	// syncTimeout is the timeout of the current or last attempt to read
 	// everything; zero after a success.
 	syncTimeout time.Duration
@@ -64,6 +62,53 @@
 	lastCall time.Duration
 }
 
+// sourceLog is what a VM remembers of the VMs that it follows.
+type sourceLog struct {
+	lock sync.Mutex
+	// silentUntil holds, by name, until when a VM is not followed since it did
+	// not answer; seen holds the Confirmations of its last response.
+	silentUntil map[string]time.Duration
+	seen        map[string]uint64
+	// answeredAt is when a VM last answered; negative if none ever did.
+	answeredAt time.Duration
+}
+
+// recordAnswer notes a response with a number of confirmations, or that there was
+// none.
+func (l *sourceLog) recordAnswer(name string, now time.Duration, answered bool, confirmations uint64) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	if !answered {
+		l.silentUntil[name] = now + silentBackoff
+		return
+	}
+	delete(l.silentUntil, name)
+	l.seen[name] = confirmations
+	l.answeredAt = now
+}
+
+// lastSeen returns the Confirmations of a VM's last response.
+func (l *sourceLog) lastSeen(name string) uint64 {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	return l.seen[name]
+}
+
+// answering returns the VMs that have not left a call unanswered within
+// silentBackoff.
+func (l *sourceLog) answering(peers []Peer, now time.Duration) []Peer {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	return slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return now < l.silentUntil[p.Name] })
+}
+
+// silentFor returns for how long no VM has answered.
+func (l *sourceLog) silentFor(now time.Duration) time.Duration {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	return now - l.answeredAt
+}
+
 // run follows the store until the context ends.
 func (f *storeFollower) run(ctx context.Context) {
 	b := clock.Backoff{Min: minStoreBackoff}
@@ -80,20 +125,28 @@
 }
 
 // step reads everything from the store if that was not done yet. Otherwise it
-// waits once for changes: it asks the zone's watchers that rank before this VM,
-// and the store if there is none or none has a fresh confirmation.
+// waits once for changes, from the VMs that this one follows in the overlay. It asks
+// the store if none of them answers, and if none that answers has a fresh
+// confirmation and this VM is a zone watcher.
 func (f *storeFollower) step(ctx context.Context) error {
-	if !f.synced {
+	if !f.synced.Load() {
+		f.awaitRegistration(ctx)
 		return f.sync(ctx)
 	}
-	if f.followPeer(ctx) {
+	switch f.followPeers(ctx) {
+	case followedFresh:
 		return nil
+	case followedStale:
+		if !f.isZoneWatcher() {
+			return nil
+		}
+	case followedNone:
 	}
 	f.awaitBatch(ctx)
 	items, revision, err := f.Adapter.Store.Watch(ctx, "", f.directory.CompleteRevision(), followTimeout)
 	if errors.Is(err, store.ErrCompacted) {
 		f.Log.Info("store no longer keeps the changes after this revision; reading everything again", "after", f.directory.CompleteRevision())
-		f.synced = false
+		f.synced.Store(false)
 		return nil
 	}
 	if err != nil {
@@ -125,102 +178,78 @@
 	f.lastCall = f.Now()
 }
 
-// followPeer waits for changes from the zone's watchers that rank before this VM.
-// It reports whether one of them answered with a fresh confirmation of the leader
-// record; if not, this VM has to call the store itself.
-func (f *storeFollower) followPeer(ctx context.Context) bool {
-	for _, p := range f.zoneWatchers() {
-		if p.Name == f.Settings.VM() {
-			return false
-		}
-		a := f.fleet.recall(ctx, p.Address, f.Now(), peerFollowTimeout)
-		if a == nil || a.GetAge() < 0 || time.Duration(a.GetAge())*time.Millisecond > storeStaleAfter {
+// awaitRegistration waits until this VM is registered, for registrationTimeout at
+// most.
+func (f *storeFollower) awaitRegistration(ctx context.Context) {
+	for waited := time.Duration(0); waited < registrationTimeout && !f.registered.Load() && ctx.Err() == nil; waited += registrationCheckInterval {
+		sleep(ctx, registrationCheckInterval)
+	}
+}
+
+// registrationCheckInterval is the time between two checks whether the VM has
+// registered.
+const registrationCheckInterval = 5 * time.Millisecond
+
+// followed is the outcome of following other VMs once.
+type followed int
+
+const (
+	// followedNone means that no VM answered, or that there is none to follow.
+	followedNone followed = iota
+	// followedStale means that those that answered had no fresh confirmation of
+	// the leader record.
+	followedStale
+	// followedFresh means that one had a fresh confirmation.
+	followedFresh
+)
+
+// followPeers waits for changes from the VMs that this one follows, until one has a
+// fresh confirmation of the leader record.
+func (f *storeFollower) followPeers(ctx context.Context) followed {
+	outcome := followedNone
+	for _, p := range f.sources.answering(f.ownZone().sources(f.Settings.VM()), f.Now()) {
+		a := f.fleet.follow(ctx, p, peerFollowTimeout)
+		if a == nil {
 			continue
 		}
-		if len(a.GetItems()) > 0 {
-			f.wakeSupervisor()
+		if f.fleet.isFresh(a) {
+			return followedFresh
 		}
-		return true
+		outcome = followedStale
 	}
-	return false
+	return outcome
 }
 
 // maxBackoff returns the longest pause between calls to a store that does not
 // answer.
 func (f *storeFollower) maxBackoff() time.Duration {
-	if !f.synced || f.isZoneWatcher() {
+	if !f.synced.Load() || f.isZoneWatcher() {
 		return watcherMaxBackoff
 	}
 	return nonWatcherMaxBackoff
 }
 
-// isZoneWatcher reports whether this VM may follow the store for its zone.
-func (v *VM) isZoneWatcher() bool {
-	return slices.ContainsFunc(v.zoneWatchers(), func(p Peer) bool { return p.Name == v.Settings.VM() })
-}
-
-// zoneWatchers returns the VMs that follow the store for this VM's zone, in the
-// order in which the others ask them.
-func (v *VM) zoneWatchers() []Peer {
-	inZone := slices.DeleteFunc(v.rankedPeers(watcherOrderKey), func(p Peer) bool { return p.Zone != v.Settings.Zone() })
-	return inZone[:min(len(inZone), maxZoneWatchers)]
-}
-
-// sync reads everything at once, in three concurrent calls. Changes are followed
-// from the lowest of the three revisions on, so that none is missed.
+// sync reads everything. Changes are followed from the revision of the reading on,
+// so that none is missed.
 func (f *storeFollower) sync(ctx context.Context) error {
 	f.syncTimeout = min(max(2*f.syncTimeout, firstSyncTimeout), maxSyncTimeout)
 	ctx, cancel := context.WithTimeout(ctx, f.syncTimeout)
 	defer cancel()
 	sent := f.Now()
-	var targets, own listResult
-	var configuration readResult
-	wait := sync.WaitGroup{}
-	wait.Go(func() { targets = f.list(ctx, f.Adapter.TargetPrefix) })
-	wait.Go(func() { own = f.list(ctx, proxyPrefix) })
-	wait.Go(func() { configuration = f.read(ctx, f.Adapter.ConfigurationKey) })
-	wait.Wait()
-	if err := errors.Join(targets.err, own.err, configuration.err); err != nil {
+	items, revision, err := f.Adapter.Store.List(ctx, "")
+	if err != nil {
 		return fmt.Errorf("read everything: %w", err)
 	}
-	f.directory.Apply(configuration.item)
-	f.directory.Reset(f.Adapter.TargetPrefix, targets.items)
-	f.directory.Reset(proxyPrefix, own.items)
-	f.confirmRecord(own.items, sent)
-	f.directory.MarkComplete(min(targets.revision, own.revision, configuration.revision))
-	f.synced = true
+	f.directory.Reset(items, revision)
+	f.confirmRecord(items, sent)
+	f.directory.MarkComplete(revision)
+	f.synced.Store(true)
 	f.syncTimeout = 0
 	f.storeAnswered()
 	f.wakeSupervisor()
 	return nil
 }
 
-// listResult is the result of listing a prefix.
-type listResult struct {
-	items    []store.Item
-	revision uint64
-	err      error
-}
-
-// list lists the keys under a prefix.
-func (f *storeFollower) list(ctx context.Context, prefix string) listResult {
-	items, revision, err := f.Adapter.Store.List(ctx, prefix)
-	return listResult{items: items, revision: revision, err: err}
-}
-
-// readResult is the result of reading a key.
-type readResult struct {
-	item     store.Item
-	revision uint64
-	err      error
-}
-
-// read reads one key.
-func (f *storeFollower) read(ctx context.Context, key string) readResult {
-	item, revision, err := f.Adapter.Store.Read(ctx, key)
-	return readResult{item: item, revision: revision, err: err}
-}
-
 // confirmRecord confirms the leader record that is among the items, if any. The
 // store held the items at or after the time sent.
 func (f *storeFollower) confirmRecord(items []store.Item, sent time.Duration) {
--- /dev/null
+++ b/edge/gather.go
@@ -0,0 +1,137 @@
+package edge
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"amaranthsill/peer/peerpb"
+	"amaranthsill/succession"
+)
+
+// Timeouts of gathering the states of VMs along the overlay.
+const (
+	// gatherTimeout bounds the gathering from one zone. It covers a round trip
+	// between regions and the levels of the overlay.
+	gatherTimeout = 250 * time.Millisecond
+	// gatherHop is the part of a VM's timeout that is left for the way back, so
+	// that the answers of others arrive although one VM does not answer.
+	gatherHop = 25 * time.Millisecond
+	// minGatherTimeout is the least timeout with which a VM is asked.
+	minGatherTimeout = 30 * time.Millisecond
+)
+
+// status returns this VM's own state.
+func (f *fleet) status() *peerpb.Status {
+	// The mover and the grants are read before the revision: a move that begins in
+	// between then began after the request arrived.
+	resting := f.mover.Idle() && f.grants.ConfirmedSinceStart()
+	revision, _, _ := f.grants.StoreConfirmation()
+	return &peerpb.Status{Name: f.Settings.VM(), Record: revision, Resting: resting}
+}
+
+// Gather implements peerpbconnect.FleetHandler.
+func (s fleetServer) Gather(ctx context.Context, q *connect.Request[peerpb.GatherRequest]) (*connect.Response[peerpb.GatherResponse], error) {
+	if q.Msg.GetRecord() != nil {
+		if err := s.observeRecord(q.Msg.GetRecord()); err != nil {
+			return nil, err
+		}
+	}
+	members := []*peerpb.Status{s.status()}
+	left := time.Duration(q.Msg.GetTimeout())*time.Millisecond - gatherHop
+	members = append(members, s.gatherBelow(ctx, q.Msg.GetRoot(), q.Msg.GetRecord(), left)...)
+	return connect.NewResponse(&peerpb.GatherResponse{Members: members}), nil
+}
+
+// gatherBelow returns the states of the VMs below this one in the overlay of its
+// zone; if it stands in for the root, of all others in the zone.
+func (f *fleet) gatherBelow(ctx context.Context, root bool, record *peerpb.Item, timeout time.Duration) []*peerpb.Status {
+	z := f.ownZone()
+	below := z.children(f.Settings.VM())
+	if root && len(z.order) > 0 && z.order[0].Name != f.Settings.VM() {
+		below = append(z.children(z.order[0].Name), below...)
+	}
+	return f.gatherFrom(ctx, z, below, record, timeout)
+}
+
+// gatherFrom returns the states of VMs of a zone, and of those below them. The
+// children of a VM that does not answer in half of the time are asked in its place.
+func (f *fleet) gatherFrom(ctx context.Context, z *zoneMembership, peers []Peer, record *peerpb.Item, timeout time.Duration) []*peerpb.Status {
+	if timeout < minGatherTimeout {
+		return nil
+	}
+	lock := sync.Mutex{}
+	members := []*peerpb.Status{}
+	wait := sync.WaitGroup{}
+	for _, p := range peers {
+		if p.Name == f.Settings.VM() {
+			continue
+		}
+		wait.Go(func() {
+			below := z.children(p.Name)
+			limit := timeout
+			if len(below) > 0 {
+				limit = timeout * 6 / 10
+			}
+			answers, ok := f.requestGather(ctx, p, false, record, limit)
+			if !ok {
+				answers = f.gatherFrom(ctx, z, below, record, timeout-limit)
+			}
+			lock.Lock()
+			defer lock.Unlock()
+			members = append(members, answers...)
+		})
+	}
+	wait.Wait()
+	return members
+}
+
+// requestGather calls Gather on one VM; false if it does not answer.
+func (f *fleet) requestGather(ctx context.Context, p Peer, root bool, record *peerpb.Item, timeout time.Duration) ([]*peerpb.Status, bool) {
+	limited, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	q := &peerpb.GatherRequest{Record: record, Root: root, Timeout: uint32(timeout.Milliseconds())}
+	a, err := f.client(p.Address).Gather(limited, connect.NewRequest(q))
+	if err == nil {
+		return a.Msg.GetMembers(), true
+	}
+	f.Log.V(1).Info("VM did not answer a request to gather the states of its zone", "peer", p.Name, "reason", err.Error())
+	return nil, false
+}
+
+// gatherZone returns the states of the VMs of a zone that answer within
+// gatherTimeout, without this VM's own. The record is passed on to them; it may be
+// nil.
+func (f *fleet) gatherZone(ctx context.Context, zone string, record *peerpb.Item) []*peerpb.Status {
+	z := f.directory.members().zone(zone)
+	contacts := f.sources.answering(z.order, f.Now())
+	for _, p := range contacts[:min(len(contacts), maxZoneWatchers)] {
+		isRoot := p.Name == z.order[0].Name
+		if p.Name == f.Settings.VM() {
+			return f.gatherBelow(ctx, !isRoot, record, gatherTimeout)
+		}
+		members, ok := f.requestGather(ctx, p, !isRoot, record, gatherTimeout/2)
+		if ok {
+			return members
+		}
+		f.sources.recordAnswer(p.Name, f.Now(), false, 0)
+	}
+	return nil
+}
+
+// recordMessage returns the newest known leader record as a message; nil if there is
+// none.
+func (f *fleet) recordMessage() *peerpb.Item {
+	r := f.grants.Record()
+	if r.Revision == 0 {
+		return nil
+	}
+	encoded, err := r.Encode()
+	if err != nil {
+		f.Log.Error(err, "leader record cannot be encoded; it is not passed on")
+		return nil
+	}
+	return &peerpb.Item{Key: succession.RecordKey, Value: encoded, Revision: r.Revision}
+}
--- a/edge/holders.go
+++ b/edge/holders.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"amaranthsill/catalog"
 	"amaranthsill/pool"
 	"amaranthsill/relay"
 )
@@ -29,9 +30,12 @@
 	// holding connections before it does so. VMs whose entries expired while the
 	// store was away have registered again by then.
 	holderChangeDelay = time.Second
-	// holderOrderKey, followed by the group, ranks the VMs of a zone; the first
-	// hold the group's connections.
-	holderOrderKey = "hold/"
+	// holderKey, followed by the group, places the group's connections on VMs of
+	// a zone.
+	holderKey = "hold/"
+	// allocatorOrderKey, followed by the group, ranks the VMs that may divide the
+	// group's connections.
+	allocatorOrderKey = "divide/"
 )
 
 // groupHolders says which VMs hold the connections to a group's targets, as this
@@ -43,6 +47,9 @@
 	// relayed reports that only some VMs hold connections; the others send their
 	// orders through these. It is false if every VM connects directly.
 	relayed bool
+	// allocators are the VMs that may divide the connections, in the order in
+	// which they are asked.
+	allocators []Peer
 }
 
 // holdersOf returns which VMs hold a group's connections. Before the first
@@ -54,6 +61,13 @@
 	return groupHolders{Holders: relay.Holders{Self: true}, vms: max(v.directory.PeerCount(), v.expectedVMs())}
 }
 
+// holderInputs is everything on which the holders of all groups depend.
+type holderInputs struct {
+	configuration *catalog.Configuration
+	members       *membership
+	vms           int
+}
+
 // updateHolders evaluates for every group which VMs hold its connections, and
 // replaces the open links of groups for which this VM starts or stops to hold
 // them. Only the supervisor calls it.
@@ -64,11 +78,15 @@
 	}
 	s.holdersCheckedAt = now
 	c := s.catalog.Current()
-	peers := s.directory.Peers()
-	vms := max(len(peers), s.VM.expectedVMs())
+	members := s.directory.members()
+	in := holderInputs{configuration: c, members: members, vms: max(len(members.peers), s.VM.expectedVMs())}
+	if in == s.holderInputs && len(s.holderChangeSince) == 0 {
+		return
+	}
+	s.holderInputs = in
 	next := map[string]groupHolders{}
 	for name, n := range c.Groups {
-		next[name] = s.chooseHolders(name, n.ConnectionLimit-controlConnections, vms, peers)
+		next[name] = s.chooseHolders(name, n.ConnectionLimit-controlConnections, in.vms, members)
 	}
 	before := *s.holders.Load()
 	changed := []string{}
@@ -111,45 +129,39 @@
 // While fewer than half of the expected VMs are registered, as when all start
 // together, every VM connects directly. A VM that starts alone finds the others
 // in the store.
-func (s *supervisor) chooseHolders(group string, connections, vms int, peers []Peer) groupHolders {
-	if connections >= minDirectConnections*vms || 2*len(peers) < vms {
-		return groupHolders{Holders: relay.Holders{Self: true}, vms: vms}
-	}
-	h := groupHolders{relayed: true}
-	for zone, holders := range holdersByZone(group, peers) {
-		h.vms += len(holders)
-		if zone != s.Settings.Zone() {
+func (s *supervisor) chooseHolders(group string, connections, vms int, members *membership) groupHolders {
+	all := members.holders(group)
+	allocators := ranked(all, allocatorOrderKey+group)
+	if connections >= minDirectConnections*vms || 2*len(members.peers) < vms {
+		return groupHolders{Holders: relay.Holders{Self: true}, vms: vms, allocators: allocators}
+	}
+	h := groupHolders{relayed: true, vms: len(all), allocators: allocators}
+	for _, p := range all {
+		if p.Zone != s.Settings.Zone() {
 			continue
 		}
-		for _, p := range holders {
-			h.Self = h.Self || p.Name == s.Settings.VM()
-			h.Addresses = append(h.Addresses, p.Relay)
-		}
+		h.Self = h.Self || p.Name == s.Settings.VM()
+		h.Addresses = append(h.Addresses, p.Relay)
 	}
 	return h
 }
 
-// holdersByZone returns by zone the VMs that hold a group's connections, in the
-// order in which other VMs try them.
-func holdersByZone(group string, peers []Peer) map[string][]Peer {
-	zones := map[string][]Peer{}
-	for _, p := range peers {
-		zones[p.Zone] = append(zones[p.Zone], p)
-	}
-	for zone, inZone := range zones {
-		sortByHash(inZone, holderOrderKey+group)
-		zones[zone] = inZone[:min(len(inZone), holdersPerZone)]
-	}
-	return zones
+// holders returns the VMs that hold a group's connections where they do not suffice
+// for all VMs: holdersPerZone of each zone, in the order in which the other VMs of
+// the zone try them.
+func (m *membership) holders(group string) []Peer {
+	list := []Peer{}
+	for _, z := range m.zones {
+		list = append(list, z.place(holderKey+group, holdersPerZone)...)
+	}
+	return list
 }
 
 // holdersFirst moves the VMs that hold a group's connections to the front.
-func holdersFirst(group string, order []Peer) []Peer {
+func (m *membership) holdersFirst(group string, order []Peer) []Peer {
 	isHolder := map[string]bool{}
-	for _, holders := range holdersByZone(group, order) {
-		for _, p := range holders {
-			isHolder[p.Name] = true
-		}
+	for _, p := range m.holders(group) {
+		isHolder[p.Name] = true
 	}
 	rank := func(p Peer) int {
 		if isHolder[p.Name] {
--- a/edge/leases.go
+++ b/edge/leases.go
@@ -85,15 +85,19 @@
 	}
 }
 
-// confirmedByPeer reports whether the last confirmation is fresh and this VM is
-// not the first watcher of its zone, from which the others get theirs.
+// confirmedByPeer reports whether this VM gets its confirmations from another one.
+// The root of the zone's overlay asks the store itself, other zone watchers if the
+// last confirmation is stale, and the rest only if no VM that they follow answers.
 func (c *recordConfirmer) confirmedByPeer() bool {
-	_, confirmedAt, confirmed := c.grants.StoreConfirmation()
-	if !confirmed || c.Now()-confirmedAt > storeStaleAfter {
+	z := c.ownZone()
+	if len(z.order) == 0 || z.order[0].Name == c.Settings.VM() {
 		return false
 	}
-	watchers := c.zoneWatchers()
-	return len(watchers) > 0 && watchers[0].Name != c.Settings.VM()
+	_, confirmedAt, confirmed := c.grants.StoreConfirmation()
+	if confirmed && c.Now()-confirmedAt <= storeStaleAfter {
+		return true
+	}
+	return !z.isWatcher(c.Settings.VM()) && c.synced.Load() && c.sources.silentFor(c.Now()) < storeStaleAfter
 }
 
 // repairLease reads the leader record again after its lease l has ended. If the
@@ -182,6 +186,7 @@
 		Zone:        r.Settings.Zone(),
 		Address:     r.Settings.PeerAddress(),
 		Relay:       r.Settings.RelayAddress(),
+		Cores:       r.Settings.Cores(),
 		Incarnation: r.incarnation,
 	})
 	if err != nil {
--- /dev/null
+++ b/edge/overlay_test.go
@@ -0,0 +1,131 @@
+package edge
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// zoneOf returns the membership of one zone with the VMs of the given numbers.
+func zoneOf(numbers ...int) *zoneMembership {
+	peers := []Peer{}
+	for _, n := range numbers {
+		peers = append(peers, Peer{Name: fmt.Sprintf("vm-%d", n), Zone: "coban"})
+	}
+	return newMembership(peers).zone("coban")
+}
+
+// upTo returns the numbers from zero to n, excluded.
+func upTo(n int) []int {
+	list := make([]int, n)
+	for i := range list {
+		list[i] = i
+	}
+	return list
+}
+
+// reach returns how often a message that starts at a VM reaches each VM.
+func reach(z *zoneMembership, from string) map[string]int {
+	count := map[string]int{from: 1}
+	for _, p := range z.children(from) {
+		for name, n := range reach(z, p.Name) {
+			count[name] += n
+		}
+	}
+	return count
+}
+
+func TestOverlayReachesEveryVMOfAZoneOnce(t *testing.T) {
+	for _, vms := range []int{1, 2, 9, 50, 73, 172, 585} {
+		t.Run(fmt.Sprint(vms), func(t *testing.T) {
+			z := zoneOf(upTo(vms)...)
+			count := reach(z, z.order[0].Name)
+			if len(count) != vms {
+				t.Fatalf("reached %d VMs, want %d", len(count), vms)
+			}
+			for name, n := range count {
+				if n != 1 {
+					t.Errorf("%s was reached %d times", name, n)
+				}
+			}
+		})
+	}
+}
+
+func TestOverlayConnectionsDoNotGrowWithTheZone(t *testing.T) {
+	for _, vms := range []int{10, 100, 1000} {
+		t.Run(fmt.Sprint(vms), func(t *testing.T) {
+			z := zoneOf(upTo(vms)...)
+			for _, p := range z.order {
+				if n := len(z.children(p.Name)); n > overlayFanout {
+					t.Errorf("%s has %d children", p.Name, n)
+				}
+				if n := len(z.sources(p.Name)); n > 5 {
+					t.Errorf("%s follows %d VMs", p.Name, n)
+				}
+			}
+		})
+	}
+}
+
+func TestOverlayHasNoCyclesBetweenDifferentViews(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := upTo(rapid.IntRange(2, 80).Draw(t, "vms"))
+		order := zoneOf(all...).order
+		rank := map[string]int{}
+		for i, p := range order {
+			rank[p.Name] = i
+		}
+		view := zoneOf(slices.DeleteFunc(all, func(int) bool { return rapid.IntRange(0, 3).Draw(t, "unknown") == 0 })...)
+		for _, p := range view.order {
+			for _, source := range view.sources(p.Name) {
+				if rank[source.Name] >= rank[p.Name] {
+					t.Fatalf("%s follows %s, which ranks behind it", p.Name, source.Name)
+				}
+			}
+			for _, child := range view.children(p.Name) {
+				if rank[child.Name] <= rank[p.Name] {
+					t.Fatalf("%s calls %s, which ranks before it", p.Name, child.Name)
+				}
+			}
+		}
+	})
+}
+
+func TestSourcesOfAVMThatIsNotRegistered(t *testing.T) {
+	z := zoneOf(upTo(20)...)
+	if got := z.sources("vm-new"); !slices.Equal(got, z.order[:maxZoneWatchers]) {
+		t.Errorf("a VM that is not registered follows %v, want the zone watchers", got)
+	}
+	if z.isWatcher("vm-new") {
+		t.Error("a VM that is not registered calls the store although there are others")
+	}
+	if !zoneOf().isWatcher("vm-new") {
+		t.Error("a VM alone in its zone does not call the store")
+	}
+}
+
+// BenchmarkChooseHolders measures the placement of all groups on the VMs of a fleet
+// after one VM has joined.
+func BenchmarkChooseHolders(b *testing.B) {
+	cases := map[string]struct{ vms, groups int }{
+		"295 VMs, 20 groups":  {295, 20},
+		"860 VMs, 970 groups": {860, 970},
+	}
+	for name, c := range cases {
+		b.Run(name, func(b *testing.B) {
+			peers := []Peer{}
+			for n := range c.vms {
+				peers = append(peers, Peer{Name: fmt.Sprintf("vm-%04d", n), Zone: fmt.Sprintf("z%d", n%6), Cores: 0.192})
+			}
+			for b.Loop() {
+				m := newMembership(peers)
+				for g := range c.groups {
+					m.holders(fmt.Sprintf("group-%d", g))
+				}
+			}
+		})
+	}
+}
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -13,6 +13,7 @@
 const (
 	// maxMemoryMB is 1 TiB in MiB.
 	maxMemoryMB = 1 << 20
+	maxCores    = 1024
 	maxGrace    = 10 * time.Minute
 	minGrace    = time.Second
 )
@@ -31,6 +32,8 @@
 	duty     netip.AddrPort
 	seeds    []string
 	memoryMB int
+	cores    float64
+	share    float64
 	grace    time.Duration
 	first    bool
 }
@@ -70,6 +73,10 @@
 // MemoryBytes returns the VM's memory in bytes.
 func (s Settings) MemoryBytes() int64 { return int64(s.memoryMB) << 20 }
 
+// Cores returns the VM's processor in cores: its number of cores times the share of
+// each that it may use. It is zero if the settings do not tell.
+func (s Settings) Cores() float64 { return s.cores * s.share }
+
 // Grace returns how long the VM may take to stop.
 func (s Settings) Grace() time.Duration { return s.grace }
 
@@ -94,7 +101,7 @@
 	if err != nil {
 		return Settings{}, fmt.Errorf("read settings: %w", err)
 	}
-	s := Settings{}
+	s := Settings{share: 1}
 	root := doc.Root()
 	err = root.Object(strict.Fields{
 		"vm":      func(f strict.Field) error { return f.Name(&s.vm) },
@@ -108,6 +115,8 @@
 		"duty":    func(f strict.Field) error { return f.Address(&s.duty) },
 		"first":   func(f strict.Field) error { return f.Bool(&s.first) },
 		"memory":  func(f strict.Field) error { return f.Int(&s.memoryMB, 1, maxMemoryMB) },
+		"cores":   func(f strict.Field) error { return f.Number(&s.cores, 0, maxCores) },
+		"share":   func(f strict.Field) error { return f.Number(&s.share, 0, 1) },
 		"grace":   func(f strict.Field) error { return f.Duration(&s.grace, minGrace, maxGrace) },
 		"seeds": func(f strict.Field) error {
 			return f.List(func(f strict.Field) error {
--- a/edge/supervisor.go
+++ b/edge/supervisor.go
@@ -1,15 +1,12 @@
 package edge
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"slices"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"amaranthsill/pool"
 	"amaranthsill/succession"
 )
@@ -60,8 +57,9 @@
 	// holderChangeSince holds, by group, the time since which this VM has been
 	// due to start or stop holding its connections.
 	holderChangeSince map[string]time.Duration
-	// holdersCheckedAt is when the holders were last evaluated.
+	// holdersCheckedAt is when the holders were last evaluated, with holderInputs.
 	holdersCheckedAt time.Duration
+	holderInputs     holderInputs
 	// startupComplete reports that the VM has all it needs to accept callers.
 	startupComplete bool
 	// startupCompletedAt is when startupComplete was set.
@@ -334,9 +332,10 @@
 // move a group's leadership. If only some VMs hold the group's connections, those
 // come first. A VM that is not registered yet comes after all that are.
 func (v *VM) rank(group string) int {
-	order := v.rankedPeers(group)
+	members := v.directory.members()
+	order := ranked(members.peers, group)
 	if v.holdersOf(group).relayed {
-		order = holdersFirst(group, order)
+		order = members.holdersFirst(group, order)
 	}
 	i := slices.IndexFunc(order, func(p Peer) bool { return p.Name == v.Settings.VM() })
 	if i < 0 {
@@ -344,20 +343,3 @@
 	}
 	return i
 }
-
-// rankedPeers returns the VMs that the directory holds, among them this one once
-// it is registered, in an order that depends on the key and is the same on every
-// VM that knows the same VMs. The key is any text, such as the name of a group or
-// the ID of a target; with a key for each, the first ranks are spread over the VMs.
-func (v *VM) rankedPeers(key string) []Peer {
-	peers := v.directory.Peers()
-	sortByHash(peers, key)
-	return peers
-}
-
-// sortByHash sorts VMs by a hash of the key and their names.
-func sortByHash(peers []Peer, key string) {
-	slices.SortFunc(peers, func(a, b Peer) int {
-		return cmp.Compare(xxhash.Sum64String(key+a.Name), xxhash.Sum64String(key+b.Name))
-	})
-}
--- a/edge/vm.go
+++ b/edge/vm.go
@@ -93,6 +93,10 @@
 	wake chan struct{}
 	// moveEnded gets the group of each attempt to move a leadership that ended.
 	moveEnded chan string
+	// synced reports that everything was read from the store and changes are being
+	// followed.
+	synced  atomic.Bool
+	sources sourceLog
 	// registered reports that the VM has registered since its start.
 	registered atomic.Bool
 	// registeredAt is when the VM's entry was last written, in nanoseconds since
@@ -132,7 +136,7 @@
 	go (&storeFollower{VM: v}).run(work)
 	go (&recordConfirmer{VM: v}).run(work)
 	go r.run(work)
-	go (&peerPoller{fleet: v.fleet}).run(work)
+	go (&outagePoller{fleet: v.fleet}).run(work)
 	go (&claimer{fleet: v.fleet}).run(work)
 	go (&supervisor{VM: v}).run(work)
 	go (&reloader{VM: v}).run(work)
@@ -156,6 +160,7 @@
 	v.incarnation = strconv.FormatInt(time.Now().UnixNano(), 36)
 	v.groups = map[string]*pool.Group{}
 	v.holders.Store(&map[string]groupHolders{})
+	v.sources = sourceLog{silentUntil: map[string]time.Duration{}, seen: map[string]uint64{}, answeredAt: v.startedAt}
 	v.dialer = v.newDialer()
 	v.startupDone = make(chan struct{})
 	v.wake = make(chan struct{}, 1)
--- a/edge/witness.go
+++ b/edge/witness.go
@@ -46,9 +46,10 @@
 func (f *fleet) witnesses(group, key string) []Peer {
 	firstInZone, rest := []Peer{}, []Peer{}
 	seen := map[string]bool{}
-	order := f.rankedPeers(key)
+	members := f.directory.members()
+	order := ranked(members.peers, key)
 	if f.holdersOf(group).relayed {
-		order = holdersFirst(group, order)
+		order = members.holdersFirst(group, order)
 	}
 	for _, p := range order {
 		if p.Name == f.Settings.VM() {
--- a/internal/strict/strict.go
+++ b/internal/strict/strict.go
@@ -217,6 +217,16 @@
 	return nil
 }
 
+// Number reads a number from least to most, both included.
+func (f Field) Number(into *float64, least, most float64) error {
+	l, ok := f.value.Value.(hujson.Literal)
+	if !ok || l.Kind() != '0' || l.Float() < least || l.Float() > most {
+		return f.Fail("write a number from %g to %g", least, most)
+	}
+	*into = l.Float()
+	return nil
+}
+
 // Fraction reads a number between zero and one, both excluded.
 func (f Field) Fraction(into *float64) error {
 	l, ok := f.value.Value.(hujson.Literal)
--- a/peer/peerpb/peerpbconnect/fleet.connect.go
+++ b/peer/peerpb/peerpbconnect/fleet.connect.go
@@ -37,6 +37,8 @@
 const (
 	// FleetRecallProcedure is the fully-qualified name of the Fleet's Recall RPC.
 	FleetRecallProcedure = "/amaranthsill.peer.Fleet/Recall"
+	// FleetGatherProcedure is the fully-qualified name of the Fleet's Gather RPC.
+	FleetGatherProcedure = "/amaranthsill.peer.Fleet/Gather"
 	// FleetYieldProcedure is the fully-qualified name of the Fleet's Yield RPC.
 	FleetYieldProcedure = "/amaranthsill.peer.Fleet/Yield"
 	// FleetWitnessProcedure is the fully-qualified name of the Fleet's Witness RPC.
@@ -52,6 +54,9 @@
 	// Recall returns what the VM knows of the platform's store. Other VMs call it
 	// while the store does not answer them.
 	Recall(context.Context, *connect.Request[peerpb.RecallRequest]) (*connect.Response[peerpb.RecallResponse], error)
+	// Gather passes on a leader record to the VM and to those below it in the
+	// overlay of its zone, and returns the state of each that answers.
+	Gather(context.Context, *connect.Request[peerpb.GatherRequest]) (*connect.Response[peerpb.GatherResponse], error)
 	// Yield passes on a leader record. Once the VM has answered, it acts on no
 	// older record.
 	Yield(context.Context, *connect.Request[peerpb.YieldRequest]) (*connect.Response[peerpb.YieldResponse], error)
@@ -61,8 +66,8 @@
 	// The VM uses a connection of its own and does not relay the order again.
 	Order(context.Context, *connect.Request[peerpb.OrderRequest]) (*connect.Response[peerpb.OrderResponse], error)
 	// Divide takes a VM's claims on the targets' connections and returns its
-	// budget for each. It is called on the one VM that divides the connections
-	// for the whole fleet.
+	// budget for each. It is called on the VM that divides the connections to
+	// the group's targets.
 	Divide(context.Context, *connect.Request[peerpb.DivideRequest]) (*connect.Response[peerpb.DivideResponse], error)
 }
 
@@ -83,6 +88,12 @@
 			connect.WithSchema(fleetMethods.ByName("Recall")),
 			connect.WithClientOptions(opts...),
 		),
+		gather: connect.NewClient[peerpb.GatherRequest, peerpb.GatherResponse](
+			httpClient,
+			baseURL+FleetGatherProcedure,
+			connect.WithSchema(fleetMethods.ByName("Gather")),
+			connect.WithClientOptions(opts...),
+		),
 		yield: connect.NewClient[peerpb.YieldRequest, peerpb.YieldResponse](
 			httpClient,
 			baseURL+FleetYieldProcedure,
@@ -113,6 +124,7 @@
 // fleetClient implements FleetClient.
 type fleetClient struct {
 	recall  *connect.Client[peerpb.RecallRequest, peerpb.RecallResponse]
+	gather  *connect.Client[peerpb.GatherRequest, peerpb.GatherResponse]
 	yield   *connect.Client[peerpb.YieldRequest, peerpb.YieldResponse]
 	witness *connect.Client[peerpb.WitnessRequest, peerpb.WitnessResponse]
 	order   *connect.Client[peerpb.OrderRequest, peerpb.OrderResponse]
@@ -124,6 +136,11 @@
 	return c.recall.CallUnary(ctx, req)
 }
 
+// Gather calls amaranthsill.peer.Fleet.Gather.
+func (c *fleetClient) Gather(ctx context.Context, req *connect.Request[peerpb.GatherRequest]) (*connect.Response[peerpb.GatherResponse], error) {
+	return c.gather.CallUnary(ctx, req)
+}
+
 // Yield calls amaranthsill.peer.Fleet.Yield.
 func (c *fleetClient) Yield(ctx context.Context, req *connect.Request[peerpb.YieldRequest]) (*connect.Response[peerpb.YieldResponse], error) {
 	return c.yield.CallUnary(ctx, req)
@@ -149,6 +166,9 @@
 	// Recall returns what the VM knows of the platform's store. Other VMs call it
 	// while the store does not answer them.
 	Recall(context.Context, *connect.Request[peerpb.RecallRequest]) (*connect.Response[peerpb.RecallResponse], error)
+	// Gather passes on a leader record to the VM and to those below it in the
+	// overlay of its zone, and returns the state of each that answers.
+	Gather(context.Context, *connect.Request[peerpb.GatherRequest]) (*connect.Response[peerpb.GatherResponse], error)
 	// Yield passes on a leader record. Once the VM has answered, it acts on no
 	// older record.
 	Yield(context.Context, *connect.Request[peerpb.YieldRequest]) (*connect.Response[peerpb.YieldResponse], error)
@@ -158,8 +178,8 @@
 	// The VM uses a connection of its own and does not relay the order again.
 	Order(context.Context, *connect.Request[peerpb.OrderRequest]) (*connect.Response[peerpb.OrderResponse], error)
 	// Divide takes a VM's claims on the targets' connections and returns its
-	// budget for each. It is called on the one VM that divides the connections
-	// for the whole fleet.
+	// budget for each. It is called on the VM that divides the connections to
+	// the group's targets.
 	Divide(context.Context, *connect.Request[peerpb.DivideRequest]) (*connect.Response[peerpb.DivideResponse], error)
 }
 
@@ -176,6 +196,12 @@
 		connect.WithSchema(fleetMethods.ByName("Recall")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetGatherHandler := connect.NewUnaryHandler(
+		FleetGatherProcedure,
+		svc.Gather,
+		connect.WithSchema(fleetMethods.ByName("Gather")),
+		connect.WithHandlerOptions(opts...),
+	)
 	fleetYieldHandler := connect.NewUnaryHandler(
 		FleetYieldProcedure,
 		svc.Yield,
@@ -204,6 +230,8 @@
 		switch r.URL.Path {
 		case FleetRecallProcedure:
 			fleetRecallHandler.ServeHTTP(w, r)
+		case FleetGatherProcedure:
+			fleetGatherHandler.ServeHTTP(w, r)
 		case FleetYieldProcedure:
 			fleetYieldHandler.ServeHTTP(w, r)
 		case FleetWitnessProcedure:
@@ -225,6 +253,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("amaranthsill.peer.Fleet.Recall is not implemented"))
 }
 
+func (UnimplementedFleetHandler) Gather(context.Context, *connect.Request[peerpb.GatherRequest]) (*connect.Response[peerpb.GatherResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("amaranthsill.peer.Fleet.Gather is not implemented"))
+}
+
 func (UnimplementedFleetHandler) Yield(context.Context, *connect.Request[peerpb.YieldRequest]) (*connect.Response[peerpb.YieldResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("amaranthsill.peer.Fleet.Yield is not implemented"))
 }
--- a/succession/grants.go
+++ b/succession/grants.go
@@ -51,7 +51,9 @@
 	confirmedAt      time.Duration
 	storeConfirmedAt time.Duration
 	everConfirmed    bool
-	changed          chan struct{}
+	// confirmations counts how often confirmedAt has grown.
+	confirmations uint64
+	changed       chan struct{}
 }
 
 // Observe takes in a record from any source, without confirming it. It reports
@@ -125,6 +127,46 @@
 	return true
 }
 
+// Extend records that another VM knew at or after the time at that the record of this
+// revision was the latest, from the store or from enough VMs. Unlike ConfirmRevision,
+// it is no base for confirmations among VMs.
+func (g *Grants) Extend(revision uint64, at time.Duration) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	if revision == g.record.Revision {
+		g.extendValidity(at)
+	}
+}
+
+// ValidFrom returns when the known record was last confirmed by the store or by VMs;
+// false if it never was, or if its revision is another one.
+func (g *Grants) ValidFrom(revision uint64) (time.Duration, bool) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	return g.confirmedAt, g.everConfirmed && revision == g.record.Revision
+}
+
+// Confirmations returns how often the record was confirmed, by the store or by VMs.
+func (g *Grants) Confirmations() uint64 {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	return g.confirmations
+}
+
+// ConfirmedAfter returns a channel that is closed at the next confirmation or change
+// of the record; nil if it was confirmed more often than the given number already.
+func (g *Grants) ConfirmedAfter(confirmations uint64) <-chan struct{} {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	if g.confirmations > confirmations {
+		return nil
+	}
+	if g.changed == nil {
+		g.changed = make(chan struct{})
+	}
+	return g.changed
+}
+
 func (g *Grants) confirmByStore(sent time.Duration) {
 	if !g.everConfirmed || sent > g.storeConfirmedAt {
 		g.storeConfirmedAt = sent
@@ -138,6 +180,7 @@
 	}
 	g.everConfirmed = true
 	g.confirmedAt = sent
+	g.confirmations++
 	g.notifyWaiters()
 }
 
