--- a/cmd/amaranthsilld/edge.go
+++ b/cmd/amaranthsilld/edge.go
@@ -45,7 +45,7 @@
 		Settings:        settings,
 		SettingsFile:    *file,
 		ReloadSignals:   reloadSignals,
-		Adapter:         platform.NewAdapter(settings),
+		Adapter:         platform.NewAdapter(settings, log),
 		DroppedLogLines: logWriter.Dropped,
 		Now:             clock.SinceBoot,
 		Log:             log,
--- a/edge/collector.go
+++ b/edge/collector.go
@@ -11,6 +11,7 @@
 	configurationVersion, recordRevision, vmCount, heldGroups *prometheus.Desc
 	waitingStatements, targetConnections, activeStatements    *prometheus.Desc
 	unreachableTargets, replicaLag, recordAge, movesUnderWay  *prometheus.Desc
+	storeEra, storeLosses                                     *prometheus.Desc
 }
 
 var _ prometheus.Collector = (*collector)(nil)
@@ -27,6 +28,8 @@
 		configurationVersion: describe("configuration_version", "Version of the operators' configuration in force."),
 		recordRevision:       describe("record_revision", "Revision of the newest known record of leaders."),
 		recordAge:            describe("record_age_seconds", "Time since the store confirmed the record of leaders."),
+		storeEra:             describe("store_era", "Highest known era of the store; it rises when the store came back from an older copy."),
+		storeLosses:          describe("store_losses_total", "Times that the store came back from an older copy since the VM started."),
 		vmCount:              describe("vms", "VMs that may be running, as far as this one knows."),
 		heldGroups:           describe("held_groups", "Groups to whose targets this VM holds connections."),
 		waitingStatements:    describe("waiting_statements", "Statements that wait for a target.", "group"),
@@ -53,7 +56,10 @@
 		gauge(c.configurationVersion, float64(n.Version))
 	}
 	revision, confirmedAt, confirmed := c.grants.StoreConfirmation()
-	gauge(c.recordRevision, float64(revision))
+	gauge(c.recordRevision, float64(revision.Number()))
+	era, losses, _ := c.grants.Era()
+	gauge(c.storeEra, float64(era))
+	m <- prometheus.MustNewConstMetric(c.storeLosses, prometheus.CounterValue, float64(losses))
 	if confirmed {
 		gauge(c.recordAge, (c.Now() - confirmedAt).Seconds())
 	}
--- a/edge/control.go
+++ b/edge/control.go
@@ -148,12 +148,12 @@
 }
 
 // recordLeadersTimeout bounds one attempt to write the groups' first leaders.
-const recordLeadersTimeout = 3 * time.Second
+const recordLeadersTimeout = settleTimeout
 
 // recordFirstLeaders adds the groups that are absent from the leader record. Each
 // VM waits for its rank times rankDelay, so that normally only one VM writes.
 func (s *supervisor) recordFirstLeaders(ctx context.Context, groups map[string]catalog.Group) {
-	if !s.registered.Load() || s.recordingLeaders.Load() {
+	if !s.registered.Load() || s.recordingLeaders.Load() || s.grants.Outdated() {
 		return
 	}
 	leaders := map[string]string{}
@@ -228,5 +228,5 @@
 	s.startupComplete = true
 	s.startupCompletedAt = s.Now()
 	close(s.startupDone)
-	s.Log.Info("VM is ready", "version", c.Version, "leaders", s.grants.Record().Revision)
+	s.Log.Info("VM is ready", "version", c.Version, "leaders", s.grants.Record().Revision.String())
 }
--- a/edge/directory.go
+++ b/edge/directory.go
@@ -100,8 +100,8 @@
 	// newestRevision is the highest revision seen. Changes may arrive out of
 	// order: completeRevision is the revision up to which every change is
 	// known, and advanced is closed when it grows.
-	newestRevision   uint64
-	completeRevision uint64
+	newestRevision   store.Revision
+	completeRevision store.Revision
 	advanced         chan struct{}
 	targets          map[string]*registration[pool.Target]
 	peers            map[string]*registration[Peer]
@@ -115,7 +115,7 @@
 	// name.
 	recent map[string]recentPeer
 	// selfRemoved is the revision at which this VM's entry was last removed.
-	selfRemoved uint64
+	selfRemoved store.Revision
 	// quiet suppresses the log lines of single targets and VMs while everything is
 	// read, since they would grow with the fleet.
 	quiet bool
@@ -148,7 +148,7 @@
 // Reset replaces everything by the items that the store held at or after a
 // revision. Known keys that are not among them count as removed at that revision,
 // so that peers that ask for changes learn of the removal as well.
-func (d *Directory) Reset(items []store.Item, revision uint64) {
+func (d *Directory) Reset(items []store.Item, revision store.Revision) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	d.init()
@@ -159,10 +159,10 @@
 		d.apply(i)
 	}
 	d.quiet = false
-	d.Log.Info("read everything from the store", "revision", revision, "keys", len(items), "targets", len(d.targets), "vms", len(d.peers))
+	d.Log.Info("read everything from the store", "revision", revision.String(), "keys", len(items), "targets", len(d.targets), "vms", len(d.peers))
 	for key, i := range d.items {
-		if !seen[key] && !i.Deleted && i.Revision <= revision {
-			d.apply(store.Item{Key: key, Revision: max(revision, i.Revision+1), Deleted: true})
+		if !seen[key] && !i.Deleted && i.Revision < revision {
+			d.apply(store.Item{Key: key, Revision: revision, Deleted: true})
 		}
 	}
 }
@@ -190,7 +190,7 @@
 	case strings.HasPrefix(i.Key, vmPrefix):
 		d.applyPeer(i)
 	case i.Deleted:
-		d.Log.Info("key was removed from the store", "key", i.Key, "revision", i.Revision)
+		d.Log.Info("key was removed from the store", "key", i.Key, "revision", i.Revision.String())
 	case i.Key == d.Adapter.ConfigurationKey:
 		d.applyConfiguration(i)
 	case i.Key == succession.RecordKey:
@@ -199,7 +199,7 @@
 }
 
 // MarkComplete records that every change up to a revision was applied.
-func (d *Directory) MarkComplete(revision uint64) {
+func (d *Directory) MarkComplete(revision store.Revision) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	if revision <= d.completeRevision {
@@ -213,7 +213,7 @@
 }
 
 // CompleteRevision returns the revision up to which every change is known.
-func (d *Directory) CompleteRevision() uint64 {
+func (d *Directory) CompleteRevision() store.Revision {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	return d.completeRevision
@@ -221,7 +221,7 @@
 
 // Advanced returns a channel that is closed once CompleteRevision grows; nil if it is
 // above the given revision already.
-func (d *Directory) Advanced(revision uint64) <-chan struct{} {
+func (d *Directory) Advanced(revision store.Revision) <-chan struct{} {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	if d.completeRevision > revision {
@@ -253,7 +253,7 @@
 		return
 	}
 	if old == nil || old.entry.Draining != t.Draining || old.entry.Role != t.Role || old.entry.Incarnation != t.Incarnation {
-		d.Log.Info("target changed", "target", id, "group", t.Group, "zone", t.Zone, "role", t.Role.String(), "draining", t.Draining, "revision", i.Revision)
+		d.Log.Info("target changed", "target", id, "group", t.Group, "zone", t.Zone, "role", t.Role.String(), "draining", t.Draining, "revision", i.Revision.String())
 	}
 	d.targets[id] = &registration[pool.Target]{entry: t, item: i}
 }
@@ -316,11 +316,11 @@
 func (d *Directory) applyConfiguration(i store.Item) {
 	c, err := d.Adapter.DecodeConfiguration(i.Value)
 	if err != nil {
-		d.Log.Error(err, "configuration cannot be decoded; the one in force stays", "revision", i.Revision)
+		d.Log.Error(err, "configuration cannot be decoded; the one in force stays", "revision", i.Revision.String())
 		return
 	}
 	if d.Catalog.Update(c) {
-		d.Log.Info("configuration in force", "version", c.Version, "routes", len(c.Routes), "revision", i.Revision)
+		d.Log.Info("configuration in force", "version", c.Version, "routes", len(c.Routes), "revision", i.Revision.String())
 	}
 }
 
@@ -328,17 +328,17 @@
 func (d *Directory) applyRecord(i store.Item) {
 	r, err := succession.DecodeRecord(i)
 	if err != nil {
-		d.Log.Error(err, "leader record cannot be decoded; ignoring it", "revision", i.Revision)
+		d.Log.Error(err, "leader record cannot be decoded; ignoring it", "revision", i.Revision.String())
 		return
 	}
 	if d.Grants.Observe(r) {
-		d.Log.Info("newer leader record received", "revision", r.Revision, "writer", r.Writer)
+		d.Log.Info("newer leader record received", "revision", r.Revision.String(), "writer", r.Writer)
 	}
 }
 
 // ItemsSince returns the newest state of every key that changed after a revision,
 // removed keys included.
-func (d *Directory) ItemsSince(revision uint64) []store.Item {
+func (d *Directory) ItemsSince(revision store.Revision) []store.Item {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	list := []store.Item{}
@@ -475,7 +475,7 @@
 
 // SelfRemovedRevision returns the store's revision at which this VM's entry was
 // last removed; zero if it never was.
-func (d *Directory) SelfRemovedRevision() uint64 {
+func (d *Directory) SelfRemovedRevision() store.Revision {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	return d.selfRemoved
--- a/edge/directory_test.go
+++ b/edge/directory_test.go
@@ -22,12 +22,12 @@
 		s, err := edge.ParseSettings("vm.json", []byte(settings))
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		return &edge.Directory{
-			Adapter: platform.NewAdapter(s), Catalog: &catalog.Catalog{}, Self: "vm-0", Log: logr.Discard(),
+			Adapter: platform.NewAdapter(s, logr.Discard()), Catalog: &catalog.Catalog{}, Self: "vm-0", Log: logr.Discard(),
 			Grants: &succession.Grants{Length: time.Second, Now: clock.SinceBoot},
 			Now:    func() time.Duration { return now },
 		}, &now
 	}
-	target := func(id string, revision uint64) store.Item {
+	target := func(id string, revision store.Revision) store.Item {
 		return store.Item{Key: "servers/" + id, Value: []byte(entry), Revision: revision}
 	}
 
@@ -36,7 +36,7 @@
 		d.Apply(target("early", 90))
 		d.MarkComplete(90)
 		d.Apply(target("ahead", 100))
-		gomega.Expect(d.CompleteRevision()).To(gomega.Equal(uint64(90)))
+		gomega.Expect(d.CompleteRevision()).To(gomega.Equal(store.Revision(90)))
 		d.Apply(target("late", 95))
 		keys := []string{}
 		for _, i := range d.ItemsSince(90) {
--- a/edge/doc.go
+++ b/edge/doc.go
@@ -6,6 +6,6 @@
 // # Usage
 //
 //	s, err := edge.ReadSettings("edge.json")
-//	vm := &edge.VM{Settings: s, Adapter: platform.NewAdapter(s), Now: clock.SinceBoot, Log: log}
+//	vm := &edge.VM{Settings: s, Adapter: platform.NewAdapter(s, log), Now: clock.SinceBoot, Log: log}
 //	err = vm.Run(ctx)
 package edge
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -108,7 +108,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	v.stop = stop
 	f.vms = append(f.vms, v)
-	adapter := platform.NewAdapter(settings)
+	adapter := platform.NewAdapter(settings, logr.Discard())
 	adapter.Dialer = partialDialer{Dialer: adapter.Dialer, vm: v}
 	e := &edge.VM{Settings: settings, Adapter: adapter, Now: clock.SinceBoot, Log: logr.FromSlogHandler(slog.NewTextHandler(ginkgo.GinkgoWriter, nil))}
 	go func() {
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -94,7 +94,7 @@
 		f.Log.Error(err, "leader record cannot be encoded; other VMs are not asked to yield")
 		return members, yields
 	}
-	record := &peerpb.Item{Key: succession.RecordKey, Value: encoded, Revision: r.Revision}
+	record := recordItem(r, encoded)
 	for zone, inZone := range zones {
 		go f.yieldInZone(ctx, zone, inZone, record, yields)
 	}
@@ -105,8 +105,8 @@
 // it in to yields.
 func (f *fleet) yieldInZone(ctx context.Context, zone string, inZone []recentPeer, record *peerpb.Item, yields chan<- succession.Member) {
 	yielded := map[string]bool{}
-	for _, s := range f.gatherZone(ctx, zone, record) {
-		yielded[s.GetName()] = s.GetRecord() >= record.GetRevision()
+	for _, s := range f.gatherZone(ctx, zone, &peerpb.GatherRequest{Record: record}) {
+		yielded[s.GetName()] = store.At(s.GetRecordEra(), s.GetRecord()) >= store.At(record.GetEra(), record.GetRevision())
 	}
 	q := &peerpb.YieldRequest{Record: record}
 	for _, p := range inZone {
@@ -192,7 +192,8 @@
 // Recall implements peerpbconnect.FleetHandler.
 func (s fleetServer) Recall(ctx context.Context, q *connect.Request[peerpb.RecallRequest]) (*connect.Response[peerpb.RecallResponse], error) {
 	arrived := s.Now()
-	s.awaitNews(ctx, q.Msg.GetSince(), q.Msg.GetSeen(), time.Duration(q.Msg.GetWait())*time.Millisecond)
+	since := store.At(q.Msg.GetSinceEra(), q.Msg.GetSince())
+	s.awaitNews(ctx, since, q.Msg.GetSeen(), time.Duration(q.Msg.GetWait())*time.Millisecond)
 	waited := s.Now() - arrived
 	// The mover and the grants are read before the revision: a move that begins
 	// in between then began after the request arrived.
@@ -202,13 +203,18 @@
 	if confirmed {
 		age = (s.Now() - confirmedAt).Milliseconds() + 1
 	}
-	r := &peerpb.RecallResponse{Complete: s.directory.CompleteRevision(), Record: revision, Age: age, Resting: idle, Incarnation: s.incarnation, Waited: uint32(waited.Milliseconds())}
+	complete := s.directory.CompleteRevision()
+	r := &peerpb.RecallResponse{
+		Complete: complete.Number(), CompleteEra: complete.Era(), Record: revision.Number(), RecordEra: revision.Era(),
+		Age: age, Resting: idle, Incarnation: s.incarnation, Waited: uint32(waited.Milliseconds()),
+	}
+	r.Era, _, _ = s.grants.Era()
 	r.Confirmations = s.grants.Confirmations()
 	if validAt, ever := s.grants.ValidFrom(revision); ever {
 		r.Valid = uint64((s.Now() - validAt).Milliseconds()) + 2
 	}
-	for _, i := range s.directory.ItemsSince(q.Msg.GetSince()) {
-		r.Items = append(r.Items, &peerpb.Item{Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted})
+	for _, i := range s.directory.ItemsSince(since) {
+		r.Items = append(r.Items, &peerpb.Item{Key: i.Key, Value: i.Value, Revision: i.Revision.Number(), Era: i.Revision.Era(), Deleted: i.Deleted})
 	}
 	return connect.NewResponse(r), nil
 }
@@ -216,7 +222,7 @@
 // awaitNews returns once every change up to a later revision is known, once the leader
 // record was confirmed after the given number of confirmations, after the given wait,
 // or when the context ends.
-func (f *fleet) awaitNews(ctx context.Context, revision, confirmations uint64, wait time.Duration) {
+func (f *fleet) awaitNews(ctx context.Context, revision store.Revision, confirmations uint64, wait time.Duration) {
 	advanced := f.directory.Advanced(revision)
 	confirmed := f.grants.ConfirmedAfter(confirmations)
 	if advanced == nil || confirmed == nil || wait <= 0 {
@@ -234,7 +240,7 @@
 
 // itemFromMessage returns the store's item from a message.
 func itemFromMessage(i *peerpb.Item) store.Item {
-	return store.Item{Key: i.GetKey(), Value: i.GetValue(), Revision: i.GetRevision(), Deleted: i.GetDeleted()}
+	return store.Item{Key: i.GetKey(), Value: i.GetValue(), Revision: store.At(i.GetEra(), i.GetRevision()), Deleted: i.GetDeleted()}
 }
 
 // follow asks a VM to wait for something newer, and applies it as recall does.
@@ -263,7 +269,8 @@
 	ctx, cancel := context.WithTimeout(ctx, recallTimeout+time.Duration(q.GetWait())*time.Millisecond)
 	defer cancel()
 	sent := f.Now()
-	q.Since = f.directory.CompleteRevision()
+	since := f.directory.CompleteRevision()
+	q.Since, q.SinceEra = since.Number(), since.Era()
 	r, err := f.client(address).Recall(ctx, connect.NewRequest(q))
 	if err != nil {
 		f.Log.V(1).Info("VM did not answer a request for changes", "address", address, "reason", err.Error())
@@ -273,13 +280,15 @@
 	for _, i := range a.GetItems() {
 		f.directory.Apply(itemFromMessage(i))
 	}
-	f.directory.MarkComplete(a.GetComplete())
+	f.directory.MarkComplete(store.At(a.GetCompleteEra(), a.GetComplete()))
+	f.grants.ObserveEra(a.GetEra())
+	record := store.At(a.GetRecordEra(), a.GetRecord())
 	answeredAt := sent + time.Duration(a.GetWaited())*time.Millisecond
 	if a.GetAge() >= 0 {
-		f.grants.ConfirmRevision(a.GetRecord(), answeredAt-time.Duration(a.GetAge())*time.Millisecond)
+		f.grants.ConfirmRevision(record, answeredAt-time.Duration(a.GetAge())*time.Millisecond)
 	}
 	if a.GetValid() > 0 {
-		f.grants.Extend(a.GetRecord(), answeredAt-time.Duration(a.GetValid())*time.Millisecond)
+		f.grants.Extend(record, answeredAt-time.Duration(a.GetValid())*time.Millisecond)
 	}
 	return a
 }
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -145,7 +145,7 @@
 	f.awaitBatch(ctx)
 	items, revision, err := f.Adapter.Store.Watch(ctx, "", f.directory.CompleteRevision(), followTimeout)
 	if errors.Is(err, store.ErrCompacted) {
-		f.Log.Info("store no longer keeps the changes after this revision; reading everything again", "after", f.directory.CompleteRevision())
+		f.Log.Info("store no longer keeps the changes after this revision; reading everything again", "after", f.directory.CompleteRevision().String(), "era", f.Adapter.Store.Era())
 		f.synced.Store(false)
 		return nil
 	}
@@ -153,6 +153,7 @@
 		return fmt.Errorf("follow store: %w", err)
 	}
 	f.storeAnswered()
+	f.observeEra(revision.Era())
 	for _, i := range items {
 		f.directory.Apply(i)
 	}
@@ -240,6 +241,7 @@
 	if err != nil {
 		return fmt.Errorf("read everything: %w", err)
 	}
+	f.observeEra(revision.Era())
 	f.directory.Reset(items, revision)
 	f.confirmRecord(items, sent)
 	f.directory.MarkComplete(revision)
@@ -259,7 +261,7 @@
 		}
 		r, err := succession.DecodeRecord(i)
 		if err != nil {
-			f.Log.Error(err, "leader record cannot be decoded; ignoring it", "revision", i.Revision)
+			f.Log.Error(err, "leader record cannot be decoded; ignoring it", "revision", i.Revision.String())
 			return
 		}
 		f.grants.ConfirmRecord(r, sent)
--- a/edge/gather.go
+++ b/edge/gather.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,36 +30,43 @@
 	// between then began after the request arrived.
 	resting := f.mover.Idle() && f.grants.ConfirmedSinceStart()
 	revision, _, _ := f.grants.StoreConfirmation()
-	return &peerpb.Status{Name: f.Settings.VM(), Record: revision, Resting: resting}
+	era, _, _ := f.grants.Era()
+	return &peerpb.Status{Name: f.Settings.VM(), Record: revision.Number(), RecordEra: revision.Era(), Resting: resting, Era: era}
 }
 
 // Gather implements peerpbconnect.FleetHandler.
 func (s fleetServer) Gather(ctx context.Context, q *connect.Request[peerpb.GatherRequest]) (*connect.Response[peerpb.GatherResponse], error) {
+	s.observeEra(q.Msg.GetEra())
 	if q.Msg.GetRecord() != nil {
 		if err := s.observeRecord(q.Msg.GetRecord()); err != nil {
 			return nil, err
 		}
 	}
+	if q.Msg.GetSettling() {
+		s.settledByOther.Store(int64(s.Now()))
+	}
 	members := []*peerpb.Status{s.status()}
 	left := time.Duration(q.Msg.GetTimeout())*time.Millisecond - gatherHop
-	members = append(members, s.gatherBelow(ctx, q.Msg.GetRoot(), q.Msg.GetRecord(), left)...)
-	return connect.NewResponse(&peerpb.GatherResponse{Members: members}), nil
+	members = append(members, s.gatherBelow(ctx, q.Msg, left)...)
+	return connect.NewResponse(&peerpb.GatherResponse{Members: members, Record: s.recordMessage()}), nil
 }
 
 // gatherBelow returns the states of the VMs below this one in the overlay of its
-// zone; if it stands in for the root, of all others in the zone.
-func (f *fleet) gatherBelow(ctx context.Context, root bool, record *peerpb.Item, timeout time.Duration) []*peerpb.Status {
+// zone; if the request says that it stands in for the root, of all others in the
+// zone.
+func (f *fleet) gatherBelow(ctx context.Context, q *peerpb.GatherRequest, timeout time.Duration) []*peerpb.Status {
 	z := f.ownZone()
 	below := z.children(f.Settings.VM())
-	if root && len(z.order) > 0 && z.order[0].Name != f.Settings.VM() {
-		below = append(z.children(z.order[0].Name), below...)
+	if q.GetRoot() && len(z.order) > 0 && z.order[0].Name != f.Settings.VM() {
+		below = append(slices.Clone(z.children(z.order[0].Name)), below...)
 	}
-	return f.gatherFrom(ctx, z, below, record, timeout)
+	return f.gatherFrom(ctx, z, below, q, timeout)
 }
 
 // gatherFrom returns the states of VMs of a zone, and of those below them. The
-// children of a VM that does not answer in half of the time are asked in its place.
-func (f *fleet) gatherFrom(ctx context.Context, z *zoneMembership, peers []Peer, record *peerpb.Item, timeout time.Duration) []*peerpb.Status {
+// children of a VM that does not answer in six tenths of the time are asked in its
+// place.
+func (f *fleet) gatherFrom(ctx context.Context, z *zoneMembership, peers []Peer, q *peerpb.GatherRequest, timeout time.Duration) []*peerpb.Status {
 	if timeout < minGatherTimeout {
 		return nil
 	}
@@ -75,9 +83,9 @@
 			if len(below) > 0 {
 				limit = timeout * 6 / 10
 			}
-			answers, ok := f.requestGather(ctx, p, false, record, limit)
+			answers, ok := f.requestGather(ctx, p, false, q, limit)
 			if !ok {
-				answers = f.gatherFrom(ctx, z, below, record, timeout-limit)
+				answers = f.gatherFrom(ctx, z, below, q, timeout-limit)
 			}
 			lock.Lock()
 			defer lock.Unlock()
@@ -88,31 +96,43 @@
 	return members
 }
 
-// requestGather calls Gather on one VM; false if it does not answer.
-func (f *fleet) requestGather(ctx context.Context, p Peer, root bool, record *peerpb.Item, timeout time.Duration) ([]*peerpb.Status, bool) {
+// requestGather passes a request on to one VM and those below it; false if the VM does
+// not answer.
+func (f *fleet) requestGather(ctx context.Context, p Peer, root bool, q *peerpb.GatherRequest, timeout time.Duration) ([]*peerpb.Status, bool) {
+	passed := &peerpb.GatherRequest{Record: q.GetRecord(), Root: root, Timeout: uint32(timeout.Milliseconds()), Settling: q.GetSettling()}
+	return f.callGather(ctx, p, passed, timeout)
+}
+
+// callGather calls Gather on one VM, with the store's era, and takes in the newest
+// record that it returns; false if the VM does not answer.
+func (f *fleet) callGather(ctx context.Context, p Peer, q *peerpb.GatherRequest, timeout time.Duration) ([]*peerpb.Status, bool) {
 	limited, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	q := &peerpb.GatherRequest{Record: record, Root: root, Timeout: uint32(timeout.Milliseconds())}
+	q.Era, _, _ = f.grants.Era()
 	a, err := f.client(p.Address).Gather(limited, connect.NewRequest(q))
-	if err == nil {
-		return a.Msg.GetMembers(), true
+	if err != nil {
+		f.Log.V(1).Info("VM did not answer a request to gather the states of its zone", "peer", p.Name, "reason", err.Error())
+		return nil, false
 	}
-	f.Log.V(1).Info("VM did not answer a request to gather the states of its zone", "peer", p.Name, "reason", err.Error())
-	return nil, false
+	if a.Msg.GetRecord() != nil {
+		if err := f.observeRecord(a.Msg.GetRecord()); err != nil {
+			f.Log.Info("VM returned a leader record that cannot be decoded; ignoring it", "peer", p.Name, "reason", err.Error())
+		}
+	}
+	return a.Msg.GetMembers(), true
 }
 
 // gatherZone returns the states of the VMs of a zone that answer within
-// gatherTimeout, without this VM's own. The record is passed on to them; it may be
-// nil.
-func (f *fleet) gatherZone(ctx context.Context, zone string, record *peerpb.Item) []*peerpb.Status {
+// gatherTimeout, without this VM's own.
+func (f *fleet) gatherZone(ctx context.Context, zone string, q *peerpb.GatherRequest) []*peerpb.Status {
 	z := f.directory.members().zone(zone)
 	contacts := f.sources.answering(z.order, f.Now())
 	for _, p := range contacts[:min(len(contacts), maxZoneWatchers)] {
 		isRoot := p.Name == z.order[0].Name
 		if p.Name == f.Settings.VM() {
-			return f.gatherBelow(ctx, !isRoot, record, gatherTimeout)
+			return f.gatherBelow(ctx, &peerpb.GatherRequest{Record: q.GetRecord(), Root: !isRoot, Settling: q.GetSettling()}, gatherTimeout)
 		}
-		members, ok := f.requestGather(ctx, p, !isRoot, record, gatherTimeout/2)
+		members, ok := f.requestGather(ctx, p, !isRoot, q, gatherTimeout/2)
 		if ok {
 			return members
 		}
@@ -133,5 +153,10 @@
 		f.Log.Error(err, "leader record cannot be encoded; it is not passed on")
 		return nil
 	}
-	return &peerpb.Item{Key: succession.RecordKey, Value: encoded, Revision: r.Revision}
+	return recordItem(r, encoded)
+}
+
+// recordItem returns the message for an encoded leader record.
+func recordItem(r succession.Record, encoded []byte) *peerpb.Item {
+	return &peerpb.Item{Key: succession.RecordKey, Value: encoded, Revision: r.Revision.Number(), Era: r.Revision.Era()}
 }
--- a/edge/leases.go
+++ b/edge/leases.go
@@ -73,10 +73,14 @@
 		return
 	}
 	sent := c.Now()
-	err := c.Adapter.Store.Renew(ctx, l)
+	era, err := c.Adapter.Store.Renew(ctx, l)
+	c.observeEra(era)
 	switch {
 	case err == nil:
-		c.grants.Confirm(l, sent)
+		c.grants.Confirm(l, era, sent)
+		c.storeAnswered()
+	case c.grants.Outdated():
+		// The supervisor has the record written again.
 		c.storeAnswered()
 	case errors.Is(err, store.ErrNoLease):
 		c.repairLease(ctx, l)
@@ -115,6 +119,16 @@
 	}
 }
 
+// observeEra takes in the store's era from an answer, and logs a rise of it.
+func (v *VM) observeEra(era uint64) {
+	before, _, _ := v.grants.Era()
+	v.grants.ObserveEra(era)
+	if before != 0 && era > before {
+		v.Log.Info("store came back from an older copy; what it acknowledged lately is lost", "era", era, "before", before, "record", v.grants.Record().Revision.String())
+		v.wakeSupervisor()
+	}
+}
+
 // readRecord reads the leader record from the store and confirms it.
 func (v *VM) readRecord(ctx context.Context) error {
 	sent := v.Now()
@@ -137,7 +151,7 @@
 	// lease is the lease of the entry; zero if there is none.
 	lease store.LeaseID
 	// revision is the store's revision at which the entry was written.
-	revision uint64
+	revision store.Revision
 }
 
 // run registers the VM and renews its entry until the context ends.
@@ -164,6 +178,12 @@
 			r.lease = 0
 			return
 		}
+		if r.Adapter.Store.Era() != r.revision.Era() {
+			r.Log.Info("store came back from an older copy; registering again", "era", r.Adapter.Store.Era())
+			r.lease = 0
+			sleep(ctx, rand.N(leaseRepairJitter))
+			return
+		}
 	}
 }
 
@@ -171,7 +191,7 @@
 // is none.
 func (r *registrar) step(ctx context.Context) error {
 	if r.lease != 0 {
-		err := r.Adapter.Store.Renew(ctx, r.lease)
+		_, err := r.Adapter.Store.Renew(ctx, r.lease)
 		if !errors.Is(err, store.ErrNoLease) {
 			return err
 		}
@@ -206,7 +226,7 @@
 // deregister removes this VM's entry, so that other VMs need not wait for it to
 // expire.
 func (r *registrar) deregister(ctx context.Context) {
-	if r.lease == 0 {
+	if r.lease == 0 || r.Adapter.Store.Era() != r.revision.Era() {
 		return
 	}
 	if err := r.Adapter.Store.End(ctx, r.lease); err != nil {
--- a/edge/outage.go
+++ b/edge/outage.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"amaranthsill/peer/peerpb"
+	"amaranthsill/store"
 )
 
 // Timing of calls between VMs while the store does not confirm the leader record.
@@ -119,8 +120,8 @@
 		others[p.Name] = true
 	}
 	confirming := 1
-	for _, s := range o.gatherAll(ctx) {
-		if s.GetRecord() > revision {
+	for _, s := range o.gatherAll(ctx, &peerpb.GatherRequest{Record: o.recordMessage()}) {
+		if store.At(s.GetRecordEra(), s.GetRecord()) > revision {
 			return
 		}
 		if s.GetResting() && others[s.GetName()] {
@@ -135,16 +136,15 @@
 }
 
 // gatherAll returns the states of the VMs of all zones that answer, without this VM's
-// own. The newest known leader record is passed on to them.
-func (f *fleet) gatherAll(ctx context.Context) []*peerpb.Status {
+// own.
+func (f *fleet) gatherAll(ctx context.Context, q *peerpb.GatherRequest) []*peerpb.Status {
 	zones := f.directory.members().zones
 	lock := sync.Mutex{}
 	all := []*peerpb.Status{}
-	record := f.recordMessage()
 	wait := sync.WaitGroup{}
 	for name := range zones {
 		wait.Go(func() {
-			members := f.gatherZone(ctx, name, record)
+			members := f.gatherZone(ctx, name, q)
 			lock.Lock()
 			defer lock.Unlock()
 			all = append(all, members...)
--- a/edge/supervisor.go
+++ b/edge/supervisor.go
@@ -64,6 +64,9 @@
 	startupComplete bool
 	// startupCompletedAt is when startupComplete was set.
 	startupCompletedAt time.Duration
+	// outdatedSince is the time since which the leader record has been from an
+	// earlier era of the store; zero if it is not.
+	outdatedSince time.Duration
 	// recordingLeaders reports that first leaders are being written to the
 	// leader record.
 	recordingLeaders atomic.Bool
@@ -126,6 +129,7 @@
 		g.Configure(targets, s.baseBudget(name, n.ConnectionLimit))
 		s.updateLeader(ctx, name, g)
 	}
+	s.settleRecord(ctx, c.Groups)
 	s.recordFirstLeaders(ctx, c.Groups)
 	s.closeSessions()
 	s.checkReady()
--- a/edge/vm.go
+++ b/edge/vm.go
@@ -109,6 +109,9 @@
 	callers     net.Listener
 	startedAt   time.Duration
 	stopping    atomic.Bool
+	// settledByOther is when another VM last announced that it writes the leader
+	// record again, in nanoseconds since the machine's boot; zero if none did.
+	settledByOther atomic.Int64
 	// unallocated reports that the last claim on connections failed.
 	unallocated atomic.Bool
 
@@ -185,6 +188,7 @@
 		Promoter:    v.Adapter.Promoter,
 		Targets:     v.control,
 		Fleet:       v.fleet,
+		FirstStart:  v.Settings.FirstStart(),
 		Known:       v.established,
 		VMs:         v.directory.PeerCount,
 		Now:         v.Now,
--- a/internal/site/store.go
+++ b/internal/site/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -12,7 +13,10 @@
 
 // Store simulates the platform's metadata store in memory. It is an http.Handler.
 type Store struct {
-	lock     sync.Mutex
+	lock sync.Mutex
+	// era is the value of the header Store-Era; the header is not sent while it is
+	// zero.
+	era      uint64
 	revision uint64
 	items    map[string]item
 	history  []item
@@ -77,6 +81,53 @@
 	s.compactedRevision = s.revision
 }
 
+// Copy is the content of a Store at a moment.
+type Copy struct {
+	revision    uint64
+	items       map[string]item
+	leaseExpiry map[uint64]time.Time
+	ttls        map[uint64]time.Duration
+	lastLease   uint64
+}
+
+// Copy returns a copy of the store's content, for Restore.
+func (s *Store) Copy() Copy {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return Copy{
+		revision: s.revision, items: maps.Clone(s.items), leaseExpiry: maps.Clone(s.leaseExpiry),
+		ttls: maps.Clone(s.ttls), lastLease: s.lastLease,
+	}
+}
+
+// Restore makes the store come back from a copy: what was written since is gone,
+// leases too, revisions and leases are given out again, and the era rises by one.
+// What the operators and the targets wrote is written again.
+func (s *Store) Restore(c Copy) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	lost := s.items
+	s.era++
+	s.revision, s.items, s.lastLease = c.revision, maps.Clone(c.items), c.lastLease
+	s.leaseExpiry, s.ttls = maps.Clone(c.leaseExpiry), maps.Clone(c.ttls)
+	s.history = nil
+	s.compactedRevision = s.revision
+	for key, i := range lost {
+		if strings.HasPrefix(key, "op/") || strings.HasPrefix(key, "servers/") {
+			s.revision++
+			s.put(key, i.Value, 0)
+		}
+	}
+	s.notifyWatchers()
+}
+
+// SetEra sets the value of the header Store-Era; zero sends none.
+func (s *Store) SetEra(era uint64) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.era = era
+}
+
 // SetWatchesPaused makes watches return no events until they time out, or
 // resumes delivery.
 func (s *Store) SetWatchesPaused(paused bool) {
@@ -177,6 +228,7 @@
 	s.lock.Lock()
 	s.calls++
 	s.expire()
+	s.writeEra(w)
 	if s.down {
 		s.lock.Unlock()
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -199,6 +251,13 @@
 	reply(w, code, body)
 }
 
+// writeEra sets the header with the era, if there is one. The lock is held.
+func (s *Store) writeEra(w http.ResponseWriter) {
+	if s.era != 0 {
+		w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+	}
+}
+
 func reply(w http.ResponseWriter, code int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(code)
@@ -266,9 +325,10 @@
 		s.expire()
 		events, compacted, paused := s.eventsAfter(prefix, after), after < s.compactedRevision, s.watchesPaused
 		revision, changed := s.revision, s.changed
+		s.writeEra(w)
 		s.lock.Unlock()
 		switch {
-		case compacted && !paused:
+		case (compacted || after > revision) && !paused:
 			reply(w, http.StatusGone, nil)
 			return
 		case len(events) > 0 && !paused:
--- a/spec/leaders.pml
+++ b/spec/leaders.pml
@@ -15,6 +15,12 @@
  * VM 0 never reaches VM 3. A confirmation by VMs needs three of the four, VM 1
  * included. Every step of each VM may be delayed by any time.
  *
+ * With LOSS, the store comes back once from a copy in which the record names the old
+ * leader, under a lease that lives. It then confirms no record until VM 3 has written
+ * the newest that the VMs know again. Before that, VM 3 has VM 0's promise to
+ * promote no target any more, or waits until VM 0 may not do so, and looks which
+ * targets lead.
+ *
  * Property: VM 1 acknowledges no write that was committed on the old leader
  * after the new one was promoted. Each of these macros removes one rule, and
  * the checker must then find a violation:
@@ -30,20 +36,53 @@
  *                have yielded
  *   EARLY_WAIT   the wait for grants begins before the last of this third has
  *                yielded
+ *
+ * With LOSS also:
+ *
+ *   CONFIRM_LOST the store confirms the record that the copy holds
+ *   VOUCH_LOST   a VM that restarted confirms the record that the copy holds
+ *   SETTLE_EARLY VM 3 does not wait for VM 0
+ *   SETTLE_BLIND VM 3 does not look which targets lead
+ *   BROKEN_VOW   VM 0 promotes a target in spite of its promise
  */
 
-#define HORIZON 6 /* time at which the search ends */
+#ifdef LOSS
+#define HORIZON 4 /* time at which the search ends */
+#define WINDOW 1  /* time after the write of a failover in which VM 0 may promote a target */
+#define OUTAGE 2  /* time after the store's last confirmation in which VMs may confirm the record */
+#else
+#define HORIZON 6
+#define OUTAGE 4
+#endif
 #define GRANT 1   /* length of a grant after a confirmation */
-#define OUTAGE 4  /* time after the store's last confirmation in which VMs may confirm the record */
 
 byte now = 0;
 
 /* The store: the revision of the leader record, and whether the lease of the
  * old record is alive. Revision 1 names the old leader, revision 2 announces the
- * failover, revision 3 names the new leader. */
+ * failover, revision 3 names the new leader. After a loss the record is written
+ * again: revision 4 names the old leader, revision 5 announces a failover. */
 byte revision = 1;
 bit  alive = 1;
 
+/* Whether the store came back from a copy, and when; whether VM 0 has promised to
+ * promote no target any more. */
+bit  lost = 0;
+byte lostAt = 0;
+bit  promised = 0;
+
+#ifdef CONFIRM_LOST
+#define confirms (alive)
+#else
+#define confirms (alive && (!lost || known == 4))
+#endif
+
+#ifdef VOUCH_LOST
+#define settled 1
+#else
+#define settled (!lost || revision >= 4)
+#endif
+
 /* Whether the old target still accepts writes, and whether the new one was
  * promoted. */
 bit  leads = 1;
@@ -76,7 +115,8 @@
 #define remembers (renewed)
 #endif
 
-#define holds (now - confirmed < GRANT && known == 1)
+#define namesOld (known == 1 || known == 4)
+#define holds (now - confirmed < GRANT && namesOld)
 
 active proctype clock() {
 	do
@@ -89,26 +129,26 @@
 	byte sent;
 	bit held, late;
 	do
-	:: now < HORIZON && known == 1 -> /* renew the lease of the record */
+	:: now < HORIZON && namesOld -> /* renew the lease of the record */
 		sent = now;
 		if
-		:: alive ->
+		:: confirms ->
 			/* the answer is in flight */
 #ifdef LATE_CLOCK
 			sent = now;
 #endif
 			if
-			:: known == 1 && sent > stored -> stored = sent
+			:: namesOld && sent > stored -> stored = sent
 			:: else
 			fi;
 			if
-			:: known == 1 && sent > confirmed -> confirmed = sent
+			:: namesOld && sent > confirmed -> confirmed = sent
 			:: else
 			fi
 		:: else
 		fi;
 		sent = 0
-	:: known < revision -> known = revision /* learn the current revision */
+	:: atomic { known < revision -> known = revision } /* learn the current revision */
 	:: now < HORIZON && known == 1 -> /* ask the others to confirm the record */
 		sent = now;
 		if
@@ -120,7 +160,7 @@
 		:: else
 		fi;
 		sent = 0
-	:: now < HORIZON && known == 1 -> /* a caller's write on the old leader */
+	:: now < HORIZON && namesOld -> /* a caller's write on the old leader */
 #ifdef EARLY_CHECK
 		held = holds;
 #endif
@@ -141,15 +181,15 @@
 
 active proctype voucher() {
 	do
-	:: now < HORIZON && other > 0 && other < revision -> other = revision
+	:: atomic { now < HORIZON && other > 0 && other < revision -> other = revision }
 	:: now < HORIZON && other == 0 -> /* learn the revision from VM 1, or read the record */
 		if
 		:: other = known
-		:: atomic { other = revision; renewed = 1 }
+		:: atomic { other = revision; renewed = settled }
 		fi
 	:: now < HORIZON && other == 1 && !renewed -> /* the store may confirm the record */
 		if
-		:: atomic { revision == 1 && alive -> renewed = 1 }
+		:: atomic { revision == 1 && alive && settled -> renewed = 1 }
 		:: true
 		fi
 	:: now < HORIZON && other > 0 -> atomic { other = 0; renewed = 0 }
@@ -159,12 +199,27 @@
 
 active proctype mover() {
 	byte ended;
+	byte begun;
 	now >= 1;
-	busy = 1;
-	revision = 2;
-	mine = 2;
+	atomic {
+		/* the record of a copy is refused as a base */
+		if
+		:: lost -> goto endMove
+		:: else
+		fi;
+		busy = 1;
+		begun = now;
+		revision = 2;
+		mine = 2
+	};
 #ifndef NO_END
-	alive = 0;
+	/* a lease of an earlier era is left alone */
+	atomic {
+		if
+		:: !lost -> alive = 0
+		:: else
+		fi
+	};
 #endif
 	ended = now;
 	if
@@ -184,8 +239,65 @@
 		skip
 #endif
 	fi;
-	promoted = 1;
-	revision = 3;
-	mine = 3;
-	busy = 0
+	atomic {
+		if
+#ifdef LOSS
+#ifndef BROKEN_VOW
+		:: promised -> goto endMove
+#endif
+		:: now - begun > WINDOW -> goto endMove
+#endif
+		:: else -> promoted = 1
+		fi
+	};
+	atomic {
+		if
+		:: !lost -> revision = 3; mine = 3
+		:: else
+		fi
+	};
+	busy = 0;
+endMove:
+	skip
+}
+
+#ifdef LOSS
+active proctype loss() {
+	byte newest;
+	atomic { revision >= 2 -> lost = 1; lostAt = now; revision = 1; alive = 1 };
+	/* VM 3 learns of the loss, now or later, and settles the record. */
+	newest = 1;
+	if
+	:: atomic { true -> promised = 1; newest = mine } /* VM 0 answers */
+	:: /* VM 0 does not answer */
+#ifndef SETTLE_EARLY
+endSettle:	now - lostAt > WINDOW
+#else
+		skip
+#endif
+	fi;
+	atomic {
+		if
+		:: known > newest -> newest = known
+		:: else
+		fi;
+		if
+		:: other > newest -> newest = other
+		:: else
+		fi
+	};
+	atomic {
+		if
+#ifndef SETTLE_BLIND
+		:: newest > 1 || promoted -> revision = 5
+		:: else -> revision = 4
+#else
+		:: newest > 1 -> revision = 5
+		:: else -> revision = 4
+#endif
+		fi;
+		alive = 1
+	}
 }
+#endif
+
--- a/store/transactional.go
+++ b/store/transactional.go
@@ -25,8 +25,9 @@
 type Item struct {
 	Key   string
 	Value []byte
-	// Revision is the service's revision at the last change of the key.
-	Revision uint64
+	// Revision is the service's revision at the last change of the key, in the era
+	// of the answer.
+	Revision Revision
 	// Lease is the lease with whose end the key is deleted; zero if there is
 	// none.
 	Lease LeaseID
@@ -38,7 +39,7 @@
 // that the key is absent.
 type Condition struct {
 	Key      string
-	Revision uint64
+	Revision Revision
 }
 
 // Put writes a key.
@@ -61,28 +62,36 @@
 // and a revision that counts the changes of all keys, so that a client can
 // watch changes without gaps. A call whose error wraps ErrUnavailable may have
 // taken effect, and may still take effect later while its conditions hold.
+//
+// A service may come back from an older copy of itself and lose what it has
+// acknowledged since; each time its era rises by one. Revisions carry the era of the
+// answer in which they came. An answer of an era below one that was already seen is
+// not used; the call fails with ErrUnavailable.
 type TransactionalStore interface {
 	// Read returns the item of a key and the revision of the service. The
 	// error wraps ErrAbsent if the key does not exist.
-	Read(ctx context.Context, key string) (Item, uint64, error)
+	Read(ctx context.Context, key string) (Item, Revision, error)
 	// List returns all items under a prefix and the revision from which
 	// Watch continues without a gap.
-	List(ctx context.Context, prefix string) ([]Item, uint64, error)
+	List(ctx context.Context, prefix string) ([]Item, Revision, error)
 	// Watch returns the changes under a prefix after a revision, and the
 	// revision from which to continue. If there are none, it waits for them,
 	// at most for the given time. The error wraps ErrCompacted if the changes
-	// are no longer in the service's history.
-	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Item, uint64, error)
+	// are no longer in the service's history, or if the revision is of another
+	// era.
+	Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) ([]Item, Revision, error)
 	// Apply executes a transaction and returns its revision. The error wraps
-	// ErrConflict if a condition did not hold, and ErrNoLease if a lease of
-	// the transaction has ended.
-	Apply(ctx context.Context, t Transaction) (uint64, error)
+	// ErrConflict if a condition did not hold or is of an earlier era, and
+	// ErrNoLease if a lease of the transaction has ended.
+	Apply(ctx context.Context, t Transaction) (Revision, error)
 	// Grant creates a lease with the given time to live.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
-	// Renew restarts the time to live of a lease. The error wraps ErrNoLease
-	// if the lease has ended.
-	Renew(ctx context.Context, id LeaseID) error
+	// Renew restarts the time to live of a lease and returns the era of the
+	// answer. The error wraps ErrNoLease if the lease has ended.
+	Renew(ctx context.Context, id LeaseID) (era uint64, err error)
 	// End ends a lease and deletes its keys. To end a lease that has already
 	// ended is no error.
 	End(ctx context.Context, id LeaseID) error
+	// Era returns the highest era that an answer has had; zero if none told one.
+	Era() uint64
 }
--- a/succession/fence.go
+++ b/succession/fence.go
@@ -119,7 +119,7 @@
 // ended.
 func (v *move) endFormerLeases(ctx context.Context) error {
 	for _, l := range v.record.Former {
-		for v.endLease(ctx, l) != nil {
+		for v.endLease(ctx, l, v.record.Era) != nil {
 			if err := sleep(ctx, retryInterval); err != nil {
 				return err
 			}
--- a/succession/grants.go
+++ b/succession/grants.go
@@ -46,6 +46,11 @@
 
 	lock   sync.Mutex
 	record Record
+	// era is the highest era of the store that this VM knows of, and eraSince when
+	// it learned of it; losses counts how often the era has risen since.
+	era      uint64
+	eraSince time.Duration
+	losses   uint64
 	// confirmedAt is when the record was last confirmed by the store or by
 	// peers, and storeConfirmedAt when the store last confirmed it.
 	confirmedAt      time.Duration
@@ -65,7 +70,7 @@
 }
 
 func (g *Grants) observe(r Record) bool {
-	if r.Revision <= g.record.Revision {
+	if r.Revision <= g.record.Revision || r.Era == 0 && g.losses > 0 && g.record.Revision != 0 {
 		return false
 	}
 	g.record = r
@@ -73,23 +78,76 @@
 	return true
 }
 
-// Confirm records that the store found a lease alive when asked at or after
-// sent. This confirms the known record if it names that lease.
-func (g *Grants) Confirm(l store.LeaseID, sent time.Duration) {
+// Confirm records that the store, in an era, found a lease alive when asked at or
+// after sent. This confirms the known record if it names that lease and was written
+// in that era: a lease that a store brings back from a copy, or gives out again,
+// tells nothing.
+func (g *Grants) Confirm(l store.LeaseID, era uint64, sent time.Duration) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
-	if l == g.record.Lease {
+	g.observeEra(era)
+	if l == g.record.Lease && g.holdsIn(era) {
 		g.confirmByStore(sent)
 	}
 }
 
+// ObserveEra takes in the store's era from any source.
+func (g *Grants) ObserveEra(era uint64) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	g.observeEra(era)
+}
+
+func (g *Grants) observeEra(era uint64) {
+	if era <= g.era {
+		return
+	}
+	if g.era != 0 {
+		g.losses++
+		g.notifyWaiters()
+	}
+	g.era = era
+	g.eraSince = g.Now()
+}
+
+// holdsIn reports whether the known record was written in an era of the store. A
+// record of a writer that knew no era passes until a loss was seen.
+func (g *Grants) holdsIn(era uint64) bool {
+	return g.record.Era == era && era == g.era || g.record.Era == 0 && g.losses == 0
+}
+
+// Era returns the highest known era of the store, how often it has risen since this VM
+// started, and when it last did or was first seen.
+func (g *Grants) Era() (era, losses uint64, since time.Duration) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	return g.era, g.losses, g.eraSince
+}
+
+// isSettled reports whether a record that was read from the store was written in the
+// era in which it was read, or by a writer that knew no era before a loss was seen.
+func (g *Grants) isSettled(r Record) bool {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	return r.Era == r.Stored.Era() || r.Era == 0 && g.losses == 0
+}
+
+// Outdated reports whether the known record was written before the store came back
+// from a copy, so that the store confirms it no more; see Mover.Settle.
+func (g *Grants) Outdated() bool {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	return g.record.Revision != 0 && !g.holdsIn(g.era)
+}
+
 // ConfirmRecord takes in a record that the store returned when asked at or
 // after sent, and confirms it if no newer one is known.
 func (g *Grants) ConfirmRecord(r Record, sent time.Duration) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
+	g.observeEra(r.Stored.Era())
 	g.observe(r)
-	if r.Revision == g.record.Revision {
+	if r.Revision == g.record.Revision && g.holdsIn(r.Stored.Era()) {
 		g.confirmByStore(sent)
 	}
 }
@@ -105,7 +163,7 @@
 
 // ConfirmRevision records that the store confirmed the record of this revision
 // to another VM at or after the time at.
-func (g *Grants) ConfirmRevision(revision uint64, at time.Duration) {
+func (g *Grants) ConfirmRevision(revision store.Revision, at time.Duration) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
 	if revision == g.record.Revision {
@@ -117,7 +175,7 @@
 // newer than this revision and were not moving a leadership. It reports whether
 // this confirms the known record, which it does only for a limited time after
 // the last confirmation by the store.
-func (g *Grants) ConfirmByPeers(revision uint64, sent time.Duration) bool {
+func (g *Grants) ConfirmByPeers(revision store.Revision, sent time.Duration) bool {
 	g.lock.Lock()
 	defer g.lock.Unlock()
 	if revision != g.record.Revision || !g.everConfirmed || sent-g.storeConfirmedAt > OutageLength-g.Length {
@@ -130,7 +188,7 @@
 // Extend records that another VM knew at or after the time at that the record of this
 // revision was the latest, from the store or from enough VMs. Unlike ConfirmRevision,
 // it is no base for confirmations among VMs.
-func (g *Grants) Extend(revision uint64, at time.Duration) {
+func (g *Grants) Extend(revision store.Revision, at time.Duration) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
 	if revision == g.record.Revision {
@@ -140,7 +198,7 @@
 
 // ValidFrom returns when the known record was last confirmed by the store or by VMs;
 // false if it never was, or if its revision is another one.
-func (g *Grants) ValidFrom(revision uint64) (time.Duration, bool) {
+func (g *Grants) ValidFrom(revision store.Revision) (time.Duration, bool) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
 	return g.confirmedAt, g.everConfirmed && revision == g.record.Revision
@@ -203,7 +261,7 @@
 // StoreConfirmation returns the revision of the newest known record and when
 // the store last confirmed it. The last result is false if no record was ever
 // confirmed.
-func (g *Grants) StoreConfirmation() (uint64, time.Duration, bool) {
+func (g *Grants) StoreConfirmation() (store.Revision, time.Duration, bool) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
 	return g.record.Revision, g.storeConfirmedAt, g.everConfirmed
--- a/succession/move.go
+++ b/succession/move.go
@@ -56,6 +56,9 @@
 	if r.Leads[v.group] != from {
 		return ErrConcurrentUpdate
 	}
+	if !v.Grants.isSettled(r) {
+		return ErrOutdated
+	}
 	d := <-duty
 	if d.err != nil {
 		return d.err
@@ -69,10 +72,10 @@
 	if err != nil {
 		return err
 	}
-	v.token = d.item.Revision
+	v.token = uint64(d.item.Revision)
 	if string(d.item.Value) != v.holderID() {
 		// The write of the record also wrote the duty key.
-		v.token = v.record.Revision
+		v.token = uint64(v.record.Stored)
 	}
 	return nil
 }
@@ -96,10 +99,10 @@
 
 // announce sends the record with the new leader to the other VMs, without
 // waiting for their answers.
-func (v *move) announce(r Record) {
+func (m *Mover) announce(r Record) {
 	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
 	time.AfterFunc(announceTimeout, cancel)
-	v.Fleet.Yield(ctx, r)
+	m.Fleet.Yield(ctx, r)
 }
 
 // recordLeader writes the new leader to the leader record. It retries until it
@@ -111,9 +114,14 @@
 	for {
 		r, err := v.readRecord(ctx)
 		if err == nil {
-			if r.Leads[v.group].Mover != v.record.Leads[v.group].Mover {
+			if r.Leads[v.group].Mover != v.record.Leads[v.group].Mover && v.Grants.isSettled(r) {
 				return ErrConcurrentUpdate
 			}
+			if !v.Grants.isSettled(r) {
+				err = ErrOutdated
+			}
+		}
+		if err == nil {
 			r, err = v.writeRecord(ctx, r, r.WithLead(v.group, Lead{Target: target}), nil)
 		}
 		if err == nil {
--- a/succession/mover.go
+++ b/succession/mover.go
@@ -31,6 +31,9 @@
 	// ErrNotNeeded reports that the reason for a move no longer held when the
 	// move was about to begin.
 	ErrNotNeeded = errors.New("reason for moving the leadership no longer holds")
+	// ErrOutdated reports that the store came back from a copy, and that the leader
+	// record has not been written in its present era yet.
+	ErrOutdated = errors.New("leader record is from an earlier era of the store")
 	// ErrWindowExpired reports that a move took so long that another VM may
 	// take it over.
 	ErrWindowExpired = errors.New("promotion window expired before a target was promoted")
@@ -105,6 +108,20 @@
 	// until each has taken it in or the context ends. It returns these VMs,
 	// and a channel that receives each one that has taken it in.
 	Yield(ctx context.Context, r Record) ([]Member, <-chan Member)
+	// Survey tells all other VMs that may be running of the store's era, and has
+	// Grants observe the newest record that any of them knows. A VM that has
+	// answered has no record of an earlier era promoted for which it has not
+	// called yet. It asks VMs that do not answer again until the context ends.
+	Survey(ctx context.Context, era uint64) Survey
+}
+
+// Survey is the result of Fleet.Survey.
+type Survey struct {
+	// Complete reports that all VMs have answered.
+	Complete bool
+	// Remembers reports that a VM had a record confirmed since its start, so that
+	// what earlier writers did is not forgotten.
+	Remembers bool
 }
 
 // Member is another VM that may rely on a leader record.
@@ -129,6 +146,9 @@
 	Fleet       Fleet
 	// VMs returns the number of VMs, as far as this one knows.
 	VMs func() int
+	// FirstStart reports whether the whole system starts for the first time, so
+	// that no VM can know of an earlier record.
+	FirstStart bool
 	// Known reports whether all running VMs know this one, so that none gets a
 	// record confirmed by peers without asking it.
 	Known func() bool
@@ -149,6 +169,9 @@
 // leaders are the targets that report themselves as primary, keyed by group.
 func (m *Mover) Start(ctx context.Context, leaders map[string]string) error {
 	r, err := m.readRecord(ctx)
+	if errors.Is(err, store.ErrAbsent) && !m.FirstStart {
+		return m.Settle(ctx, leaders)
+	}
 	if err != nil && !errors.Is(err, store.ErrAbsent) {
 		return err
 	}
@@ -175,6 +198,9 @@
 	if err != nil || r.Lease != l {
 		return err
 	}
+	if !m.Grants.isSettled(r) {
+		return ErrOutdated
+	}
 	_, err = m.writeRecord(ctx, r, r, nil)
 	return err
 }
@@ -197,7 +223,7 @@
 	if err != nil {
 		return fmt.Errorf("claim leadership of %s: %w", group, err)
 	}
-	m.Log.Info("leadership is being moved", "group", group, "from", from.Target, "reason", reason, "token", v.token, "record", v.record.Revision)
+	m.Log.Info("leadership is being moved", "group", group, "from", from.Target, "reason", reason, "token", v.token, "record", v.record.Revision.String())
 	if err := v.run(ctx, from); err != nil {
 		return fmt.Errorf("move leadership of %s: %w", group, err)
 	}
--- a/succession/promote.go
+++ b/succession/promote.go
@@ -19,8 +19,8 @@
 		if err == nil {
 			err = v.callPromotion(ctx, target)
 		}
-		if err == nil {
-			return target, nil
+		if err == nil || errors.Is(err, ErrOutdated) {
+			return target, err
 		}
 		v.Log.Info("promotion failed; retrying", "group", v.group, "target", target, "reason", err.Error())
 		if err := sleep(ctx, 2*retryInterval); err != nil {
@@ -39,6 +39,11 @@
 		if v.Now()-v.startedAt > promotionWindow {
 			return ErrWindowExpired
 		}
+		if era, _, _ := v.Grants.Era(); era != v.record.Era {
+			// The fencing token is of an earlier era, and other VMs may have
+			// been told that no promotion under it follows.
+			return ErrOutdated
+		}
 		err := v.callPromotionOnce(ctx, target)
 		if err == nil {
 			return v.awaitPrimary(ctx, target)
--- a/succession/record.go
+++ b/succession/record.go
@@ -68,9 +68,16 @@
 	// Writer identifies the write, so that a VM whose write got no answer
 	// recognises the record as its own.
 	Writer string `json:"writer"`
-	// Revision is the store's revision of the record; it is not part of the
-	// stored value.
-	Revision uint64 `json:"-"`
+	// Era is the store's era in which the record was written; zero if the store
+	// tells none.
+	Era uint64 `json:"era,omitempty"`
+	// Revision orders records: it consists of Era and the number of the store's
+	// revision of the record. A record that the store brings back from a copy
+	// therefore does not pass for a newer one.
+	Revision store.Revision `json:"-"`
+	// Stored is the revision under which the store returned the record, in the
+	// era of the answer; zero if the record came from another VM.
+	Stored store.Revision `json:"-"`
 }
 
 // WithLead returns a copy of the record in which one group's leadership is
@@ -84,7 +91,7 @@
 	return r
 }
 
-// Encode returns the record as JSON, without Revision.
+// Encode returns the record as JSON, without Revision and Stored.
 func (r Record) Encode() ([]byte, error) {
 	b, err := json.Marshal(r)
 	if err != nil {
@@ -93,12 +100,16 @@
 	return b, nil
 }
 
-// DecodeRecord decodes a stored record. Its error wraps ErrRecord.
+// DecodeRecord decodes a record as the store returned it. Its error wraps ErrRecord.
 func DecodeRecord(i store.Item) (Record, error) {
 	r := Record{}
 	if err := json.Unmarshal(i.Value, &r); err != nil {
 		return Record{}, fmt.Errorf("decode leader record: %w", errors.Join(ErrRecord, err))
 	}
+	r.Stored = i.Revision
 	r.Revision = i.Revision
+	if r.Era != 0 {
+		r.Revision = store.At(r.Era, i.Revision.Number())
+	}
 	return r, nil
 }
--- a/succession/succession_test.go
+++ b/succession/succession_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"sync"
 	"testing"
 	"time"
@@ -27,6 +28,7 @@
 // memoryStore is an in-memory store that can lose answers and delay writes.
 type memoryStore struct {
 	lock     sync.Mutex
+	era      uint64
 	revision uint64
 	items    map[string]store.Item
 	leases   map[store.LeaseID]bool
@@ -42,26 +44,51 @@
 	return &memoryStore{revision: 7, items: map[string]store.Item{}, leases: map[store.LeaseID]bool{}}
 }
 
-func (l *memoryStore) Read(_ context.Context, key string) (store.Item, uint64, error) {
+// at returns the revision of a change in the present era.
+func (l *memoryStore) at(number uint64) store.Revision { return store.At(l.era, number) }
+
+// copy returns a copy of the items and leases, for restore.
+func (l *memoryStore) copy() *memoryStore {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	return &memoryStore{revision: l.revision, items: maps.Clone(l.items), leases: maps.Clone(l.leases), next: l.next}
+}
+
+// restore makes the store come back from a copy, in the next era.
+func (l *memoryStore) restore(c *memoryStore) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	l.era++
+	l.revision, l.items, l.leases, l.next = c.revision, maps.Clone(c.items), maps.Clone(c.leases), c.next
+}
+
+func (l *memoryStore) Era() uint64 {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	return l.era
+}
+
+func (l *memoryStore) Read(_ context.Context, key string) (store.Item, store.Revision, error) {
 	time.Sleep(l.readDelay)
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	i, ok := l.items[key]
 	if !ok {
-		return store.Item{}, l.revision, store.ErrAbsent
+		return store.Item{}, l.at(l.revision), store.ErrAbsent
 	}
-	return i, l.revision, nil
+	i.Revision = l.at(i.Revision.Number())
+	return i, l.at(l.revision), nil
 }
 
-func (l *memoryStore) List(context.Context, string) ([]store.Item, uint64, error) {
-	return nil, l.revision, nil
+func (l *memoryStore) List(context.Context, string) ([]store.Item, store.Revision, error) {
+	return nil, l.at(l.revision), nil
 }
 
-func (l *memoryStore) Watch(context.Context, string, uint64, time.Duration) ([]store.Item, uint64, error) {
-	return nil, l.revision, nil
+func (l *memoryStore) Watch(context.Context, string, store.Revision, time.Duration) ([]store.Item, store.Revision, error) {
+	return nil, l.at(l.revision), nil
 }
 
-func (l *memoryStore) Apply(_ context.Context, t store.Transaction) (uint64, error) {
+func (l *memoryStore) Apply(_ context.Context, t store.Transaction) (store.Revision, error) {
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	if l.delayedWrites > 0 {
@@ -83,17 +110,17 @@
 	return r, err
 }
 
-func (l *memoryStore) apply(t store.Transaction) (uint64, error) {
+func (l *memoryStore) apply(t store.Transaction) (store.Revision, error) {
 	for _, c := range t.Conditions {
-		if l.items[c.Key].Revision != c.Revision {
+		if l.items[c.Key].Revision.Number() != c.Revision.Number() || c.Revision != 0 && c.Revision.Era() != l.era {
 			return 0, store.ErrConflict
 		}
 	}
 	l.revision++
 	for _, p := range t.Puts {
-		l.items[p.Key] = store.Item{Key: p.Key, Value: p.Value, Revision: l.revision, Lease: p.Lease}
+		l.items[p.Key] = store.Item{Key: p.Key, Value: p.Value, Revision: l.at(l.revision), Lease: p.Lease}
 	}
-	return l.revision, nil
+	return l.at(l.revision), nil
 }
 
 func (l *memoryStore) Grant(context.Context, time.Duration) (store.LeaseID, error) {
@@ -104,13 +131,13 @@
 	return l.next, nil
 }
 
-func (l *memoryStore) Renew(_ context.Context, n store.LeaseID) error {
+func (l *memoryStore) Renew(_ context.Context, n store.LeaseID) (uint64, error) {
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	if !l.leases[n] {
-		return store.ErrNoLease
+		return l.era, store.ErrNoLease
 	}
-	return nil
+	return l.era, nil
 }
 
 func (l *memoryStore) End(_ context.Context, n store.LeaseID) error {
@@ -185,6 +212,16 @@
 	members    []succession.Member
 	yields     int
 	yieldDelay time.Duration
+	// survey runs in each call of Survey and returns its result; nil returns that
+	// all VMs answered and none remembers anything.
+	survey func(ctx context.Context) succession.Survey
+}
+
+func (c *fakeFleet) Survey(ctx context.Context, _ uint64) succession.Survey {
+	if c.survey == nil {
+		return succession.Survey{Complete: true}
+	}
+	return c.survey(ctx)
 }
 
 func (c *fakeFleet) Yield(context.Context, succession.Record) ([]succession.Member, <-chan succession.Member) {
@@ -322,7 +359,8 @@
 		begun := clock.SinceBoot()
 		s.fakePlatform.beforePromotion = func() {
 			gomega.Expect(clock.SinceBoot() - begun).To(gomega.BeNumerically(">=", s.grants.Length))
-			gomega.Expect(errors.Is(s.Renew(context.Background(), old), store.ErrNoLease)).To(gomega.BeTrue())
+			_, err := s.Renew(context.Background(), old)
+			gomega.Expect(errors.Is(err, store.ErrNoLease)).To(gomega.BeTrue())
 		}
 		gomega.Expect(s.move("vm-0")).To(gomega.Succeed())
 	})
@@ -365,9 +403,10 @@
 
 var _ = ginkgo.Describe("Grants", func() {
 	const length = 100 * time.Millisecond
-	record := func(revision uint64, lease store.LeaseID, l succession.Lead) succession.Record {
-		return succession.Record{Lease: lease, Revision: revision, Leads: map[string]succession.Lead{"choir": l}}
+	record := func(revision store.Revision, lease store.LeaseID, l succession.Lead) succession.Record {
+		return succession.Record{Lease: lease, Era: revision.Era(), Revision: revision, Leads: map[string]succession.Lead{"choir": l}}
 	}
+	first, second := store.At(1, 90), store.At(2, 80)
 	stable := succession.Lead{Target: "a"}
 	moving := succession.Lead{Target: "a", Mover: "vm-1"}
 	tests := map[string]struct {
@@ -380,35 +419,35 @@
 		}, false},
 		"confirmed by its lease": {func(g *succession.Grants, _ func(time.Duration)) {
 			g.Observe(record(1, 5, stable))
-			g.Confirm(5, 0)
+			g.Confirm(5, 0, 0)
 		}, true},
 		"confirmed by another lease": {func(g *succession.Grants, _ func(time.Duration)) {
 			g.Observe(record(1, 5, stable))
-			g.Confirm(4, 0)
+			g.Confirm(4, 0, 0)
 		}, false},
 		"confirmed too long ago": {func(g *succession.Grants, at func(time.Duration)) {
 			g.Observe(record(1, 5, stable))
-			g.Confirm(5, 0)
+			g.Confirm(5, 0, 0)
 			at(length)
 		}, false},
 		"confirmed before a long suspension of the VM": {func(g *succession.Grants, at func(time.Duration)) {
 			g.Observe(record(1, 5, stable))
-			g.Confirm(5, 0)
+			g.Confirm(5, 0, 0)
 			at(time.Hour)
 		}, false},
 		"leadership is being moved": {func(g *succession.Grants, _ func(time.Duration)) {
 			g.Observe(record(1, 5, stable))
-			g.Confirm(5, 0)
+			g.Confirm(5, 0, 0)
 			g.Observe(record(2, 6, moving))
 		}, false},
 		"an older record arrives after a newer one": {func(g *succession.Grants, _ func(time.Duration)) {
 			g.Observe(record(2, 6, moving))
 			g.Observe(record(1, 5, stable))
-			g.Confirm(5, 0)
+			g.Confirm(5, 0, 0)
 		}, false},
 		"confirmed by peers after the store did": {func(g *succession.Grants, at func(time.Duration)) {
 			g.Observe(record(1, 5, stable))
-			g.Confirm(5, 0)
+			g.Confirm(5, 0, 0)
 			at(2 * time.Second)
 			g.ConfirmByPeers(1, 2*time.Second)
 		}, true},
@@ -418,17 +457,49 @@
 		}, false},
 		"confirmed by peers after too long an outage": {func(g *succession.Grants, at func(time.Duration)) {
 			g.Observe(record(1, 5, stable))
-			g.Confirm(5, 0)
+			g.Confirm(5, 0, 0)
 			at(succession.OutageLength)
 			g.ConfirmByPeers(1, succession.OutageLength)
 		}, false},
 		"confirmed by peers for an older record": {func(g *succession.Grants, at func(time.Duration)) {
 			g.Observe(record(1, 5, stable))
-			g.Confirm(5, 0)
+			g.Confirm(5, 0, 0)
 			g.Observe(record(2, 6, stable))
 			at(2 * time.Second)
 			g.ConfirmByPeers(1, 2*time.Second)
 		}, false},
+		"confirmed in its era": {func(g *succession.Grants, _ func(time.Duration)) {
+			g.Observe(record(first, 5, stable))
+			g.Confirm(5, 1, 0)
+		}, true},
+		"its lease lives on after the store came back from a copy": {func(g *succession.Grants, _ func(time.Duration)) {
+			g.Observe(record(first, 5, stable))
+			g.Confirm(5, 2, 0)
+		}, false},
+		"read from the copy that the store came back from": {func(g *succession.Grants, _ func(time.Duration)) {
+			r := record(first, 5, stable)
+			r.Stored = store.At(2, 90)
+			g.ConfirmRecord(r, 0)
+		}, false},
+		"a lost record is known, and an older one read from the copy": {func(g *succession.Grants, _ func(time.Duration)) {
+			g.Observe(record(first, 6, moving))
+			r := record(store.At(1, 80), 5, stable)
+			r.Stored = second
+			g.ConfirmRecord(r, 0)
+			g.Confirm(5, 2, 0)
+		}, false},
+		"written again after a loss, under a lower number": {func(g *succession.Grants, _ func(time.Duration)) {
+			g.Observe(record(first, 6, moving))
+			r := record(second, 7, stable)
+			r.Stored = second
+			g.ConfirmRecord(r, 0)
+		}, true},
+		"confirmed by an answer from before a loss that is known": {func(g *succession.Grants, _ func(time.Duration)) {
+			g.ObserveEra(1)
+			g.ObserveEra(2)
+			g.Observe(record(first, 5, stable))
+			g.Confirm(5, 1, 0)
+		}, false},
 	}
 	for name, c := range tests {
 		ginkgo.It(name, func() {
--- a/succession/write.go
+++ b/succession/write.go
@@ -61,7 +61,8 @@
 		return Record{}, fmt.Errorf("grant lease for leader record: %w", err)
 	}
 	next.Lease = l
-	next.Former = m.unendedLeases(old)
+	next.Era = m.Store.Era()
+	next.Former = m.unendedLeases(old, next.Era)
 	next.VMs = m.VMs()
 	next.Writer = m.nextWriterID()
 	text, err := next.Encode()
@@ -69,14 +70,19 @@
 		return Record{}, err
 	}
 	t := store.Transaction{
-		Conditions: []store.Condition{{Key: RecordKey, Revision: old.Revision}},
+		Conditions: []store.Condition{{Key: RecordKey, Revision: old.Stored}},
 		Puts:       []store.Put{{Key: RecordKey, Value: text}},
 	}
 	if duty != nil {
 		m.addDuty(&t, *duty)
 	}
 	sent := m.Now()
-	next.Revision, err = m.Store.Apply(ctx, t)
+	next.Stored, err = m.Store.Apply(ctx, t)
+	next.Revision = next.Stored
+	if err == nil && next.Stored.Era() != next.Era {
+		// The store was replaced by its copy while the write was under way.
+		err = store.ErrUnavailable
+	}
 	if err != nil {
 		next, err = m.resolveWrite(ctx, next, err)
 	}
@@ -86,17 +92,21 @@
 	}
 	m.Grants.ConfirmRecord(next, sent)
 	for _, f := range next.Former {
-		go m.endLeaseWithRetry(f)
+		go m.endLeaseWithRetry(f, next.Era)
 	}
 	return next, nil
 }
 
 // unendedLeases returns the leases of a record and its predecessors, without
-// those that this VM has ended.
-func (m *Mover) unendedLeases(old Record) []store.LeaseID {
+// those that this VM has ended. Those of an earlier era are left alone: they confirm
+// no record any more, and may have been given out again.
+func (m *Mover) unendedLeases(old Record, era uint64) []store.LeaseID {
 	m.lock.Lock()
 	defer m.lock.Unlock()
 	list := []store.LeaseID{}
+	if old.Era != era {
+		return list
+	}
 	for _, l := range append(slices.Clone(old.Former), old.Lease) {
 		if l != 0 && !m.endedLeases[l] {
 			list = append(list, l)
@@ -105,8 +115,12 @@
 	return list
 }
 
-// endLease ends a lease in the store and remembers that it has ended.
-func (m *Mover) endLease(ctx context.Context, l store.LeaseID) error {
+// endLease ends a lease of an era in the store and remembers that it has ended. It
+// does nothing if the store is in a later era.
+func (m *Mover) endLease(ctx context.Context, l store.LeaseID, era uint64) error {
+	if m.Store.Era() != era {
+		return nil
+	}
 	if err := m.Store.End(ctx, l); err != nil {
 		return fmt.Errorf("end lease of an older leader record: %w", err)
 	}
@@ -144,7 +158,7 @@
 	for range 3 {
 		r, err := m.readRecord(ctx)
 		switch {
-		case err == nil && r.Writer == next.Writer:
+		case err == nil && r.Writer == next.Writer && m.Grants.isSettled(r):
 			return r, nil
 		case err == nil && r.Revision > 0 && errors.Is(cause, store.ErrConflict):
 			return Record{}, fmt.Errorf("write leader record: %w", ErrConcurrentUpdate)
@@ -159,11 +173,11 @@
 // endLeaseWithRetry ends the lease of an older record, and retries for up to
 // writeTimeout. VMs with that record then notice early that it is no longer
 // current; safety does not depend on it.
-func (m *Mover) endLeaseWithRetry(l store.LeaseID) {
+func (m *Mover) endLeaseWithRetry(l store.LeaseID, era uint64) {
 	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
 	defer cancel()
 	for ctx.Err() == nil {
-		err := m.endLease(ctx, l)
+		err := m.endLease(ctx, l, era)
 		if err == nil {
 			return
 		}
