Let a new allocator grant no connections that its predecessor gave away

Cause: an allocator that takes over counts VMs whose claims it has not had yet at their base share, while they may hold more by its predecessor's grant for another second; the first to ask gets those connections as well (part of the open finding of connections over a target's limit).

Change: for the time that a claim is valid after this VM began to divide a target's connections, a VM gets no more than it has open.

Result: 'pool' TestSharesKeepTheLimitWhenTheAllocatorChanges fails on the code before (225 of 171 connections may be open) and passes.

--- a/edge/holders.go
+++ b/edge/holders.go
@@ -50,6 +50,9 @@
 	// allocators are the VMs that may divide the connections, in the order in
 	// which they are asked.
 	allocators []Peer
+	// allocatorSince is when this VM became the first of the allocators; zero if
+	// it is not.
+	allocatorSince time.Duration
 }
 
 // holdersOf returns which VMs hold a group's connections. Before the first
@@ -92,11 +95,14 @@
 	changed := []string{}
 	for name, h := range next {
 		old, ok := before[name]
+		h.allocatorSince = s.allocatorSince(h, old, now)
+		next[name] = h
 		if !ok || old.Self == h.Self {
 			delete(s.holderChangeSince, name)
 			continue
 		}
 		if !s.holderChangeDue(name, now) {
+			old.allocators, old.allocatorSince = h.allocators, h.allocatorSince
 			next[name] = old
 			continue
 		}
@@ -109,6 +115,15 @@
 	}
 }
 
+// allocatorSince returns since when this VM is the first of a group's allocators, given
+// what it knew before; zero if it is not.
+func (s *supervisor) allocatorSince(h, before groupHolders, now time.Duration) time.Duration {
+	if len(h.allocators) == 0 || h.allocators[0].Name != s.Settings.VM() {
+		return 0
+	}
+	return cmp.Or(before.allocatorSince, now)
+}
+
 // holderChangeDue reports whether this VM has been due to start or stop holding a
 // group's connections for holderChangeDelay. A change costs all open connections.
 func (s *supervisor) holderChangeDue(group string, now time.Duration) bool {
--- a/edge/supervisor.go
+++ b/edge/supervisor.go
@@ -158,9 +158,11 @@
 // limits returns the limits for allocating the connections to one target of a
 // group, of which all VMs together may hold the given number.
 func (v *VM) limits(group string, connections int) pool.Limits {
+	h := v.holdersOf(group)
 	return pool.Limits{
 		Connections: max(connections-controlConnections, 1),
-		VMs:         v.holdersOf(group).vms,
+		VMs:         h.vms,
+		Since:       h.allocatorSince,
 	}
 }
 
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -426,3 +426,41 @@
 		}
 	})
 }
+
+// TestSharesKeepTheLimitWhenTheAllocatorChanges guards against a new allocator that
+// gives away connections which VMs still have by a grant of the one before.
+func TestSharesKeepTheLimitWhenTheAllocatorChanges(t *testing.T) {
+	limits := pool.Limits{Connections: 171, VMs: 12}
+	const change = 20 * 250 * time.Millisecond
+	open := map[string]int{}
+	allocators := []*pool.Shares{{}, {}}
+	vm := func(i int) string { return fmt.Sprintf("vm-%d", i) }
+	for round := range 40 {
+		now := time.Duration(round) * 250 * time.Millisecond
+		// All connections are in use by the first VMs; after the change of the
+		// allocator the others ask first, for as many.
+		allocator, wanting := allocators[0], 0
+		if round >= 20 {
+			allocator, wanting = allocators[1], 6
+			limits.Since = change
+		}
+		for n := range limits.VMs {
+			i := (n + wanting) % limits.VMs
+			wanted := 1
+			if i >= wanting && i < wanting+6 {
+				wanted = 28
+			}
+			open[vm(i)] = max(allocator.Divide(now, vm(i), pool.Claim{Target: "a", Open: open[vm(i)], Wanted: wanted}, limits), limits.Base())
+			total := 0
+			for j := range limits.VMs {
+				total += max(open[vm(j)], limits.Base())
+			}
+			if total > limits.Connections {
+				t.Fatalf("round %d: %d connections may be open, the limit is %d", round, total, limits.Connections)
+			}
+		}
+	}
+	if got := open[vm(6)]; got < 20 {
+		t.Errorf("a VM that wants 28 connections has %d long after the change", got)
+	}
+}
--- a/pool/share.go
+++ b/pool/share.go
@@ -33,7 +33,14 @@
 // divides for all; the others fall back to the base share while they do not
 // reach it. The zero Shares has no claims.
 type Shares struct {
-	targets map[string]map[string]*share
+	targets map[string]*division
+}
+
+// division is the division of one target's connections.
+type division struct {
+	vms map[string]*share
+	// since is when the first claim arrived, and claimedAt when the last did.
+	since, claimedAt time.Duration
 }
 
 // share is the part of a target's connections that one VM has been granted,
@@ -61,6 +68,9 @@
 	Connections int
 	// VMs is the number of VMs, including those without a claim.
 	VMs int
+	// Since is when this VM began to be the allocator that the others ask first;
+	// zero if it is not, so that it was asked since the first claim.
+	Since time.Duration
 }
 
 // Base returns the base share, which a VM may use without a claim: half of an
@@ -74,15 +84,13 @@
 // Divide records one VM's claim on a target and returns how many of the target's
 // connections that VM may hold: its part by demand, as far as no other VM may be
 // using those connections, but at least the base share.
+//
+// An allocator that has just begun to divide a target's connections does not know
+// what its predecessor granted. Until such grants and the claims for them have
+// expired, a VM gets no more than it has open.
 func (s *Shares) Divide(now time.Duration, vm string, c Claim, l Limits) int {
-	if s.targets == nil {
-		s.targets = map[string]map[string]*share{}
-	}
-	vms := s.targets[c.Target]
-	if vms == nil {
-		vms = map[string]*share{}
-		s.targets[c.Target] = vms
-	}
+	d := s.division(now, c.Target)
+	vms := d.vms
 	maps.DeleteFunc(vms, func(_ string, n *share) bool { return now-n.claimedAt > claimRetention })
 	own := vms[vm]
 	if own == nil {
@@ -104,9 +112,27 @@
 		}
 	}
 	own.granted = max(min(demandShare(vms, vm, divisible), free), base)
+	if now-cmp.Or(l.Since, d.since) < claimTTL {
+		own.granted = max(min(own.granted, c.Open), base)
+	}
 	return own.granted
 }
 
+// division returns the division of a target's connections, a new one if there has
+// been no claim for claimRetention.
+func (s *Shares) division(now time.Duration, target string) *division {
+	if s.targets == nil {
+		s.targets = map[string]*division{}
+	}
+	d := s.targets[target]
+	if d == nil || now-d.claimedAt > claimRetention {
+		d = &division{vms: map[string]*share{}, since: now}
+		s.targets[target] = d
+	}
+	d.claimedAt = now
+	return d
+}
+
 // demandShare returns the part of a limit that a VM gets by demand. If all
 // demands fit, every VM gets its demand, and half of the remainder is divided
 // equally, so that a VM whose demand grows finds the other half free.
