Bound the wait for a target where timeouts are long, and spread refused callers

A statement waited for a target for 0.7 of its timeout, whatever that is, and all refused callers were told to come back after the same 250 ms.

Change: it waits for 3 s at most, by when nearly every change of leader is over; a refused caller is told 125 to 375 ms.

Result: TestDispatchTimeWithLongTimeouts, TestRetryAfterSpreadsCallers.

--- a/front/attempt.go
+++ b/front/attempt.go
@@ -14,15 +14,6 @@
 
 // Limits and retry delays of running a statement.
 const (
-	// dispatchShare is the fraction of a statement's timeout in which a target
-	// has to be found. The rest is left for the target's work, so that no
-	// statement is sent that cannot be answered in time.
-	dispatchShare = 0.7
-	// queueShare is the fraction of a route's latency objective for which a
-	// statement waits while all suitable targets are busy. A caller that is
-	// refused by then has time for two more tries at other VMs, and statements
-	// that are served can still meet the objective.
-	queueShare = 0.25
 	// unreachableLimit is how long the leader may be unreachable from this VM
 	// before statements that need it are refused at once. A leader that all VMs
 	// had lost would have been replaced by then, so other VMs do reach it.
@@ -47,8 +38,6 @@
 	// ackMargin is added to the age of a session's own commit, because the
 	// leader reached the position before it acknowledged the commit.
 	ackMargin = 5 * time.Millisecond
-	// retryAfter is the delay after which a refused caller is told to retry.
-	retryAfter = 250 * time.Millisecond
 )
 
 // attempt is the execution of one statement, or of the opening of a
@@ -99,9 +88,9 @@
 		route:            r,
 		group:            g,
 		arrived:          now,
-		dispatchDeadline: now + time.Duration(dispatchShare*float64(r.Timeout)),
+		dispatchDeadline: now + dispatchTime(r),
 		deadline:         now + r.Timeout,
-		queueDeadline:    now + time.Duration(queueShare*float64(r.LatencyObjective)),
+		queueDeadline:    now + queueTime(r),
 		needsLeader:      needsLeader,
 	}, nil
 }
@@ -109,7 +98,7 @@
 // refuse returns a busy failure, which guarantees that nothing ran, and tells
 // the caller when to retry.
 func (s *session) refuse(reason string) query.Reply {
-	return s.failure(query.CodeBusy, fmt.Sprintf("%s; retry after %d ms", reason, retryAfter.Milliseconds()))
+	return s.failure(query.CodeBusy, fmt.Sprintf("%s; retry after %d ms", reason, retryAfter().Milliseconds()))
 }
 
 // need returns the requirements on the target of the next try. A read
