Let the roots of the zones follow the first of them instead of the store

Change: a root follows the two roots that rank before it, and calls the store if those fail or have no fresh confirmation. During an outage only the first two retry each 0.3 s, other zone watchers each second.

TestRootsFollowTheFirstOnes.

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -43,13 +43,16 @@
 	firstSyncTimeout = 700 * time.Millisecond
 	maxSyncTimeout   = 8 * time.Second
 	// minStoreBackoff is the first pause after a failed call to the store, and
-	// watcherMaxBackoff the longest one of a VM on which its zone relies.
-	minStoreBackoff   = 150 * time.Millisecond
-	watcherMaxBackoff = 300 * time.Millisecond
-	// nonWatcherMaxBackoff is the longest pause of the other VMs. While the
-	// store is away their calls would only add to its load, and they learn from
-	// the zone's watchers when it is back.
-	nonWatcherMaxBackoff = 2 * time.Second
+	// fleetWatcherMaxBackoff the longest one of a VM on which all zones rely, or
+	// of one that has not read everything yet.
+	minStoreBackoff        = 150 * time.Millisecond
+	fleetWatcherMaxBackoff = 300 * time.Millisecond
+	// zoneWatcherMaxBackoff and nonWatcherMaxBackoff are the longest pauses of
+	// the other zone watchers and of the rest. While the store is away their
+	// calls would only add to its load, and they learn from those that they
+	// follow when it is back.
+	zoneWatcherMaxBackoff = time.Second
+	nonWatcherMaxBackoff  = 2 * time.Second
 )
 
 // storeFollower keeps the directory in step with the store.
@@ -208,7 +211,7 @@
 // fresh confirmation of the leader record.
 func (f *storeFollower) followPeers(ctx context.Context) followed {
 	outcome := followedNone
-	for _, p := range f.sources.answering(f.ownZone().sources(f.Settings.VM()), f.Now()) {
+	for _, p := range f.ownSources() {
 		a := f.fleet.follow(ctx, p, peerFollowTimeout)
 		if a == nil {
 			continue
@@ -224,10 +227,14 @@
 // maxBackoff returns the longest pause between calls to a store that does not
 // answer.
 func (f *storeFollower) maxBackoff() time.Duration {
-	if !f.synced.Load() || f.isZoneWatcher() {
-		return watcherMaxBackoff
+	switch {
+	case !f.synced.Load() || f.isFleetWatcher():
+		return fleetWatcherMaxBackoff
+	case f.isZoneWatcher():
+		return zoneWatcherMaxBackoff
+	default:
+		return nonWatcherMaxBackoff
 	}
-	return nonWatcherMaxBackoff
 }
 
 // sync reads everything. Changes are followed from the revision of the reading on,
--- a/edge/leases.go
+++ b/edge/leases.go
@@ -90,11 +90,11 @@
 }
 
 // confirmedByPeer reports whether this VM gets its confirmations from another one.
-// The root of the zone's overlay asks the store itself, other zone watchers if the
-// last confirmation is stale, and the rest only if no VM that they follow answers.
+// The first root asks the store itself, zone watchers if the last confirmation is
+// stale, and the rest only if no VM that they follow answers.
 func (c *recordConfirmer) confirmedByPeer() bool {
 	z := c.ownZone()
-	if len(z.order) == 0 || z.order[0].Name == c.Settings.VM() {
+	if len(z.order) == 0 || c.directory.members().rootRank(c.Settings.VM()) == 0 {
 		return false
 	}
 	_, confirmedAt, confirmed := c.grants.StoreConfirmation()
@@ -179,7 +179,7 @@
 			return
 		}
 		if r.Adapter.Store.Era() != r.revision.Era() {
-			r.Log.Info("store came back from an older copy; registering again", "era", r.Adapter.Store.Era())
+			r.Log.Info("store is in another era; registering again", "era", r.Adapter.Store.Era(), "before", r.revision.Era())
 			r.lease = 0
 			sleep(ctx, rand.N(leaseRepairJitter))
 			return
--- a/edge/membership.go
+++ b/edge/membership.go
@@ -16,6 +16,8 @@
 	// peers are the VMs, sorted by name.
 	peers []Peer
 	zones map[string]*zoneMembership
+	// roots are the first VMs of the zones' orders, ranked among one another.
+	roots []Peer
 }
 
 // zoneMembership is the part of a membership in one zone.
@@ -40,6 +42,7 @@
 		if z == nil {
 			z = &zoneMembership{byName: map[string]int{}}
 			m.zones[p.Zone] = z
+			m.roots = append(m.roots, p)
 		}
 		z.byName[p.Name] = len(z.order)
 		z.order = append(z.order, p)
--- a/edge/outage.go
+++ b/edge/outage.go
@@ -79,7 +79,7 @@
 // fresh confirmation. A VM that has not read the store yet learns of changes that
 // way.
 func (o *outagePoller) askSources(ctx context.Context) {
-	for _, p := range o.sources.answering(o.ownZone().sources(o.Settings.VM()), o.Now()) {
+	for _, p := range o.ownSources() {
 		a := o.follow(ctx, p, 0)
 		if a != nil && o.isFresh(a) {
 			o.wakeSupervisor()
--- a/edge/overlay_test.go
+++ b/edge/overlay_test.go
@@ -94,6 +94,27 @@
 	})
 }
 
+// TestRootsFollowTheFirstOnes guards against a root in each zone that follows the store:
+// all but the first two learn of changes from those.
+func TestRootsFollowTheFirstOnes(t *testing.T) {
+	peers := []Peer{}
+	for n := range 60 {
+		peers = append(peers, Peer{Name: fmt.Sprintf("vm-%d", n), Zone: fmt.Sprintf("z%d", n%6)})
+	}
+	m := newMembership(peers)
+	if len(m.roots) != 6 {
+		t.Fatalf("%d roots, want 6", len(m.roots))
+	}
+	for i, p := range m.roots {
+		if got, want := m.sources(p.Zone, p.Name), m.roots[:min(i, maxRootSources)]; !slices.Equal(got, want) {
+			t.Errorf("root %d follows %v, want %v", i, got, want)
+		}
+		if !m.zone(p.Zone).isWatcher(p.Name) {
+			t.Errorf("root %d does not call the store when those that it follows fail", i)
+		}
+	}
+}
+
 func TestSourcesOfAVMThatIsNotRegistered(t *testing.T) {
 	z := zoneOf(upTo(20)...)
 	if got := z.sources("vm-new"); !slices.Equal(got, z.order[:maxZoneWatchers]) {
