Have a leader record without an era written again, and soak losses of the store

Cause: a whole run of ./edge failed once: a VM that started after a loss took the record of the copy for a present one and served a read from the deposed leader for 130 ms, since that record named no era: the store had told none when it was written, and VMs of the former build write such records.

The specs of losses start with a store that tells its era, and one covers a store that begins to tell it. The soak has three kinds of losses, apart from the others, so that earlier seeds keep their faults.

--- a/edge/loss_test.go
+++ b/edge/loss_test.go
@@ -5,16 +5,16 @@
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
+
+	"amaranthsill/succession"
 )
 
 // lossyStore opens a fixture whose store tells its era, as one does that may come back
 // from a copy.
 func lossyStore(vms int) *fixture {
-	f := openFixture(threeZones, vms)
-	f.site.Store.SetEra(1)
-	// The VMs see the era with the next confirmation of the leader record.
-	gomega.Eventually(f.vms[0].readMetrics, recoveryTimeout, "20ms").Should(gomega.ContainSubstring("amaranthsill_store_era 1"))
-	return f
+	options := threeZones
+	options.Era = 1
+	return openFixture(options, vms)
 }
 
 // longestGap calls c until stop is closed and sends the longest time between two
@@ -98,6 +98,15 @@
 		gomega.Expect(f.vms[0].session("choir-own").retry("WRITE bar 1").code).To(gomega.BeEmpty())
 	})
 
+	ginkgo.It("gets a leader record with its era once it tells one, so that a VM that starts later can tell an older one", func() {
+		f := openFixture(threeZones, 2)
+		gomega.Expect(string(f.site.Store.Get(succession.RecordKey))).NotTo(gomega.ContainSubstring(`"era"`))
+		f.site.Store.SetEra(4)
+		gomega.Eventually(func() string { return string(f.site.Store.Get(succession.RecordKey)) }, recoveryTimeout, "20ms").Should(gomega.ContainSubstring(`"era":4`))
+		f.vms[0].session("choir-own").must("WRITE bar 1")
+		gomega.Expect(f.vms[0].readMetrics()).To(gomega.ContainSubstring("amaranthsill_store_losses_total 0"))
+	})
+
 	ginkgo.It("serves again after all VMs were lost with it", func() {
 		f := lossyStore(2)
 		f.vms[0].session("choir-own").must("WRITE bar kept")
--- a/edge/settle.go
+++ b/edge/settle.go
@@ -76,10 +76,11 @@
 }
 
 // settleRecord has the leader record written again if it is from an earlier era of the
-// store. Each VM waits for its rank times rankDelay, and leaves it to a VM that has
-// announced an attempt, so that normally only one VM asks all others.
+// store or names none. Each VM waits for its rank times rankDelay, and leaves it to a
+// VM that has announced an attempt, so that normally only one VM asks all others.
 func (s *supervisor) settleRecord(ctx context.Context, groups map[string]catalog.Group) {
-	if !s.grants.Outdated() || !s.registered.Load() || s.recordingLeaders.Load() {
+	outdated := s.grants.Outdated()
+	if !outdated && !s.grants.Unstamped() || !s.registered.Load() || s.recordingLeaders.Load() {
 		s.outdatedSince = 0
 		return
 	}
@@ -97,8 +98,14 @@
 		defer s.recordingLeaders.Store(false)
 		limited, cancel := context.WithTimeout(ctx, settleTimeout)
 		defer cancel()
-		if err := s.mover.Settle(limited, leaders); err != nil {
-			s.Log.Info("leader record was not written again after a loss of the store; trying again", "reason", err.Error())
+		var err error
+		if outdated {
+			err = s.mover.Settle(limited, leaders)
+		} else {
+			err = s.mover.Stamp(limited)
+		}
+		if err != nil {
+			s.Log.Info("leader record was not written again in the store's present era; trying again", "reason", err.Error())
 		}
 		s.wakeSupervisor()
 	}()
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -25,6 +25,8 @@
 	Lag time.Duration
 	// StatementDelay is how long each server waits before it executes a query.
 	StatementDelay time.Duration
+	// Era is the store's era at the start; zero sends none with its answers.
+	Era uint64
 	// ProxyAddress returns the address under which a server is registered,
 	// given the address on which it listens, such as that of a proxy between
 	// them. Nil registers the server's own address.
@@ -74,6 +76,7 @@
 		Store: NewStore(), Address: l.Addr().String(), options: options, listener: l,
 		groups: map[string]*Group{}, closed: make(chan struct{}),
 	}
+	s.Store.SetEra(options.Era)
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /promotion", s.promote)
 	mux.Handle("/", s.Store)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"amaranthsill/internal/site"
@@ -11,9 +12,12 @@
 // the longest possible fault after that has ended.
 func (r *Run) injectFaults() {
 	start := time.Now()
+	kinds := faults
+	if r.Losses {
+		kinds = slices.Concat(faults, lossFaults)
+	}
 	for time.Since(start) < r.Length {
-		n := r.random.IntN(len(faults))
-		f := faults[n]
+		f := kinds[r.random.IntN(len(kinds))]
 		duration := time.Duration(r.random.Int64N(int64(maxFaultDuration)))
 		r.Logf("seed %d: %v %s for %v", r.Seed, time.Since(start).Round(time.Millisecond), f.name, duration.Round(time.Millisecond))
 		undo := f.inject(r)
@@ -163,6 +167,34 @@
 	}},
 }
 
+// lossFaults are the kinds of faults in which the store loses what it acknowledged.
+var lossFaults = []faultKind{
+	{"the store comes back from a copy taken now", func(r *Run) func() {
+		before := r.site.Store.Copy()
+		return func() { r.site.Store.Restore(before) }
+	}},
+	{"the store is away, and comes back from a copy taken now", func(r *Run) func() {
+		before := r.site.Store.Copy()
+		time.AfterFunc(maxFaultDuration/2, func() { r.site.Store.SetDown(true) })
+		return func() {
+			r.site.Store.Restore(before)
+			r.site.Store.SetDown(false)
+		}
+	}},
+	{"all VMs are killed, and the store comes back from a copy taken now", func(r *Run) func() {
+		before := r.site.Store.Copy()
+		for _, v := range r.vms {
+			v.Kill()
+		}
+		return func() {
+			r.site.Store.Restore(before)
+			for _, v := range r.vms {
+				r.startVM(v)
+			}
+		}
+	}},
+}
+
 func (r *Run) randomVM() *VM { return r.vms[r.random.IntN(len(r.vms))] }
 
 func (r *Run) randomProxy() *Proxy { return r.proxies[r.random.IntN(len(r.proxies))] }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -53,6 +53,9 @@
 	Program, Folder string
 	// Length is the time during which faults are injected.
 	Length time.Duration
+	// Losses adds faults in which the store comes back from an older copy. Without
+	// it, a seed selects among the other kinds only.
+	Losses bool
 	// Logf logs the faults and the results, as testing.T.Logf does.
 	Logf func(format string, args ...any)
 
@@ -94,8 +97,13 @@
 }
 
 func (r *Run) open() error {
+	era := uint64(0)
+	if r.Losses {
+		era = 1
+	}
 	var err error
 	r.site, err = site.Open(site.Options{
+		Era:    era,
 		Groups: groups, Zones: []string{"quetzaltenango", "guatemala", "coban"},
 		ConnectionLimit: 12, StatementDelay: time.Millisecond, ProxyAddress: r.startProxy,
 	})
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -15,6 +15,7 @@
 	seedCount     = flag.Int("seeds", 0, "how many seeds to run, instead of the short run")
 	firstSeed     = flag.Uint64("first", 1, "the first of these seeds")
 	faultDuration = flag.Duration("length", 8*time.Second, "for how long faults are injected with each seed")
+	losses        = flag.Bool("losses", false, "with these seeds, let the store come back from older copies too")
 	logFolder     = flag.String("keep", "", "folder for the logs of seeds that fail; the system's temporary one by default")
 )
 
@@ -29,6 +30,9 @@
 // ciSeeds are run by default, before the regressions.
 var ciSeeds = []uint64{1, 2, 3}
 
+// lossSeeds are run by default with losses of the store.
+var lossSeeds = []uint64{1, 2}
+
 func TestSoak(t *testing.T) {
 	list := append([]uint64{}, ciSeeds...)
 	for _, seed := range regressions {
@@ -56,14 +60,30 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			r := &soak.Run{Seed: seed, Program: program, Folder: folder, Length: *faultDuration, Logf: t.Logf}
-			if err := r.Execute(); err != nil {
-				t.Errorf("%v\nlogs are kept in %s", err, folder)
-				return
-			}
-			if err := os.RemoveAll(folder); err != nil {
-				t.Error(err)
+			execute(t, &soak.Run{Seed: seed, Program: program, Folder: folder, Length: *faultDuration, Losses: *losses, Logf: t.Logf})
+		})
+	}
+	if *seedCount > 0 {
+		return
+	}
+	for _, seed := range lossSeeds {
+		t.Run(fmt.Sprintf("losses/%d", seed), func(t *testing.T) {
+			folder, err := os.MkdirTemp(*logFolder, fmt.Sprintf("soak-losses-%d-", seed))
+			if err != nil {
+				t.Fatal(err)
 			}
+			execute(t, &soak.Run{Seed: seed, Program: program, Folder: folder, Length: *faultDuration, Losses: true, Logf: t.Logf})
 		})
 	}
 }
+
+// execute runs one seed, and keeps its logs if it fails.
+func execute(t *testing.T, r *soak.Run) {
+	if err := r.Execute(); err != nil {
+		t.Errorf("%v\nlogs are kept in %s", err, r.Folder)
+		return
+	}
+	if err := os.RemoveAll(r.Folder); err != nil {
+		t.Error(err)
+	}
+}
--- a/succession/grants.go
+++ b/succession/grants.go
@@ -124,6 +124,14 @@
 	return g.era, g.losses, g.eraSince
 }
 
+// Unstamped reports whether the known record names no era although the store has one,
+// as after a write by a VM of a build that knows no eras; see Mover.Stamp.
+func (g *Grants) Unstamped() bool {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	return g.record.Revision != 0 && g.record.Era == 0 && g.era != 0 && g.losses == 0
+}
+
 // isSettled reports whether a record that was read from the store was written in the
 // era in which it was read, or by a writer that knew no era before a loss was seen.
 func (g *Grants) isSettled(r Record) bool {
--- a/succession/settle.go
+++ b/succession/settle.go
@@ -71,6 +71,17 @@
 	return nil
 }
 
+// Stamp writes the record again if it names no era. A VM that starts after a loss would
+// take such a record for one of the present era.
+func (m *Mover) Stamp(ctx context.Context) error {
+	r, err := m.readRecord(ctx)
+	if err != nil || r.Era != 0 || m.Store.Era() == 0 {
+		return err
+	}
+	_, err = m.writeRecord(ctx, r, r, nil)
+	return err
+}
+
 // isDeposed reports whether a target other than the recorded leader is a primary of a
 // higher term than the leader's, or is one while the leader does not answer.
 func (m *Mover) isDeposed(ctx context.Context, group, leader string) bool {
