Wait for the registration at the first start of the system only

Change: it does so only at the first start of the whole system, where all VMs look for one another and callers do not come yet.

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -33,8 +33,10 @@
 	peerFollowTimeout = 450 * time.Millisecond
 	// silentBackoff is how long a VM that did not answer is not followed.
 	silentBackoff = 2 * time.Second
-	// registrationTimeout is how long a VM that starts waits for its registration
-	// before it reads everything, so that it finds the VMs that started with it.
+	// registrationTimeout is how long a VM waits for its registration before it
+	// reads everything when the whole system starts for the first time, so that it
+	// finds the VMs that started with it. Later the others are in the store, and a
+	// slow store would add its delay to the time in which nobody is served.
 	registrationTimeout = 500 * time.Millisecond
 	// firstSyncTimeout and maxSyncTimeout bound the attempts to read everything;
 	// each attempt may take twice as long as the one before. A store that was
@@ -133,7 +135,9 @@
 // confirmation and this VM is a zone watcher.
 func (f *storeFollower) step(ctx context.Context) error {
 	if !f.synced.Load() {
-		f.awaitRegistration(ctx)
+		if f.Settings.FirstStart() {
+			f.awaitRegistration(ctx)
+		}
 		return f.sync(ctx)
 	}
 	switch f.followPeers(ctx) {
