Begin a move again at once that could be fenced only too late

Change: the VM whose attempt ended without a call for a promotion knows that nothing of it can follow, and begins again at once.

--- a/edge/supervisor.go
+++ b/edge/supervisor.go
@@ -216,7 +216,7 @@
 	if lead.Target == "" && !lead.Moving() {
 		return
 	}
-	cause := s.cause(st, g, now)
+	cause := s.cause(name, st, g, now)
 	if cause == "" {
 		st.cause = ""
 		return
@@ -230,8 +230,11 @@
 }
 
 // cause returns why a group's leader has to be replaced; empty if it has not.
-func (s *supervisor) cause(st *groupState, g *pool.Group, now time.Duration) string {
+func (s *supervisor) cause(name string, st *groupState, g *pool.Group, now time.Duration) string {
 	st.maybeLocal = false
+	if s.mover.Abandoned(name, st.lead) {
+		return "this VM's move ended without a promotion"
+	}
 	if st.lead.Moving() {
 		if now-st.leadSince > succession.TakeOver {
 			return "the move was not finished"
--- a/succession/move.go
+++ b/succession/move.go
@@ -21,6 +21,8 @@
 	// is true.
 	oldPosition query.Position
 	steppedDown bool
+	// called reports that the platform was asked for a promotion.
+	called bool
 	// highestTerm is the highest term that any target reported.
 	highestTerm uint64
 }
--- a/succession/mover.go
+++ b/succession/mover.go
@@ -163,6 +163,9 @@
 	moves int
 	// endedLeases holds the leases that this VM has ended.
 	endedLeases map[store.LeaseID]bool
+	// abandoned holds, by group, the Lead.Mover of this VM's last attempt that ended
+	// without a call for a promotion.
+	abandoned map[string]string
 }
 
 // Start writes the first record, or adds groups that the record lacks. The
@@ -225,11 +228,32 @@
 	}
 	m.Log.Info("leadership is being moved", "group", group, "from", from.Target, "reason", reason, "token", v.token, "record", v.record.Revision.String())
 	if err := v.run(ctx, from); err != nil {
+		if !v.called {
+			m.abandon(group, v.record.Leads[group].Mover)
+		}
 		return fmt.Errorf("move leadership of %s: %w", group, err)
 	}
 	return nil
 }
 
+func (m *Mover) abandon(group, mover string) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	if m.abandoned == nil {
+		m.abandoned = map[string]string{}
+	}
+	m.abandoned[group] = mover
+}
+
+// Abandoned reports whether the move that the record shows for a group was this VM's
+// own and ended without a call for a promotion. This VM may begin again at once; the
+// others have to wait for TakeOver, since they cannot know.
+func (m *Mover) Abandoned(group string, l Lead) bool {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	return l.Moving() && m.abandoned[group] == l.Mover
+}
+
 func (m *Mover) addMoves(n int) {
 	m.lock.Lock()
 	defer m.lock.Unlock()
--- a/succession/promote.go
+++ b/succession/promote.go
@@ -60,6 +60,7 @@
 func (v *move) callPromotionOnce(ctx context.Context, target string) error {
 	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
 	defer cancel()
+	v.called = true
 	return v.Promoter.Promote(ctx, v.group, target, v.token)
 }
 
