Let holders answer for the leader's position

A VM of 295 has 0.6 statements a second for a group, so it knows no position of the leader that is recent enough for a read that may be 1.5 or 2.5 s old, asks the leader, and gets the newest one, which replicas 90 ms behind do not have yet.

Change: a VM asks for a position that may be as old as its read; the holder, through which the zone's statements for the group pass, answers from what their replies showed, or asks the leader once for all who wait.

--- a/edge/vm.go
+++ b/edge/vm.go
@@ -204,7 +204,15 @@
 		Metrics:       front.NewMetrics(v.registry, v.Log),
 		Log:           v.Log,
 	}
-	v.relays = &relay.Server{Group: v.heldPool, TransactionIdleTimeout: v.front.TransactionIdleTimeout, Now: v.Now, Log: v.Log}
+	v.relays = &relay.Server{
+		Group:    v.heldPool,
+		IsLeader: v.grants.IsLeader,
+		Refresh:  v.front.RefreshPosition,
+		Now:      v.Now,
+		Log:      v.Log,
+
+		TransactionIdleTimeout: v.front.TransactionIdleTimeout,
+	}
 	v.registry.MustRegister(newCollector(v))
 }
 
--- a/front/attempt.go
+++ b/front/attempt.go
@@ -126,7 +126,7 @@
 	if !ok {
 		a.readPath = a.chooseReadPath()
 	}
-	if !ok && a.readPath == pool.ReadPathReplica && a.session.server.readIndex(a.group).refresh(ctx) == nil {
+	if !ok && a.readPath == pool.ReadPathReplica && a.session.server.readIndex(a.group).refresh(ctx, from) == nil {
 		p, age, ok = a.group.Covering(from)
 	}
 	if !ok {
--- a/front/readindex.go
+++ b/front/readindex.go
@@ -17,7 +17,19 @@
 
 	lock    sync.Mutex
 	running bool
-	waiters []chan error
+	waiters []indexWaiter
+}
+
+// indexWaiter waits for a position that the leader had reached at or after a time.
+type indexWaiter struct {
+	from time.Duration
+	done chan error
+}
+
+// RefreshPosition returns once the group's pool knows a position that the leader had
+// reached after the call began.
+func (srv *Server) RefreshPosition(ctx context.Context, g *pool.Group) error {
+	return srv.readIndex(g).refresh(ctx, srv.Now())
 }
 
 // readIndexTimeout limits one query to the leader.
@@ -39,11 +51,11 @@
 }
 
 // refresh returns once the group's pool knows a position that the leader had
-// reached after the call began.
-func (n *readIndex) refresh(ctx context.Context) error {
+// reached at or after a time.
+func (n *readIndex) refresh(ctx context.Context, from time.Duration) error {
 	done := make(chan error, 1)
 	n.lock.Lock()
-	n.waiters = append(n.waiters, done)
+	n.waiters = append(n.waiters, indexWaiter{from: from, done: done})
 	if !n.running {
 		n.running = true
 		go n.run(context.WithoutCancel(ctx))
@@ -70,23 +82,28 @@
 		if len(waiters) == 0 {
 			return
 		}
-		err := n.queryLeader(ctx)
-		for _, c := range waiters {
-			c <- err
+		from := waiters[0].from
+		for _, w := range waiters {
+			from = max(from, w.from)
+		}
+		err := n.queryLeader(ctx, from)
+		for _, w := range waiters {
+			w.done <- err
 		}
 	}
 }
 
-// queryLeader asks the leader for its position and records it in the group's
-// pool once the target is confirmed as the leader.
-func (n *readIndex) queryLeader(ctx context.Context) error {
+// queryLeader asks for a position that the leader had reached at or after a time, and
+// records it in the group's pool once the target is confirmed as the leader.
+func (n *readIndex) queryLeader(ctx context.Context, from time.Duration) error {
 	until := n.server.Now() + readIndexTimeout
 	slot, err := n.group.Acquire(ctx, pool.Need{Leader: true, Until: until})
 	if err != nil {
 		return fmt.Errorf("ask for leader's position: %w", err)
 	}
 	defer slot.Release()
-	a, err := slot.Run(pool.Locate{}, until)
+	maxAge := max(n.server.Now()-from, 0)
+	a, err := slot.Run(pool.Locate{MaxAge: maxAge}, until)
 	if err != nil {
 		return fmt.Errorf("ask for leader's position: %w", err)
 	}
@@ -98,6 +115,8 @@
 		// position.
 		return fmt.Errorf("ask for leader's position: %w", pool.ErrNoTarget)
 	}
-	n.group.Sample(a.Sent, a.Position)
+	// A holder measures the age when it answers, which is after Sent; it is never
+	// more than was asked for.
+	n.group.Sample(a.Sent-min(a.Age, maxAge), a.Position)
 	return nil
 }
--- a/pool/target.go
+++ b/pool/target.go
@@ -132,9 +132,14 @@
 // Align performs one step in changing the link's session state.
 type Align struct{ Step session.Step }
 
-// Locate requests only the log position that comes with every answer. It does
-// not occupy any of the target's slots.
-type Locate struct{}
+// Locate requests only a log position of the target. It does not occupy any of the
+// target's slots.
+type Locate struct {
+	// MaxAge is how old the position may be: one that includes every commit
+	// acknowledged earlier is enough. A holder that knows one answers itself; a
+	// target always returns its present one.
+	MaxAge time.Duration
+}
 
 // Status requests a Report.
 type Status struct{}
--- a/query/query.go
+++ b/query/query.go
@@ -11,6 +11,8 @@
 //	}
 package query
 
+import "time"
+
 // Query is one request of a session. Its text is forwarded to the target
 // unchanged.
 type Query struct {
@@ -191,4 +193,6 @@
 	State   State
 	// Position is the target's log position; zero if the target sent none.
 	Position Position
+	// Age is how old Position is, if a holder returned one that it knew.
+	Age time.Duration
 }
--- a/relay/message.go
+++ b/relay/message.go
@@ -62,6 +62,8 @@
 	Arguments    string
 	// Name and Value are a session variable to set.
 	Name, Value string
+	// MaxAge is how old a requested position may be.
+	MaxAge time.Duration
 }
 
 // response is the reply to one request, or to the hello.
@@ -77,6 +79,8 @@
 	Detail       string
 	State        query.State
 	Term, Offset uint64
+	// Age is how old the position is.
+	Age time.Duration
 }
 
 // newRequest returns the request for an order; timeout is the time that
@@ -99,7 +103,7 @@
 	case pool.Align:
 		return r.withStep(o.Step)
 	case pool.Locate:
-		r.Kind = kindLocate
+		r.Kind, r.MaxAge = kindLocate, o.MaxAge
 	default:
 		return r, fmt.Errorf("relay %T: %w", o, ErrOrder)
 	}
@@ -160,7 +164,7 @@
 func newResponse(r query.Reply) response {
 	n := response{
 		Rows: r.Rows, Receipt: r.Receipt, State: r.State,
-		Term: uint64(r.Position.Term()), Offset: r.Position.Offset(),
+		Term: uint64(r.Position.Term()), Offset: r.Position.Offset(), Age: r.Age,
 	}
 	if r.Failure != nil {
 		n.Failed, n.Code, n.Detail = true, r.Failure.Code, r.Failure.Detail
@@ -169,7 +173,7 @@
 }
 
 func (r response) reply() query.Reply {
-	n := query.Reply{Rows: r.Rows, Receipt: r.Receipt, State: r.State, Position: group.At(group.Term(r.Term), r.Offset)}
+	n := query.Reply{Rows: r.Rows, Receipt: r.Receipt, State: r.State, Position: group.At(group.Term(r.Term), r.Offset), Age: r.Age}
 	if r.Failed {
 		n.Failure = &query.Failure{Code: r.Code, Detail: r.Detail}
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -145,6 +145,10 @@
 	pool     *pool.Group
 	// retired is true once the VM is no holder any more.
 	retired atomic.Bool
+	// leads is true while the target is confirmed as the leader; refreshes counts
+	// the questions for the leader's position.
+	leads     atomic.Bool
+	refreshes atomic.Int32
 }
 
 func newHolder(connections int) *holder {
@@ -152,9 +156,15 @@
 	h.pool = &pool.Group{Name: "choir", Zone: "xela", Dialer: h.fakeTarget, Now: clock.SinceBoot, Log: logr.Discard()}
 	h.pool.Configure([]pool.Target{commonTarget}, connections)
 	h.server = &relay.Server{
-		Group: func(string) (*pool.Group, bool) { return h.pool, !h.retired.Load() },
-		Now:   clock.SinceBoot,
-		Log:   logr.Discard(),
+		Group:    func(string) (*pool.Group, bool) { return h.pool, !h.retired.Load() },
+		IsLeader: func(string, string) bool { return h.leads.Load() },
+		Refresh: func(context.Context, *pool.Group) error {
+			h.refreshes.Add(1)
+			h.pool.Sample(clock.SinceBoot(), group.At(1, 9))
+			return nil
+		},
+		Now: clock.SinceBoot,
+		Log: logr.Discard(),
 
 		TransactionIdleTimeout: func() time.Duration { return 100 * time.Millisecond },
 	}
@@ -298,6 +308,44 @@
 		gomega.Expect(r.Position.IsZero()).To(gomega.BeTrue())
 	})
 
+	ginkgo.It("returns a position that the holder knows if it may be that old, and asks the leader otherwise", func() {
+		h := newHolder(1)
+		h.leads.Store(true)
+		h.pool.Sample(clock.SinceBoot()-time.Second, group.At(1, 4))
+		l := dial(dialer(nil, h.address()))
+		old := exchange(l, pool.Locate{MaxAge: 2 * time.Second})
+		gomega.Expect(old.Position).To(gomega.Equal(group.At(1, 4)))
+		gomega.Expect(old.Age).To(gomega.BeNumerically("~", time.Second, 500*time.Millisecond))
+		gomega.Expect(h.refreshes.Load()).To(gomega.BeZero())
+		recent := exchange(l, pool.Locate{MaxAge: 500 * time.Millisecond})
+		gomega.Expect(recent.Position).To(gomega.Equal(group.At(1, 9)))
+		gomega.Expect(recent.Age).To(gomega.BeNumerically("<=", 500*time.Millisecond))
+		gomega.Expect(h.refreshes.Load()).To(gomega.Equal(int32(1)))
+		exchange(l, pool.Locate{})
+		gomega.Expect(h.refreshes.Load()).To(gomega.Equal(int32(2)))
+		gomega.Expect(h.orders()).To(gomega.BeEmpty())
+	})
+
+	ginkgo.It("passes a question for a position on if its target is not confirmed as the leader", func() {
+		h := newHolder(1)
+		h.pool.Sample(clock.SinceBoot(), group.At(1, 4))
+		l := dial(dialer(nil, h.address()))
+		exchange(l, pool.Locate{MaxAge: time.Minute})
+		gomega.Expect(h.refreshes.Load()).To(gomega.BeZero())
+		gomega.Expect(h.orders()).To(gomega.HaveLen(1))
+	})
+
+	ginkgo.It("lets a holder learn positions from the answers of the leader to other VMs", func() {
+		h := newHolder(1)
+		h.leads.Store(true)
+		h.pool.SetLeader(commonTarget.ID)
+		l := dial(dialer(nil, h.address()))
+		exchange(l, read("q1"))
+		r := exchange(l, pool.Locate{MaxAge: time.Minute})
+		gomega.Expect(r.Position.IsZero()).To(gomega.BeFalse())
+		gomega.Expect(h.refreshes.Load()).To(gomega.BeZero())
+	})
+
 	ginkgo.It("rolls back the open transaction when the link is lost", func() {
 		h := newHolder(1)
 		l := dial(dialer(nil, h.address()))
--- a/relay/server.go
+++ b/relay/server.go
@@ -39,6 +39,11 @@
 	// Group returns the pool of a group to whose targets this VM holds the
 	// connections.
 	Group func(name string) (*pool.Group, bool)
+	// IsLeader reports whether a target is confirmed as its group's leader now.
+	IsLeader func(group, target string) bool
+	// Refresh returns once the group's pool knows a position that the leader had
+	// reached after the call.
+	Refresh func(ctx context.Context, g *pool.Group) error
 	// TransactionIdleTimeout returns the idle timeout of callers' transactions.
 	TransactionIdleTimeout func() time.Duration
 	// Now is a monotonic clock that includes the time for which the VM was
--- a/relay/serverlink.go
+++ b/relay/serverlink.go
@@ -174,6 +174,11 @@
 	if q.Kind == kindRollback {
 		return query.Reply{}, nil
 	}
+	if q.Kind == kindLocate {
+		if answer, ok := r.locate(ctx, q.MaxAge); ok {
+			return answer, nil
+		}
+	}
 	if q.Kind < kindBegin || q.Kind > kindLocate {
 		return query.Reply{}, fmt.Errorf("relay order of kind %d: %w", q.Kind, ErrOrder)
 	}
@@ -194,9 +199,35 @@
 	if err != nil {
 		return query.Reply{}, fmt.Errorf("relay order: %w", err)
 	}
+	r.recordPosition(slot, a)
 	return a.Reply, nil
 }
 
+// recordPosition records the position in an answer of the confirmed leader, so that
+// locate can answer for the VMs of the zone.
+func (r *serverLink) recordPosition(slot *pool.Slot, a pool.Answer) {
+	if slot.Leader() && r.server.IsLeader(r.hello.Group, slot.Target()) {
+		r.group.Sample(a.Sent, a.Position)
+	}
+}
+
+// locate returns a position of the group's leader that may be maxAge old, from what
+// this holder knows. VMs that have few statements of their own rarely know one; here
+// those of the whole zone come together. If none is late enough, the leader is asked
+// once for all links that wait. It returns false if the link's target does not lead,
+// or if the leader does not answer.
+func (r *serverLink) locate(ctx context.Context, maxAge time.Duration) (query.Reply, bool) {
+	if !r.server.IsLeader(r.hello.Group, r.hello.Target) {
+		return query.Reply{}, false
+	}
+	from := r.server.Now() - maxAge
+	p, age, ok := r.group.Covering(from)
+	if !ok && r.server.Refresh(ctx, r.group) == nil {
+		p, age, ok = r.group.Covering(from)
+	}
+	return query.Reply{State: query.StateIdle, Position: p, Age: age}, ok
+}
+
 // begin opens a transaction on a connection.
 func (r *serverLink) begin(q *request, slot *pool.Slot, until time.Duration) (query.Reply, error) {
 	a, err := slot.Begin(pool.Begin{ReadOnly: q.ReadOnly, After: q.position()}, &r.state, r.prepared, until)
@@ -241,6 +272,7 @@
 	if err != nil {
 		return query.Reply{}, fmt.Errorf("relay order: %w", err)
 	}
+	r.recordPosition(r.slot, a)
 	if q.Kind == kindRollback || q.Commit {
 		slot := r.slot
 		r.slot = nil
