Let a majority of the VMs confirm the leader record without the store

Change: more than half of the VMs confirm the record, and a move waits for half of them to yield where it had to wait for a third; the two exclude each other as before. VMs say in their entries that they do so; as long as one that may run does not, two thirds are needed. Questions to other zones are bounded so that the VMs on one side confirm the record before their grants expire. The model is the same: of its four VMs three confirm, and two yield.

Weighed: a move with more than half of the VMs out of reach now waits for the old leader to step down or 9.5 s.

The spec of the wait for half of the VMs replaces the one for a third, with a case that a third is not enough; go test ./succession passed.

--- a/edge/directory.go
+++ b/edge/directory.go
@@ -57,6 +57,9 @@
 	Cores float64 `json:"cores,omitempty"`
 	// Incarnation differs for each start of the VM.
 	Incarnation string `json:"incarnation"`
+	// Majority reports that the VM moves a leadership only once half of the VMs
+	// have yielded, and not a third as builds that do not write it.
+	Majority bool `json:"majority,omitempty"`
 }
 
 // position returns the entry without what changes at each start of the VM, so that
--- a/edge/gather.go
+++ b/edge/gather.go
@@ -14,9 +14,11 @@
 
 // Timeouts of gathering the states of VMs along the overlay.
 const (
-	// gatherTimeout bounds the gathering from one zone. It covers a round trip
-	// between regions and the levels of the overlay.
-	gatherTimeout = 250 * time.Millisecond
+	// gatherTimeout bounds the gathering within one zone, over the levels of its
+	// overlay, and zoneCallTimeout the call of another zone for it, with a round
+	// trip between regions and a new connection.
+	gatherTimeout   = 200 * time.Millisecond
+	zoneCallTimeout = 300 * time.Millisecond
 	// gatherHop is the part of a VM's timeout that is left for the way back, so
 	// that the answers of others arrive although one VM does not answer.
 	gatherHop = 25 * time.Millisecond
@@ -83,7 +85,7 @@
 			if len(below) > 0 {
 				limit = timeout * 6 / 10
 			}
-			answers, ok := f.requestGather(ctx, p, false, q, limit)
+			answers, ok := f.requestGather(ctx, p, q, limit)
 			if !ok {
 				answers = f.gatherFrom(ctx, z, below, q, timeout-limit)
 			}
@@ -98,8 +100,8 @@
 
 // requestGather passes a request on to one VM and those below it; false if the VM does
 // not answer.
-func (f *fleet) requestGather(ctx context.Context, p Peer, root bool, q *peerpb.GatherRequest, timeout time.Duration) ([]*peerpb.Status, bool) {
-	passed := &peerpb.GatherRequest{Record: q.GetRecord(), Root: root, Timeout: uint32(timeout.Milliseconds()), Settling: q.GetSettling()}
+func (f *fleet) requestGather(ctx context.Context, p Peer, q *peerpb.GatherRequest, timeout time.Duration) ([]*peerpb.Status, bool) {
+	passed := &peerpb.GatherRequest{Record: q.GetRecord(), Timeout: uint32(timeout.Milliseconds()), Settling: q.GetSettling()}
 	return f.callGather(ctx, p, passed, timeout)
 }
 
@@ -132,7 +134,8 @@
 		if p.Name == f.Settings.VM() {
 			return f.gatherBelow(ctx, &peerpb.GatherRequest{Record: q.GetRecord(), Root: !isRoot, Settling: q.GetSettling()}, gatherTimeout)
 		}
-		members, ok := f.requestGather(ctx, p, !isRoot, q, gatherTimeout/2)
+		passed := &peerpb.GatherRequest{Record: q.GetRecord(), Root: !isRoot, Timeout: uint32(gatherTimeout.Milliseconds()), Settling: q.GetSettling()}
+		members, ok := f.callGather(ctx, p, passed, zoneCallTimeout)
 		if ok {
 			return members
 		}
--- a/edge/leases.go
+++ b/edge/leases.go
@@ -208,6 +208,7 @@
 		Relay:       r.Settings.RelayAddress(),
 		Cores:       r.Settings.Cores(),
 		Incarnation: r.incarnation,
+		Majority:    true,
 	})
 	if err != nil {
 		return fmt.Errorf("encode VM's entry: %w", err)
--- a/edge/outage.go
+++ b/edge/outage.go
@@ -24,6 +24,10 @@
 	// seedDelay is how long after its start a VM leaves it to the store to tell
 	// it of others.
 	seedDelay = time.Second
+	// pollTimeout bounds the questions to the roots of other zones, two round
+	// trips between regions and a new connection. The VMs still have time to
+	// confirm the record among themselves before the last confirmation expires.
+	pollTimeout = 200 * time.Millisecond
 )
 
 // outagePoller asks other VMs for changes and confirmations of the leader record
@@ -91,6 +95,7 @@
 // poll asks the root of each other zone for changes and confirmations. If none has a
 // fresh confirmation, the VMs confirm the record among themselves.
 func (o *outagePoller) poll(ctx context.Context) {
+	limited, cancel := context.WithTimeout(ctx, pollTimeout)
 	wait := sync.WaitGroup{}
 	for name, z := range o.directory.members().zones {
 		if name == o.Settings.Zone() {
@@ -98,10 +103,11 @@
 		}
 		contacts := o.sources.answering(z.order, o.Now())
 		for _, p := range contacts[:min(len(contacts), 1)] {
-			wait.Go(func() { o.follow(ctx, p, 0) })
+			wait.Go(func() { o.follow(limited, p, 0) })
 		}
 	}
 	wait.Wait()
+	cancel()
 	o.wakeSupervisor()
 	if !o.isConfirmed() {
 		o.confirmAmongVMs(ctx)
@@ -110,14 +116,17 @@
 
 // confirmAmongVMs asks all VMs, along the overlays of their zones, whether they know
 // a newer leader record or move a leadership. Independently of the store, the record
-// counts as confirmed if more than two thirds of all VMs, this one included, are
-// moving no leadership and none that answered knows a newer record.
+// counts as confirmed if more than half of all VMs, this one included, are moving no
+// leadership and none that answered knows a newer record. While a VM may be running
+// whose build moves a leadership once a third has yielded, it takes two thirds.
 func (o *outagePoller) confirmAmongVMs(ctx context.Context) {
 	sent := o.Now()
 	revision, _, _ := o.grants.StoreConfirmation()
 	others := map[string]bool{}
+	majority := true
 	for _, p := range o.directory.recentPeers() {
 		others[p.Name] = true
+		majority = majority && p.Majority
 	}
 	confirming := 1
 	for _, s := range o.gatherAll(ctx, &peerpb.GatherRequest{Record: o.recordMessage()}) {
@@ -130,7 +139,8 @@
 		}
 	}
 	vms := confirming + len(others)
-	if 3*confirming > 2*vms && o.mover.Idle() && o.grants.ConfirmedSinceStart() {
+	enough := 3*confirming > 2*vms || majority && 2*confirming > vms
+	if enough && o.mover.Idle() && o.grants.ConfirmedSinceStart() {
 		o.grants.ConfirmByPeers(revision, sent)
 	}
 }
--- a/spec/leaders.pml
+++ b/spec/leaders.pml
@@ -5,7 +5,7 @@
  * The record names the target that leads. A VM passes answers of the leader on
  * to callers only while it holds a grant, which runs for a limited time after
  * the store has confirmed the record. While the store does not answer, VMs confirm
- * the record for one another instead, which takes more than two thirds of them.
+ * the record for one another instead, which takes more than half of them.
  * A VM yields when it agrees to a failover; it then stops confirming the old
  * record. A VM that performs a failover ensures that no grant for the old leader
  * is left before the platform promotes another target.
@@ -31,9 +31,9 @@
  *   EARLY_CHECK  the grant is checked before the target's answer arrives
  *   VOUCH_MOVING a VM that performs a failover confirms the old record
  *   FORGETFUL    a VM confirms although a restart made it forget that it yielded
- *   ALONE        the failover continues although less than a third of the VMs
+ *   ALONE        the failover continues although less than half of the VMs
  *                have yielded
- *   EARLY_WAIT   the wait for grants begins before the last of this third has
+ *   EARLY_WAIT   the wait for grants begins before the last of this half has
  *                yielded
  *
  * With LOSS also:
--- a/succession/fence.go
+++ b/succession/fence.go
@@ -108,11 +108,11 @@
 // expiryIsSafe reports whether from now on no VM can get an older record
 // confirmed, so that waiting for the running grants to expire is enough. The
 // store confirms no record whose lease has ended. Confirmation by peers needs
-// more than two thirds of the established VMs, which is out of reach once a
-// third has yielded. What those VMs confirmed before they yielded is still
+// more than half of the established VMs, which is out of reach once half of them
+// have yielded. What those VMs confirmed before they yielded is still
 // valid, so the wait must begin after this is true.
 func (c *yieldCount) expiryIsSafe() bool {
-	return c.knownToAll && c.leasesEnded && 3*c.establishedYielded >= c.established
+	return c.knownToAll && c.leasesEnded && 2*c.establishedYielded >= c.established
 }
 
 // endFormerLeases ends the leases of older records, and retries until each has
--- a/succession/mover.go
+++ b/succession/mover.go
@@ -128,8 +128,7 @@
 type Member struct {
 	Name string
 	// Established reports that every VM has known this one for long enough to
-	// count it in the two-thirds majority that confirms a record without the
-	// store.
+	// count it in the majority that confirms a record without the store.
 	Established bool
 }
 
