--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -45,6 +45,17 @@
 		}))
 	})
 
+	ginkgo.It("shows a loss of the store before a request that it affected", func() {
+		log := `{"time":"2026-03-09T09:52:35.1Z","level":"INFO","msg":"store came back from an older copy; what it acknowledged lately is lost","era":2,"before":1,"record":"1/15"}
+{"time":"2026-03-09T09:52:35.4Z","level":"INFO","msg":"leader record was written again after the store came back from an older copy","era":2,"record":"2/16","newest":"1/15","all":true}
+{"time":"2026-03-09T09:52:36.5Z","level":"INFO","msg":"statement refused as not run","request":"5c0e","group":"choir","reason":"nobody confirms who leads"}
+`
+		s, err := explain.Read("5c0e", explain.Source{Name: "vm-1", Reader: strings.NewReader(log)})
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(s.Lines()).To(gomega.HaveLen(3))
+		gomega.Expect(s.Lines()[0].Message()).To(gomega.HavePrefix("store came back from an older copy"))
+	})
+
 	ginkgo.It("returns ErrUnknown when no line carries the request ID", func() {
 		_, err := explain.Read("none", explain.Source{Reader: strings.NewReader(firstLog)})
 		gomega.Expect(errors.Is(err, explain.ErrUnknown)).To(gomega.BeTrue())
