--- a/edge/reload.go
+++ b/edge/reload.go
@@ -95,6 +95,9 @@
 		{"relay", s.relay, n.relay},
 		{"store", s.store, n.store},
 		{"duty", s.duty, n.duty},
+		{"first", s.first, n.first},
+		{"cores", s.cores, n.cores},
+		{"share", s.share, n.share},
 	} {
 		if f.old != f.new {
 			needRestart = append(needRestart, f.name)
--- a/edge/settings_test.go
+++ b/edge/settings_test.go
@@ -52,7 +52,19 @@
 		gomega.Expect(fixed).To(gomega.Equal([]string{"store"}))
 	})
 
+	ginkgo.It("take the processor from the number of cores and the share of each", func() {
+		s, err := edge.ParseSettings("vm.json", []byte(strings.Replace(settings, `"first": true,`, `"first": true, "cores": 2, "share": 0.2,`, 1)))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(s.Cores()).To(gomega.BeNumerically("~", 0.4, 0.001))
+		other, err := edge.ParseSettings("vm.json", []byte(strings.Replace(settings, `"first": true,`, `"first": false,`, 1)))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(other.Cores()).To(gomega.BeZero())
+		_, fixed := s.Reload(other)
+		gomega.Expect(fixed).To(gomega.Equal([]string{"first", "cores", "share"}))
+	})
+
 	faults := map[string]struct{ old, replacement, message string }{
+		"a share above one":           {`"first": true,`, `"first": true, "share": 1.5,`, "write a number from 0 to 1"},
 		"a field that is missing":     {`"vm": "front-xela-a-1",`, ``, "write the VM's name under vm"},
 		"an address that is missing":  {`"store": "10.200.1.7:8783",`, ``, "under store"},
 		"a field that nobody knows":   {`"memory"`, `"memmory"`, "vm.json:13"},
