--- a/edge/loss_test.go
+++ b/edge/loss_test.go
@@ -87,6 +87,23 @@
 		}
 	})
 
+	ginkgo.It("is heard of by a VM that does not reach it, over two losses in a row", func() {
+		f := lossyStore(3)
+		f.vms[0].session("choir-own").must("WRITE bar 1")
+		f.vms[0].storeCut.Store(true)
+		before := f.site.Store.Copy()
+		old := f.site.Leader("choir")
+		old.Drain()
+		f.awaitLeaderOtherThan(old)
+		f.site.Store.Restore(before)
+		f.site.Store.Restore(before)
+		gomega.Eventually(f.vms[0].readMetrics, 2*recoveryTimeout, "20ms").Should(gomega.ContainSubstring("amaranthsill_store_era 3"))
+		gomega.Expect(f.vms[0].session("choir-current").retry("READ bar").rows).To(gomega.Equal([]string{"1"}))
+		gomega.Expect(f.vms[0].session("choir-own").retry("WRITE bar 2").code).To(gomega.BeEmpty())
+		f.vms[0].storeCut.Store(false)
+		gomega.Expect(f.vms[1].session("choir-current").retry("READ bar").rows).To(gomega.Equal([]string{"2"}))
+	})
+
 	ginkgo.It("has the VMs registered again, and configurations of the new era put in force", func() {
 		f := lossyStore(3)
 		before := f.site.Store.Copy()
