End the registrar before a VM's entry is removed

Cause: the race detector, 1 of 2 runs of ./edge: a VM that stops reads its lease while the registrar gives it up after a change of era. Without a loss the same could write the entry again just after it was removed.

Change: deregister ends the registrar first.

--- a/edge/leases.go
+++ b/edge/leases.go
@@ -145,20 +145,38 @@
 	return nil
 }
 
-// registrar keeps this VM's entry in the store.
+// registrar keeps this VM's entry in the store. Only its own goroutine uses the fields
+// below until that has ended.
 type registrar struct {
 	*VM
+	// cancel ends run, and ended is closed once it has returned.
+	cancel context.CancelFunc
+	ended  chan struct{}
 	// lease is the lease of the entry; zero if there is none.
 	lease store.LeaseID
 	// revision is the store's revision at which the entry was written.
 	revision store.Revision
 }
 
+// start runs the registrar until the context ends or deregister is called.
+func (r *registrar) start(ctx context.Context) {
+	ctx, r.cancel = context.WithCancel(ctx)
+	r.ended = make(chan struct{})
+	go func() {
+		defer close(r.ended)
+		r.run(ctx)
+	}()
+}
+
 // run registers the VM and renews its entry until the context ends.
 func (r *registrar) run(ctx context.Context) {
 	b := clock.Backoff{Min: minStoreBackoff, Max: registerMaxBackoff}
 	for ctx.Err() == nil {
-		if err := r.step(ctx); err != nil {
+		err := r.step(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
 			r.storeFailed("registering", err)
 			b.Wait(ctx)
 			continue
@@ -224,9 +242,11 @@
 	return nil
 }
 
-// deregister removes this VM's entry, so that other VMs need not wait for it to
-// expire.
+// deregister stops the registrar and removes this VM's entry, so that other VMs need
+// not wait for it to expire.
 func (r *registrar) deregister(ctx context.Context) {
+	r.cancel()
+	<-r.ended
 	if r.lease == 0 || r.Adapter.Store.Era() != r.revision.Era() {
 		return
 	}
--- a/edge/vm.go
+++ b/edge/vm.go
@@ -138,7 +138,7 @@
 	r := &registrar{VM: v}
 	go (&storeFollower{VM: v}).run(work)
 	go (&recordConfirmer{VM: v}).run(work)
-	go r.run(work)
+	r.start(work)
 	go (&outagePoller{fleet: v.fleet}).run(work)
 	go (&claimer{fleet: v.fleet}).run(work)
 	go (&supervisor{VM: v}).run(work)
