Follow only VMs that have heard from the store

Change: a VM goes on following others only while they have heard from the store lately, themselves or through others; a zone watcher then calls the store at once, others after 1.5 s. Confirmations of the record are renewed at the store by a VM that has none from others.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -393,6 +393,26 @@
 		}
 	})
 
+	ginkgo.It("has a configuration in force within 4 s on a VM that reaches it, although those that it follows do not", func() {
+		// In a zone of five, vm-0 and vm-3 rank behind the VMs that call the store for
+		// the zone. Those that are cut off confirm the leader record among themselves.
+		oneZone := threeZones
+		oneZone.Zones = zones[:1]
+		f := openFixture(oneZone, 5)
+		for _, v := range f.vms[1:] {
+			v.storeCut.Store(true)
+		}
+		time.Sleep(time.Second)
+		f.site.Configure([]site.Route{{
+			"name": "new", "host": "new", "kind": "read_your_writes", "service": "choir",
+			"timeout_ms": 1000, "target_latency_ms": 600, "priority": 1, "max_staleness_ms": 1500,
+		}})
+		gomega.Eventually(func() error {
+			_, err := f.vms[0].connect("new")
+			return err
+		}, "4s", "50ms").Should(gomega.Succeed())
+	})
+
 	ginkgo.It("may hold entries that cannot be decoded", func() {
 		f := openFixture(threeZones, 1)
 		f.site.Store.PutBytes("servers/stranger", []byte("\x00\xff{"))
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -253,6 +253,12 @@
 	return a
 }
 
+// isCurrent reports whether a response is from a VM that had the leader record confirmed
+// by the store at most storeStaleAfter ago, directly or through others.
+func isCurrent(a *peerpb.RecallResponse) bool {
+	return a.GetAge() >= 0 && time.Duration(a.GetAge())*time.Millisecond <= storeStaleAfter
+}
+
 // isFresh reports whether a response confirms the leader record as of at most
 // storeStaleAfter ago.
 func (f *fleet) isFresh(a *peerpb.RecallResponse) bool {
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -31,6 +31,10 @@
 	// newer. A confirmation of the leader record ends the wait, so that this is
 	// also the time in which a VM that no longer gets any is noticed.
 	peerFollowTimeout = 450 * time.Millisecond
+	// maxStaleness is how long a VM goes on following others that answer but do
+	// not reach the store, before it calls the store itself. A configuration has
+	// to be in force within 4 s on every VM that reaches it.
+	maxStaleness = 1500 * time.Millisecond
 	// silentBackoff is how long a VM that did not answer is not followed.
 	silentBackoff = 2 * time.Second
 	// registrationTimeout is how long a VM waits for its registration before it
@@ -65,6 +69,8 @@
 	syncTimeout time.Duration
 	// lastCall is when the store was last asked for changes.
 	lastCall time.Duration
+	// currentAt is when this VM last heard from the store, or from a VM that had.
+	currentAt time.Duration
 }
 
 // sourceLog is what a VM remembers of the VMs that it follows.
@@ -131,8 +137,8 @@
 
 // step reads everything from the store if that was not done yet. Otherwise it
 // waits once for changes, from the VMs that this one follows in the overlay. It asks
-// the store if none of them answers, and if none that answers has a fresh
-// confirmation and this VM is a zone watcher.
+// the store if none of them answers; if none that answers has heard from the store
+// lately, a zone watcher does so at once, and others after maxStaleness.
 func (f *storeFollower) step(ctx context.Context) error {
 	if !f.synced.Load() {
 		if f.Settings.FirstStart() {
@@ -141,10 +147,11 @@
 		return f.sync(ctx)
 	}
 	switch f.followPeers(ctx) {
-	case followedFresh:
+	case followedCurrent:
+		f.currentAt = f.Now()
 		return nil
 	case followedStale:
-		if !f.isZoneWatcher() {
+		if !f.isZoneWatcher() && f.Now()-f.currentAt < maxStaleness {
 			return nil
 		}
 	case followedNone:
@@ -160,6 +167,7 @@
 		return fmt.Errorf("follow store: %w", err)
 	}
 	f.storeAnswered()
+	f.currentAt = f.Now()
 	f.observeEra(revision.Era())
 	for _, i := range items {
 		f.directory.Apply(i)
@@ -204,15 +212,16 @@
 const (
 	// followedNone means that no VM answered, or that there is none to follow.
 	followedNone followed = iota
-	// followedStale means that those that answered had no fresh confirmation of
-	// the leader record.
+	// followedStale means that those that answered have not heard from the store
+	// lately.
 	followedStale
-	// followedFresh means that one had a fresh confirmation.
-	followedFresh
+	// followedCurrent means that one has.
+	followedCurrent
 )
 
-// followPeers waits for changes from the VMs that this one follows, until one has a
-// fresh confirmation of the leader record.
+// followPeers waits for changes from the VMs that this one follows, until one answers
+// that has heard from the store lately. VMs that confirm the leader record among
+// themselves do not count: they may lack changes that the store has.
 func (f *storeFollower) followPeers(ctx context.Context) followed {
 	outcome := followedNone
 	for _, p := range f.ownSources() {
@@ -220,8 +229,8 @@
 		if a == nil {
 			continue
 		}
-		if f.fleet.isFresh(a) {
-			return followedFresh
+		if isCurrent(a) {
+			return followedCurrent
 		}
 		outcome = followedStale
 	}
--- a/edge/leases.go
+++ b/edge/leases.go
@@ -90,8 +90,8 @@
 }
 
 // confirmedByPeer reports whether this VM gets its confirmations from another one.
-// The first root asks the store itself, zone watchers if the last confirmation is
-// stale, and the rest only if no VM that they follow answers.
+// The first root asks the store itself, zone watchers if its last confirmation is
+// stale, and the rest only if confirmations among VMs are stale as well.
 func (c *recordConfirmer) confirmedByPeer() bool {
 	z := c.ownZone()
 	if len(z.order) == 0 || c.directory.members().rootRank(c.Settings.VM()) == 0 {
@@ -101,7 +101,11 @@
 	if confirmed && c.Now()-confirmedAt <= storeStaleAfter {
 		return true
 	}
-	return !z.isWatcher(c.Settings.VM()) && c.synced.Load() && c.sources.silentFor(c.Now()) < storeStaleAfter
+	if z.isWatcher(c.Settings.VM()) || !c.synced.Load() {
+		return false
+	}
+	validAt, ever := c.grants.ValidFrom(c.grants.Record().Revision)
+	return ever && c.Now()-validAt <= storeStaleAfter
 }
 
 // repairLease reads the leader record again after its lease l has ended. If the
