Record a new leader only once nobody reads from the old one

A target that has stepped down commits nothing more, but answers reads; the VMs cut off with it confirm the old record among themselves and returned them. The model had writes only.

Change: a new leader is promoted as before, but the record names it only once all VMs have yielded, half have and the grants of the rest have expired, or the outage is over. The last is counted from the first of several unfinished moves: counted from each, it was never reached. The model has reads, and a mutant READ_EARLY.

--- a/edge/supervisor.go
+++ b/edge/supervisor.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -78,6 +79,9 @@
 	lead succession.Lead
 	// leadSince is when the lead was first seen.
 	leadSince time.Duration
+	// movingSince is when the leadership was first seen being moved away from the
+	// lead's target, by whatever VM; zero if it is not.
+	movingSince time.Duration
 	// cause is why the leader has to be replaced, empty if it has not;
 	// causeSince is the time since which there has been a cause.
 	cause      string
@@ -204,8 +208,14 @@
 	st := s.states[name]
 	now := s.Now()
 	if st == nil || st.lead != lead {
-		moving := st != nil && st.moving
-		st = &groupState{lead: lead, leadSince: now, moving: moving}
+		next := &groupState{lead: lead, leadSince: now, moving: st != nil && st.moving}
+		if lead.Moving() {
+			next.movingSince = now
+		}
+		if st != nil && st.lead.Target == lead.Target && lead.Moving() {
+			next.movingSince = cmp.Or(st.movingSince, now)
+		}
+		st = next
 		s.states[name] = st
 	}
 	leader := lead.Target
@@ -299,14 +309,14 @@
 	}
 	st.moving = true
 	st.lastAttempt = now
-	lead, cause, maybeLocal := st.lead, st.cause, st.maybeLocal
+	lead, movingSince, cause, maybeLocal := st.lead, st.movingSince, st.cause, st.maybeLocal
 	go func() {
 		if maybeLocal && s.fleet.reachedByMajority(ctx, name, lead.Target) {
 			s.Log.Info("most of the VMs asked reach the leader; not replacing it", "group", name, "leader", lead.Target, "cause", cause)
 			s.moveEnded <- name
 			return
 		}
-		err := s.mover.MoveIf(ctx, name, lead, cause, func(ctx context.Context) bool {
+		err := s.mover.MoveIf(ctx, name, lead, movingSince, cause, func(ctx context.Context) bool {
 			return !maybeLocal || !s.fleet.reachedByMajority(ctx, name, lead.Target)
 		})
 		switch {
--- a/scripts/spec.sh
+++ b/scripts/spec.sh
@@ -45,7 +45,7 @@
 done
 check mutant-NO_OPENING promotion.pml violated -DNO_OPENING -DTERMS=4 -DLENGTH=2 -DATTEMPTS=4 -DCRASHES=0 -DWRITES=2
 check leaders leaders.pml holds
-for mutant in NO_END NO_WAIT LATE_CLOCK EARLY_CHECK VOUCH_MOVING FORGETFUL ALONE EARLY_WAIT; do
+for mutant in NO_END NO_WAIT LATE_CLOCK EARLY_CHECK VOUCH_MOVING FORGETFUL ALONE EARLY_WAIT READ_EARLY; do
   check "leaders-$mutant" leaders.pml violated -D$mutant
 done
 check loss leaders.pml holds -DLOSS
--- a/spec/leaders.pml
+++ b/spec/leaders.pml
@@ -21,7 +21,8 @@
  * until VM 0 may promote no target any more, and looks which targets lead.
  *
  * Property: VM 1 acknowledges no write that was committed on the old leader
- * after the new one was promoted. Each of these macros removes one rule, and
+ * after the new one was promoted, and returns no read of the old leader that began
+ * after commits of the new one may have been acknowledged. Each of these macros removes one rule, and
  * the checker must then find a violation:
  *
  *   NO_END       the old record's lease is not ended before the wait
@@ -36,6 +37,9 @@
  *   EARLY_WAIT   the wait for grants begins before the last of this half has
  *                yielded
  *
+ *   READ_EARLY   an old leader that stepped down is taken as one from which nobody
+ *                reads
+ *
  * With LOSS also:
  *
  *   CONFIRM_LOST the store confirms the record that the copy holds
@@ -84,6 +88,9 @@
 bit  leads = 1;
 bit  promoted = 0;
 
+/* Whether the record names the new target, so that its commits are acknowledged. */
+bit  recorded = 0;
+
 /* VM 1: the revision that it knows, the time from which its grant runs, and the
  * time of the last confirmation by the store. */
 byte known = 1;
@@ -171,6 +178,12 @@
 		assert(!(held && late));
 		held = 0;
 		late = 0
+	:: now < HORIZON && namesOld -> /* a caller's read on the old leader, which also a replica answers */
+		late = recorded;
+		held = holds;
+		assert(!(held && late));
+		held = 0;
+		late = 0
 	:: now == HORIZON -> break
 	od
 }
@@ -219,7 +232,21 @@
 #endif
 	ended = now;
 	if
-	:: leads = 0 /* the old leader is reachable and steps down */
+	:: leads = 0 -> /* the old leader is reachable and steps down */
+		atomic {
+			if
+#ifdef LOSS
+			:: now - begun > WINDOW -> goto endMove
+#endif
+			:: else -> promoted = 1
+			fi
+		}
+	:: true
+	fi;
+	if
+#ifdef READ_EARLY
+	:: promoted
+#endif
 	:: true -> /* every VM yields */
 		atomic { known = 2; other = 2 }
 	:: true -> /* only VM 2 yields, and the grants expire */
@@ -237,17 +264,21 @@
 	fi;
 	atomic {
 		if
+		:: promoted
 #ifdef LOSS
-		:: now - begun > WINDOW -> goto endMove
+		:: !promoted && now - begun > WINDOW -> goto endMove
+		:: !promoted && now - begun <= WINDOW -> promoted = 1
+#else
+		:: !promoted -> promoted = 1
 #endif
-		:: else -> promoted = 1
 		fi
 	};
 	atomic {
 		if
 		:: !lost -> revision = 3; mine = 3
 		:: else
-		fi
+		fi;
+		recorded = 1
 	};
 	busy = 0;
 endMove:
--- a/succession/fence.go
+++ b/succession/fence.go
@@ -8,17 +8,39 @@
 	"amaranthsill/pool"
 )
 
-// fence waits until no VM can release an answer of the old leader. It returns
-// the reason why this is certain, for the log.
+// fence waits until no VM can release a commit of the old leader. It returns the reason
+// why this is certain, for the log. An old leader that has stepped down makes no more
+// commits; other VMs may still read from it until awaitGrants returns.
 func (v *move) fence(ctx context.Context) (string, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	steppedDown := make(chan struct{})
 	go func() {
 		if v.stepDown(ctx) == nil {
-			close(steppedDown)
+			close(v.stepped)
 		}
 	}()
+	select {
+	case <-v.stepped:
+		return "old leader stepped down", nil
+	case <-v.grantsGone:
+		return v.grantsReason, nil
+	case <-ctx.Done():
+		return "", fmt.Errorf("fence old leader: %w", ctx.Err())
+	}
+}
+
+// watchGrants asks all VMs to yield, and closes grantsGone once no VM can rely on an
+// older record.
+func (v *move) watchGrants(ctx context.Context) {
+	if reason, ok := v.awaitGrants(ctx); ok {
+		v.grantsReason = reason
+		close(v.grantsGone)
+	}
+}
+
+// awaitGrants waits until no VM can rely on an older record, and returns the reason why
+// this is certain; false if the context ends first.
+func (v *move) awaitGrants(ctx context.Context) (string, bool) {
 	leasesEnded := make(chan struct{})
 	go func() {
 		if v.endFormerLeases(ctx) == nil {
@@ -31,6 +53,7 @@
 	defer stepDownTimer.Stop()
 	outageTimer := time.NewTimer(v.outageRemaining())
 	defer outageTimer.Stop()
+	stepped := v.stepped
 	var grantsExpired <-chan time.Time
 	others, yields := v.Fleet.Yield(ctx, v.record)
 	c := newYieldCount(others, v.Known())
@@ -39,32 +62,34 @@
 			grantsExpired = time.After(v.Grants.Length + clockRateMargin)
 		}
 		select {
-		case <-steppedDown:
-			return "old leader stepped down", nil
+		case <-stepped:
+			c.leaderHadTime = true
+			stepped = nil
 		case m := <-yields:
 			c.add(m)
 		case <-stepDownTimer.C:
-			c.stepDownTimedOut = true
+			c.leaderHadTime = true
 		case <-leasesEnded:
 			c.leasesEnded = true
 			leasesEnded = nil
 		case <-grantsExpired:
-			return "grants of VMs that did not yield expired", nil
+			return "grants of VMs that did not yield expired", true
 		case <-outageTimer.C:
-			return "last confirmation of an older record by peers expired", nil
+			return "last confirmation of an older record by peers expired", true
 		case <-ctx.Done():
-			return "", fmt.Errorf("fence old leader: %w", ctx.Err())
+			return "", false
 		}
 		if c.allYielded() {
-			return "all VMs yielded", nil
+			return "all VMs yielded", true
 		}
 	}
 }
 
-// outageRemaining returns the time until any confirmation by peers of a record
-// older than this move's has certainly expired.
+// outageRemaining returns the time until any confirmation by peers of a record in which
+// the old leader leads has certainly expired. Unfinished moves before this one count:
+// since the first of them no record names the old leader as leading.
 func (v *move) outageRemaining() time.Duration {
-	return max(v.startedAt+OutageLength+writeMargin-v.Now(), 0)
+	return max(min(v.movingSince, v.startedAt)+OutageLength+writeMargin-v.Now(), 0)
 }
 
 // yieldCount counts the VMs that have yielded, which means that they have
@@ -76,9 +101,9 @@
 	// knownToAll reports that every VM knows this one, and so asks it before
 	// peers confirm a record.
 	knownToAll bool
-	// stepDownTimedOut reports that the old leader had its time to step down,
-	// and leasesEnded that the leases of older records have ended.
-	stepDownTimedOut, leasesEnded bool
+	// leaderHadTime reports that the old leader has stepped down or had its time to
+	// do so, and leasesEnded that the leases of older records have ended.
+	leaderHadTime, leasesEnded bool
 }
 
 func newYieldCount(others []Member, knownToAll bool) *yieldCount {
@@ -102,7 +127,7 @@
 // allYielded reports whether no VM relies on an older record any more, and the
 // old leader had its time to step down.
 func (c *yieldCount) allYielded() bool {
-	return c.knownToAll && c.stepDownTimedOut && c.yielded >= c.vms
+	return c.knownToAll && c.leaderHadTime && c.yielded >= c.vms
 }
 
 // expiryIsSafe reports whether from now on no VM can get an older record
--- a/succession/move.go
+++ b/succession/move.go
@@ -1,6 +1,7 @@
 package succession
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"time"
@@ -16,11 +17,18 @@
 	record    Record
 	token     uint64
 	startedAt time.Duration
-	oldLeader string
+	// movingSince is when this VM first saw that the old leader's lead is being
+	// moved, which may be by earlier moves that did not finish.
+	movingSince time.Duration
+	oldLeader   string
 	// oldPosition is the old leader's last log position, valid if steppedDown
 	// is true.
 	oldPosition query.Position
 	steppedDown bool
+	// stepped is closed once the old leader has stepped down. grantsGone is closed
+	// once no VM can rely on an older record, for grantsReason.
+	stepped, grantsGone chan struct{}
+	grantsReason        string
 	// called reports that the platform was asked for a promotion.
 	called bool
 	// highestTerm is the highest term that any target reported.
@@ -28,15 +36,22 @@
 }
 
 func (v *move) run(ctx context.Context, from Lead) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	v.stepped, v.grantsGone = make(chan struct{}), make(chan struct{})
+	go v.watchGrants(ctx)
 	how, err := v.fence(ctx)
 	if err != nil {
 		return err
 	}
-	v.Log.Info("no VM can release answers of the old leader any more; promoting a new one", "group", v.group, "from", from.Target, "how", how, "took", (v.Now() - v.startedAt).String())
+	v.Log.Info("no VM can release commits of the old leader any more; promoting a new one", "group", v.group, "from", from.Target, "how", how, "took", (v.Now() - v.startedAt).String())
 	target, err := v.promote(ctx)
 	if err != nil {
 		return err
 	}
+	if err := v.awaitReaders(ctx, target); err != nil {
+		return err
+	}
 	if err := v.recordLeader(ctx, target); err != nil {
 		return err
 	}
@@ -44,6 +59,22 @@
 	return nil
 }
 
+// awaitReaders waits until no VM reads from the old leader as the leader any more,
+// unless it leads again. A target that has stepped down still answers reads, which
+// would lack the commits of the new leader; before the record names that one, nobody
+// acknowledges its commits.
+func (v *move) awaitReaders(ctx context.Context, target string) error {
+	if target == v.oldLeader {
+		return nil
+	}
+	select {
+	case <-v.grantsGone:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("await VMs that may read from the old leader: %w", ctx.Err())
+	}
+}
+
 // claim writes to the leader record that this VM moves the leadership. The
 // error wraps ErrConcurrentUpdate if the record has changed, and ErrNotNeeded
 // if the move is no longer needed.
@@ -69,6 +100,7 @@
 		return ErrNotNeeded
 	}
 	v.startedAt = v.Now()
+	v.movingSince = cmp.Or(v.movingSince, v.startedAt)
 	lead := Lead{Target: from.Target, Mover: v.nextWriterID()}
 	v.record, err = v.writeRecord(ctx, r, r.WithLead(v.group, lead), &d.item)
 	if err != nil {
--- a/succession/mover.go
+++ b/succession/mover.go
@@ -211,16 +211,17 @@
 // move that another VM did not finish. The reason is only logged. The error
 // wraps ErrConcurrentUpdate if the leadership is no longer as given.
 func (m *Mover) Move(ctx context.Context, group string, from Lead, reason string) error {
-	return m.MoveIf(ctx, group, from, reason, func(context.Context) bool { return true })
+	return m.MoveIf(ctx, group, from, 0, reason, func(context.Context) bool { return true })
 }
 
 // MoveIf is like Move, but calls needed before it writes the record if the
 // store took longer than maxReasonAge to answer. Its error wraps ErrNotNeeded if
-// needed returns false.
-func (m *Mover) MoveIf(ctx context.Context, group string, from Lead, reason string, needed func(context.Context) bool) error {
+// needed returns false. movingSince is when this VM first saw the group's leadership
+// being moved away from that target, by moves that did not finish; zero if it is not.
+func (m *Mover) MoveIf(ctx context.Context, group string, from Lead, movingSince time.Duration, reason string, needed func(context.Context) bool) error {
 	m.addMoves(1)
 	defer m.addMoves(-1)
-	v := &move{Mover: m, group: group, oldLeader: from.Target}
+	v := &move{Mover: m, group: group, oldLeader: from.Target, movingSince: movingSince}
 	err := v.claim(ctx, from, needed)
 	if err != nil {
 		return fmt.Errorf("claim leadership of %s: %w", group, err)
--- a/succession/succession_test.go
+++ b/succession/succession_test.go
@@ -298,7 +298,7 @@
 		before := s.grants.Record().Revision
 		s.memoryStore.readDelay = 600 * time.Millisecond
 		asked := 0
-		err := s.mover("vm-0").MoveIf(context.Background(), "choir", s.grants.Lead("choir"), "test", func(context.Context) bool {
+		err := s.mover("vm-0").MoveIf(context.Background(), "choir", s.grants.Lead("choir"), 0, "test", func(context.Context) bool {
 			asked++
 			return false
 		})
@@ -395,6 +395,33 @@
 		gomega.Expect(s.move("vm-0")).To(gomega.Succeed())
 	})
 
+	ginkgo.It("does not record the new leader while VMs may read from an old leader that has stepped down", func() {
+		// Most VMs are on the other side of a network partition with the old leader,
+		// which steps down through one of them. It still answers reads.
+		s := newFixture()
+		s.reports["b"].Received = group.At(3, 9)
+		s.fakeFleet.members = []succession.Member{{Name: "x", Established: true}, {Name: "y", Established: true}, {Name: "z", Established: true}}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		gomega.Expect(s.mover("vm-0").Move(ctx, "choir", s.grants.Lead("choir"), "test")).NotTo(gomega.Succeed())
+		gomega.Expect(s.fakePlatform.calls).To(gomega.Equal([]string{"b"}))
+		gomega.Expect(s.grants.Lead("choir").Moving()).To(gomega.BeTrue())
+		s.fakeFleet.yields = 3
+		gomega.Expect(s.mover("vm-1").Move(context.Background(), "choir", s.grants.Lead("choir"), "test")).To(gomega.Succeed())
+		gomega.Expect(s.grants.Lead("choir")).To(gomega.Equal(succession.Lead{Target: "b"}))
+	})
+
+	ginkgo.It("counts the time since the first of several unfinished moves", func() {
+		s := newFixture()
+		s.fakePlatform.down["a"] = true
+		s.fakeFleet.members = []succession.Member{{Name: "x", Established: true}, {Name: "y", Established: true}, {Name: "z", Established: true}}
+		since := clock.SinceBoot() - succession.OutageLength - 1900*time.Millisecond
+		begun := clock.SinceBoot()
+		err := s.mover("vm-0").MoveIf(context.Background(), "choir", s.grants.Lead("choir"), since, "test", func(context.Context) bool { return true })
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(clock.SinceBoot() - begun).To(gomega.BeNumerically("<", time.Second))
+	})
+
 	ginkgo.It("may begin again at once if the old leader could be fenced only after the time for its promotion", func() {
 		// The leader and most VMs are on the other side of a network partition that
 		// outlasts the promotion window.
