--- a/edge/control.go
+++ b/edge/control.go
@@ -33,34 +33,42 @@
 func (c *controlClient) Order(ctx context.Context, group, target string, o pool.Order) (pool.Report, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	q, relayable := requestFromOrder(group, target, o)
-	type result struct {
-		report pool.Report
-		err    error
-	}
-	direct := make(chan result, 1)
+	direct := make(chan orderResult, 1)
 	go func() {
 		r, err := c.runDirect(ctx, group, target, o)
-		direct <- result{r, err}
+		direct <- orderResult{r, err}
 	}()
+	q, relayable := requestFromOrder(group, target, o)
+	if !relayable {
+		r := <-direct
+		return r.report, r.err
+	}
 	delay := time.NewTimer(relayDelay)
 	defer delay.Stop()
-	var failed error
+	failed := orderResult{}
 	select {
-	case r := <-direct:
-		if r.err == nil || !relayable {
-			return r.report, r.err
+	case failed = <-direct:
+		if failed.err == nil {
+			return failed.report, nil
 		}
-		direct, failed = nil, r.err
+		direct = nil
 	case <-delay.C:
-		if !relayable {
-			r := <-direct
-			return r.report, r.err
-		}
 	}
-	relayed := make(chan *pool.Report, 1)
+	relayed := make(chan orderResult, 1)
 	go func() { relayed <- c.relayToPeers(ctx, q) }()
-	for {
+	return firstReport(direct, relayed, failed.err)
+}
+
+// orderResult is the target's report on an order, or why there is none.
+type orderResult struct {
+	report pool.Report
+	err    error
+}
+
+// firstReport returns the first report from either channel, of which direct is nil if
+// it has failed already; failed is its error.
+func firstReport(direct, relayed <-chan orderResult, failed error) (pool.Report, error) {
+	for direct != nil || relayed != nil {
 		select {
 		case r := <-direct:
 			if r.err == nil {
@@ -68,15 +76,13 @@
 			}
 			direct, failed = nil, r.err
 		case r := <-relayed:
-			if r != nil {
-				return *r, nil
+			if r.err == nil {
+				return r.report, nil
 			}
 			relayed = nil
 		}
-		if direct == nil && relayed == nil {
-			return pool.Report{}, failed
-		}
 	}
+	return pool.Report{}, failed
 }
 
 // requestFromOrder returns the message that relays an order to another VM; false
@@ -105,8 +111,8 @@
 
 // relayToPeers asks up to relayFanout other VMs at the same time to send an order
 // to its target, and returns the first of the target's reports that one of them
-// passes back; nil if none does.
-func (c *controlClient) relayToPeers(ctx context.Context, q *peerpb.OrderRequest) *pool.Report {
+// passes back. Its error wraps pool.ErrNoTarget if none does.
+func (c *controlClient) relayToPeers(ctx context.Context, q *peerpb.OrderRequest) orderResult {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	peers := c.relayPeers(q.GetGroup(), q.GetTarget())
@@ -124,11 +130,10 @@
 	}
 	for range peers {
 		if r := <-answers; r != nil {
-			report := reportFromResponse(r)
-			return &report
+			return orderResult{report: reportFromResponse(r)}
 		}
 	}
-	return nil
+	return orderResult{err: fmt.Errorf("relay order to %s through %d VMs: %w", q.GetTarget(), len(peers), pool.ErrNoTarget)}
 }
 
 // relayPeers returns up to relayFanout other VMs, others at each call: half of them
--- a/edge/directory.go
+++ b/edge/directory.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -432,13 +431,6 @@
 	return d.byGroup
 }
 
-// Groups returns the sorted names of the groups that have targets.
-func (d *Directory) Groups() []string {
-	d.lock.Lock()
-	defer d.lock.Unlock()
-	return slices.Sorted(maps.Keys(d.grouped()))
-}
-
 // Peers returns the VMs that may be running, sorted by name. This VM is among
 // them if it is registered.
 func (d *Directory) Peers() []Peer { return slices.Clone(d.members().peers) }
--- a/succession/grants.go
+++ b/succession/grants.go
@@ -70,7 +70,9 @@
 }
 
 func (g *Grants) observe(r Record) bool {
-	if r.Revision <= g.record.Revision || r.Era == 0 && g.losses > 0 && g.record.Revision != 0 {
+	// After a loss, a record that names no era may come from the copy.
+	ambiguous := r.Era == 0 && g.losses > 0 && g.record.Revision != 0
+	if r.Revision <= g.record.Revision || ambiguous {
 		return false
 	}
 	g.record = r
--- a/succession/move.go
+++ b/succession/move.go
@@ -37,9 +37,16 @@
 
 func (v *move) run(ctx context.Context, from Lead) error {
 	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	v.stepped, v.grantsGone = make(chan struct{}), make(chan struct{})
-	go v.watchGrants(ctx)
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		v.watchGrants(ctx)
+	}()
+	defer func() {
+		cancel()
+		<-watched
+	}()
 	how, err := v.fence(ctx)
 	if err != nil {
 		return err
--- a/succession/settle.go
+++ b/succession/settle.go
@@ -48,17 +48,7 @@
 		return fmt.Errorf("ask other VMs for the newest leader record: %w", err)
 	}
 	newest := m.Grants.Record()
-	next := newest
-	for group, target := range leaders {
-		l, ok := newest.Leads[group]
-		switch {
-		case !ok && target != "":
-			next = next.WithLead(group, Lead{Target: target})
-		case ok && l.Target != target && !l.Moving() && m.isDeposed(ctx, group, l.Target):
-			m.Log.Info("another target than the recorded leader leads; having its leadership moved", "group", group, "leader", l.Target, "reported", target)
-			next = next.WithLead(group, Lead{Target: l.Target, Mover: m.nextWriterID()})
-		}
-	}
+	next := m.withReported(ctx, newest, leaders)
 	if len(next.Leads) == 0 {
 		return nil
 	}
@@ -71,6 +61,23 @@
 	return nil
 }
 
+// withReported returns the record with the reported leaders of groups that it lacks, and
+// with the groups marked as moving in which another target leads. See Settle.
+func (m *Mover) withReported(ctx context.Context, r Record, leaders map[string]string) Record {
+	next := r
+	for group, target := range leaders {
+		l, ok := r.Leads[group]
+		switch {
+		case !ok && target != "":
+			next = next.WithLead(group, Lead{Target: target})
+		case ok && l.Target != target && !l.Moving() && m.isDeposed(ctx, group, l.Target):
+			m.Log.Info("another target than the recorded leader leads; having its leadership moved", "group", group, "leader", l.Target, "reported", target)
+			next = next.WithLead(group, Lead{Target: l.Target, Mover: m.nextWriterID()})
+		}
+	}
+	return next
+}
+
 // Stamp writes the record again if it names no era. A VM that starts after a loss would
 // take such a record for one of the present era.
 func (m *Mover) Stamp(ctx context.Context) error {
