Count VMs that started lately against a move until they yield

Found by reading: a move counts only VMs that every other knows, but one that started within 11 s can confirm the record for others that know it. With as many of them as yields are missing, half of the counted VMs are not enough (nor was a third).

Change: each that has not yielded counts against the move; its yield does not count for it, since others may not know it.

--- a/succession/fence.go
+++ b/succession/fence.go
@@ -137,7 +137,10 @@
 // have yielded. What those VMs confirmed before they yielded is still
 // valid, so the wait must begin after this is true.
 func (c *yieldCount) expiryIsSafe() bool {
-	return c.knownToAll && c.leasesEnded && 2*c.establishedYielded >= c.established
+	// VMs that are not established may be known to those that confirm a record, or
+	// not: only their refusal counts.
+	startedNotYielded := (c.vms - c.established) - (c.yielded - c.establishedYielded)
+	return c.knownToAll && c.leasesEnded && 2*c.establishedYielded >= c.established+startedNotYielded
 }
 
 // endFormerLeases ends the leases of older records, and retries until each has
--- a/succession/succession_test.go
+++ b/succession/succession_test.go
@@ -452,6 +452,13 @@
 				}
 				s.fakeFleet.yields = 1
 			},
+			"half of the VMs have yielded, but not those that started lately": func(s *fixture) {
+				for i := range 3 {
+					s.fakeFleet.members = append(s.fakeFleet.members, succession.Member{Name: fmt.Sprint(i), Established: true})
+				}
+				s.fakeFleet.yields = 1
+				s.fakeFleet.members = append(s.fakeFleet.members, succession.Member{Name: "new"})
+			},
 			"this VM is unknown to the others": func(s *fixture) { s.known = false },
 		} {
 			s := newFixture()
