Count the time of unfinished moves only over those in a row

Found by reading the diff: a VM that sees one move after another takes the second for a continuation of the first, although it may have missed a leader between them that VMs had confirmed, and would wait too little before it takes the second over.

Change: a move names the first of its row in the record; builds that do not write it are taken as beginning one.

--- a/edge/supervisor.go
+++ b/edge/supervisor.go
@@ -212,7 +212,7 @@
 		if lead.Moving() {
 			next.movingSince = now
 		}
-		if st != nil && st.lead.Target == lead.Target && lead.Moving() {
+		if st != nil && st.lead.Moving() && lead.Moving() && st.lead.Row() == lead.Row() {
 			next.movingSince = cmp.Or(st.movingSince, now)
 		}
 		st = next
--- a/succession/move.go
+++ b/succession/move.go
@@ -109,6 +109,7 @@
 	v.startedAt = v.Now()
 	v.movingSince = cmp.Or(v.movingSince, v.startedAt)
 	lead := Lead{Target: from.Target, Mover: v.nextWriterID()}
+	lead.First = cmp.Or(from.Row(), lead.Mover)
 	v.record, err = v.writeRecord(ctx, r, r.WithLead(v.group, lead), &d.item)
 	if err != nil {
 		return err
--- a/succession/record.go
+++ b/succession/record.go
@@ -22,6 +22,7 @@
 package succession
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -48,11 +49,18 @@
 	// Mover identifies the write of the VM that moves the leadership; empty if
 	// no move is in progress.
 	Mover string `json:"mover,omitempty"`
+	// First is the Mover of the first of several unfinished moves in a row; empty
+	// if the writer does not tell.
+	First string `json:"first,omitempty"`
 }
 
 // Moving reports whether a move of the leadership is in progress.
 func (l Lead) Moving() bool { return l.Mover != "" }
 
+// Row identifies a row of unfinished moves. Two leads with the same row had no leader
+// between them.
+func (l Lead) Row() string { return cmp.Or(l.First, l.Mover) }
+
 // Record names the leader of each group.
 type Record struct {
 	// Lease is the lease that VMs renew to learn whether the record is still
--- a/succession/succession_test.go
+++ b/succession/succession_test.go
@@ -422,6 +422,28 @@
 		gomega.Expect(clock.SinceBoot() - begun).To(gomega.BeNumerically("<", time.Second))
 	})
 
+	ginkgo.It("names the first of several unfinished moves, but not one that another leader followed", func() {
+		s := newFixture()
+		s.reports["b"].Received = group.At(3, 9)
+		interrupted := func(vm string) succession.Lead {
+			s.fakePlatform.down["b"], s.fakePlatform.down["c"] = true, true
+			defer func() { s.fakePlatform.down["b"], s.fakePlatform.down["c"] = false, false }()
+			ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+			defer cancel()
+			gomega.Expect(s.mover(vm).Move(ctx, "choir", s.grants.Lead("choir"), "test")).NotTo(gomega.Succeed())
+			return s.grants.Lead("choir")
+		}
+		s.fakePlatform.down["a"] = true
+		first, second := interrupted("vm-0"), interrupted("vm-1")
+		gomega.Expect(second.Mover).NotTo(gomega.Equal(first.Mover))
+		gomega.Expect(second.Row()).To(gomega.Equal(first.Row()))
+		gomega.Expect(s.move("vm-2")).To(gomega.Succeed())
+		s.fakePlatform.down["a"] = false
+		gomega.Expect(s.move("vm-2")).To(gomega.Succeed())
+		s.fakePlatform.down["a"] = true
+		gomega.Expect(interrupted("vm-3").Row()).NotTo(gomega.Equal(first.Row()))
+	})
+
 	ginkgo.It("may begin again at once if the old leader could be fenced only after the time for its promotion", func() {
 		// The leader and most VMs are on the other side of a network partition that
 		// outlasts the promotion window.
