--- a/internal/socket/accept_test.go
+++ b/internal/socket/accept_test.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
-	"sync"
 	"testing"
 	"time"
 
@@ -12,46 +13,33 @@
 	"amaranthsill/internal/socket"
 )
 
-// TestAwaitWhileConnectionsAreAccepted guards against a data race between the first
-// connection and a stop that begins at the same time.
-func TestAwaitWhileConnectionsAreAccepted(t *testing.T) {
-	for range 50 {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		a := &socket.Acceptor{}
-		wait := sync.WaitGroup{}
-		wait.Go(func() {
-			if err := a.Accept(context.Background(), l, logr.Discard(), func(c net.Conn) { _ = c.Close() }); err != nil {
-				t.Error(err)
-			}
-		})
-		wait.Go(func() { a.Await(context.Background()) })
-		wait.Go(func() {
-			c, err := net.Dial("tcp4", l.Addr().String())
-			if err != nil {
-				t.Error(err)
-				return
-			}
-			_ = c.Close()
-			_ = l.Close()
-		})
-		wait.Wait()
+// flakyListener fails every other call of Accept.
+type flakyListener struct {
+	net.Listener
+	failed bool
+}
+
+func (l *flakyListener) Accept() (net.Conn, error) {
+	l.failed = !l.failed
+	if l.failed {
+		return nil, errors.New("too many open files")
 	}
+	return l.Listener.Accept()
 }
 
-func TestAwaitReturnsOnceAllConnectionsAreServed(t *testing.T) {
+// Accept must go on after an error of the listener, such as without free file
+// descriptors, and Await must wait for connections that are being served.
+func TestAcceptorRetriesAfterFailedAccept(t *testing.T) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
 	a := &socket.Acceptor{}
-	serving, release := make(chan bool), make(chan bool)
+	result := make(chan error, 1)
+	started, release := make(chan struct{}), make(chan struct{})
 	go func() {
-		_ = a.Accept(context.Background(), l, logr.Discard(), func(c net.Conn) {
-			serving <- true
+		result <- a.Accept(context.Background(), &flakyListener{Listener: l}, logr.Discard(), func(c net.Conn) {
+			close(started)
 			<-release
 			_ = c.Close()
 		})
@@ -60,14 +48,21 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = c.Close() }()
-	<-serving
-	limited, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	<-started
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
-	a.Await(limited)
-	if limited.Err() == nil {
-		t.Error("returned although a connection is still served")
+	a.Await(ctx)
+	if ctx.Err() == nil {
+		t.Error("Await returned while a connection was being served")
 	}
 	close(release)
-	a.Await(context.Background())
+	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("read returned %v, want io.EOF", err)
+	}
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-result; err != nil {
+		t.Errorf("Accept returned %v, want nil", err)
+	}
 }
