Take the first era for one, also if the store counts from zero

Zero was taken for a store that tells no era, so that its first loss would have gone unnoticed and brought the record of the copy back.

Change: eras are counted from one inside. A rise after the store has answered this VM is a loss, also from none to the first. Eras that other VMs tell, and failed renewals, do not count as answers of the store.

--- a/edge/collector.go
+++ b/edge/collector.go
@@ -28,7 +28,7 @@
 		configurationVersion: describe("configuration_version", "Version of the operators' configuration in force."),
 		recordRevision:       describe("record_revision", "Revision of the newest known record of leaders."),
 		recordAge:            describe("record_age_seconds", "Time since the store confirmed the record of leaders."),
-		storeEra:             describe("store_era", "Highest known era of the store; it rises when the store came back from an older copy."),
+		storeEra:             describe("store_era", "Era that the store told last; it rises when the store came back from an older copy."),
 		storeLosses:          describe("store_losses_total", "Times that the store came back from an older copy since the VM started."),
 		vmCount:              describe("vms", "VMs that may be running, as far as this one knows."),
 		heldGroups:           describe("held_groups", "Groups to whose targets this VM holds connections."),
@@ -58,7 +58,9 @@
 	revision, confirmedAt, confirmed := c.grants.StoreConfirmation()
 	gauge(c.recordRevision, float64(revision.Number()))
 	era, losses, _ := c.grants.Era()
-	gauge(c.storeEra, float64(era))
+	if era > 0 {
+		gauge(c.storeEra, float64(era-1))
+	}
 	m <- prometheus.MustNewConstMetric(c.storeLosses, prometheus.CounterValue, float64(losses))
 	if confirmed {
 		gauge(c.recordAge, (c.Now() - confirmedAt).Seconds())
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -287,7 +287,7 @@
 		f.directory.Apply(itemFromMessage(i))
 	}
 	f.directory.MarkComplete(store.At(a.GetCompleteEra(), a.GetComplete()))
-	f.grants.ObserveEra(a.GetEra())
+	f.observePeerEra(a.GetEra())
 	record := store.At(a.GetRecordEra(), a.GetRecord())
 	answeredAt := sent + time.Duration(a.GetWaited())*time.Millisecond
 	if a.GetAge() >= 0 {
--- a/edge/gather.go
+++ b/edge/gather.go
@@ -38,7 +38,7 @@
 
 // Gather implements peerpbconnect.FleetHandler.
 func (s fleetServer) Gather(ctx context.Context, q *connect.Request[peerpb.GatherRequest]) (*connect.Response[peerpb.GatherResponse], error) {
-	s.observeEra(q.Msg.GetEra())
+	s.observePeerEra(q.Msg.GetEra())
 	if q.Msg.GetRecord() != nil {
 		if err := s.observeRecord(q.Msg.GetRecord()); err != nil {
 			return nil, err
--- a/edge/leases.go
+++ b/edge/leases.go
@@ -74,7 +74,9 @@
 	}
 	sent := c.Now()
 	era, err := c.Adapter.Store.Renew(ctx, l)
-	c.observeEra(era)
+	if err == nil || errors.Is(err, store.ErrNoLease) {
+		c.observeEra(era)
+	}
 	switch {
 	case err == nil:
 		c.grants.Confirm(l, era, sent)
@@ -123,11 +125,21 @@
 	}
 }
 
-// observeEra takes in the store's era from an answer, and logs a rise of it.
+// observeEra takes in the store's era from one of its answers.
 func (v *VM) observeEra(era uint64) {
-	before, _, _ := v.grants.Era()
-	v.grants.ObserveEra(era)
-	if before != 0 && era > before {
+	v.logLoss(func() { v.grants.ObserveStoreEra(era) })
+}
+
+// observePeerEra takes in the store's era from another VM.
+func (v *VM) observePeerEra(era uint64) {
+	v.logLoss(func() { v.grants.ObserveEra(era) })
+}
+
+// logLoss logs a loss of the store that taking in an era shows.
+func (v *VM) logLoss(observe func()) {
+	before, losses, _ := v.grants.Era()
+	observe()
+	if era, now, _ := v.grants.Era(); now > losses {
 		v.Log.Info("store came back from an older copy; what it acknowledged lately is lost", "era", era, "before", before, "record", v.grants.Record().Revision.String())
 		v.wakeSupervisor()
 	}
--- a/edge/loss_test.go
+++ b/edge/loss_test.go
@@ -115,13 +115,13 @@
 		gomega.Expect(f.vms[0].session("choir-own").retry("WRITE bar 1").code).To(gomega.BeEmpty())
 	})
 
-	ginkgo.It("gets a leader record with its era once it tells one, so that a VM that starts later can tell an older one", func() {
+	ginkgo.It("gets a leader record with its era once it tells one, which is taken for a loss", func() {
 		f := openFixture(threeZones, 2)
 		gomega.Expect(string(f.site.Store.Get(succession.RecordKey))).NotTo(gomega.ContainSubstring(`"era"`))
 		f.site.Store.SetEra(4)
-		gomega.Eventually(func() string { return string(f.site.Store.Get(succession.RecordKey)) }, recoveryTimeout, "20ms").Should(gomega.ContainSubstring(`"era":4`))
+		gomega.Eventually(func() string { return string(f.site.Store.Get(succession.RecordKey)) }, recoveryTimeout, "20ms").Should(gomega.ContainSubstring(`"era":5`))
 		f.vms[0].session("choir-own").must("WRITE bar 1")
-		gomega.Expect(f.vms[0].readMetrics()).To(gomega.ContainSubstring("amaranthsill_store_losses_total 0"))
+		gomega.Expect(f.vms[0].readMetrics()).To(gomega.ContainSubstring("amaranthsill_store_losses_total 1"))
 	})
 
 	ginkgo.It("serves again after all VMs were lost with it", func() {
--- a/succession/grants.go
+++ b/succession/grants.go
@@ -51,6 +51,9 @@
 	era      uint64
 	eraSince time.Duration
 	losses   uint64
+	// answered reports that the store has answered this VM, so that a rise of the
+	// era from then on is a loss, also one from a store that told none before.
+	answered bool
 	// confirmedAt is when the record was last confirmed by the store or by
 	// peers, and storeConfirmedAt when the store last confirmed it.
 	confirmedAt      time.Duration
@@ -87,24 +90,36 @@
 func (g *Grants) Confirm(l store.LeaseID, era uint64, sent time.Duration) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
-	g.observeEra(era)
+	g.observeStoreEra(era)
 	if l == g.record.Lease && g.holdsIn(era) {
 		g.confirmByStore(sent)
 	}
 }
 
-// ObserveEra takes in the store's era from any source.
+// ObserveEra takes in the store's era from another VM.
 func (g *Grants) ObserveEra(era uint64) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
 	g.observeEra(era)
 }
 
+// ObserveStoreEra takes in the era of an answer of the store, zero if it told none.
+func (g *Grants) ObserveStoreEra(era uint64) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	g.observeStoreEra(era)
+}
+
+func (g *Grants) observeStoreEra(era uint64) {
+	g.observeEra(era)
+	g.answered = true
+}
+
 func (g *Grants) observeEra(era uint64) {
 	if era <= g.era {
 		return
 	}
-	if g.era != 0 {
+	if g.era != 0 || g.answered {
 		g.losses++
 		g.notifyWaiters()
 	}
@@ -155,7 +170,7 @@
 func (g *Grants) ConfirmRecord(r Record, sent time.Duration) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
-	g.observeEra(r.Stored.Era())
+	g.observeStoreEra(r.Stored.Era())
 	g.observe(r)
 	if r.Revision == g.record.Revision && g.holdsIn(r.Stored.Era()) {
 		g.confirmByStore(sent)
