Take the vote from VMs that answer nobody, and let no minority stop a leader

Of eight VMs, four are then with the leader and three with the store, so that neither more than half confirm the record nor half of them yield: 5 s in which nobody serves.

Change: - VMs that hear another one silent for 0.65 s, and find that neither they nor two others reach it, write to its entry that it is silent. It has no vote until it registers again, and goes on serving. Those who confirm the record do not count it; a move counts it as one that did not yield, and reads the VMs' entries after it has written its record. - A VM that stops writes to its entry that it has left. - A move tells the old leader to step down only once half of the VMs have yielded. - A move in progress is not passed on to VMs that confirm an older record.

spec/leaders.pml with SILENT: 11.1 million states, no violation; mutants SILENT_VOTE, SILENT_EARLY, ALONE and EARLY_WAIT are found. Builds are told apart by a field of the VMs' entries.

One spec changed: of 'does not record the new leader while VMs may read from an old leader that has stepped down', half of the VMs yield now and the store keeps the leases, since a leader is not told to step down by less.

--- a/edge/directory.go
+++ b/edge/directory.go
@@ -59,12 +59,22 @@
 	// Majority reports that the VM moves a leadership only once half of the VMs
 	// have yielded, and not a third as builds that do not write it.
 	Majority bool `json:"majority,omitempty"`
+	// Silence reports that the VM, when it moves a leadership, counts no yield of a VM
+	// whose entry says Silent, as builds do that do not write it.
+	Silence bool `json:"silence,omitempty"`
+	// Silent is written by another VM, which found that this one answers nobody. The
+	// VM has no vote until it has registered again.
+	Silent bool `json:"silent,omitempty"`
+	// Left reports that the VM has stopped and serves nobody any more.
+	Left bool `json:"left,omitempty"`
 }
 
 // position returns the entry without what changes at each start of the VM, so that
 // a restart alone does not change the membership.
 func (p Peer) position() Peer {
 	p.Incarnation = ""
+	p.Silent = false
+	p.Left = false
 	return p
 }
 
@@ -116,18 +126,25 @@
 	// recent holds the VMs that counted as running within recentPeerRetention, by
 	// name.
 	recent map[string]recentPeer
-	// selfRemoved is the revision at which this VM's entry was last removed.
-	selfRemoved store.Revision
+	// selfRemoved is the revision at which this VM's entry was last removed or last
+	// began to say Silent, and selfSilenced the one at which it did the latter.
+	selfRemoved, selfSilenced store.Revision
 	// quiet suppresses the log lines of single targets and VMs while everything is
 	// read, since they would grow with the fleet.
 	quiet bool
 }
 
 // recentPeer is a VM that counts or recently counted as running, and the times at which
-// it was first and last seen as a peer.
+// it was first and last seen as a peer. A VM that returns after its entry said Silent
+// or Left is seen for the first time again.
 type recentPeer struct {
 	Peer
 	firstSeen, lastSeen time.Duration
+	// returned reports that the VM returned in this way.
+	returned bool
+	// unheard reports that the VM's entry says Silent, and that this VM knows every
+	// change up to that one.
+	unheard bool
 }
 
 // registration is an entry and the time since which it has been absent from the
@@ -154,16 +171,30 @@
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	d.init()
-	seen := map[string]bool{}
 	d.quiet = true
+	d.replace("", items, revision)
+	d.quiet = false
+	d.Log.Info("read everything from the store", "revision", revision.String(), "keys", len(items), "targets", len(d.targets), "vms", len(d.peers))
+}
+
+// ResetPeers is like Reset for the VMs alone.
+func (d *Directory) ResetPeers(items []store.Item, revision store.Revision) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	d.init()
+	d.replace(vmPrefix, items, revision)
+}
+
+// replace applies the items that the store held under a prefix at or after a revision,
+// and the removal of the others. The caller holds the lock.
+func (d *Directory) replace(prefix string, items []store.Item, revision store.Revision) {
+	seen := map[string]bool{}
 	for _, i := range items {
 		seen[i.Key] = true
 		d.apply(i)
 	}
-	d.quiet = false
-	d.Log.Info("read everything from the store", "revision", revision.String(), "keys", len(items), "targets", len(d.targets), "vms", len(d.peers))
 	for key, i := range d.items {
-		if !seen[key] && !i.Deleted && i.Revision < revision {
+		if strings.HasPrefix(key, prefix) && !seen[key] && !i.Deleted && i.Revision < revision {
 			d.apply(store.Item{Key: key, Revision: revision, Deleted: true})
 		}
 	}
@@ -297,9 +328,18 @@
 		return
 	}
 	old := d.peers[name]
+	if p.Left || p.Silent {
+		d.peerDiscounted(p, i)
+		return
+	}
 	if old == nil && !d.quiet {
 		d.Log.Info("VM joined", "peer", name, "zone", p.Zone, "address", p.Address)
 	}
+	if r := d.recent[name]; r.Silent || old != nil && (old.entry.Silent || old.entry.Left) {
+		// VMs that do not know of the new entry yet do not count this VM.
+		now := d.Now()
+		d.recent[name] = recentPeer{Peer: p, firstSeen: now, lastSeen: now, returned: true}
+	}
 	if old == nil || old.entry.position() != p.position() {
 		d.present = nil
 	}
@@ -315,6 +355,27 @@
 	}
 }
 
+// peerDiscounted records that a VM has stopped, or that it answers nobody. Its entry
+// expires later.
+func (d *Directory) peerDiscounted(p Peer, i store.Item) {
+	if p.Name == d.Self && p.Silent {
+		d.selfRemoved, d.selfSilenced = i.Revision, i.Revision
+	}
+	if p.Left {
+		delete(d.recent, p.Name)
+	}
+	old := d.peers[p.Name]
+	if old == nil {
+		return
+	}
+	d.Log.Info("VM has no vote any more", "peer", p.Name, "left", p.Left, "silent", p.Silent)
+	old.entry = p
+	old.item = i
+	if old.absentSince == 0 {
+		old.absentSince = max(d.Now(), 1)
+	}
+}
+
 // applyConfiguration puts a configuration in force if it is newer.
 func (d *Directory) applyConfiguration(i store.Item) {
 	c, err := d.Adapter.DecodeConfiguration(i.Value)
@@ -376,13 +437,7 @@
 		}
 	}
 	d.pruneTombstones()
-	for name, p := range d.peers {
-		joined := now
-		if old, ok := d.recent[name]; ok {
-			joined = old.firstSeen
-		}
-		d.recent[name] = recentPeer{Peer: p.entry, firstSeen: joined, lastSeen: now}
-	}
+	d.refreshRecent(now)
 	for name, p := range d.recent {
 		if now-p.lastSeen > recentPeerRetention {
 			delete(d.recent, name)
@@ -397,6 +452,20 @@
 	}
 }
 
+// refreshRecent records when the VMs that count as running were seen.
+func (d *Directory) refreshRecent(now time.Duration) {
+	for name, p := range d.peers {
+		if p.entry.Left {
+			continue
+		}
+		r := recentPeer{Peer: p.entry, firstSeen: now, lastSeen: now}
+		if old, ok := d.recent[name]; ok {
+			r.firstSeen, r.returned = old.firstSeen, old.returned
+		}
+		d.recent[name] = r
+	}
+}
+
 // tombstoneRevisions is for how many revisions a removed key is kept, so that
 // peers that ask for changes learn of the removal.
 const tombstoneRevisions = 4096
@@ -451,19 +520,32 @@
 }
 
 // recentPeers returns the other VMs that counted as running within
-// recentPeerRetention.
+// recentPeerRetention and have not stopped since.
 func (d *Directory) recentPeers() []recentPeer {
 	d.lock.Lock()
 	defer d.lock.Unlock()
+	d.init()
+	d.refreshRecent(d.Now())
 	list := []recentPeer{}
 	for name, p := range d.recent {
-		if name != d.Self {
-			list = append(list, p)
+		if name == d.Self {
+			continue
 		}
+		// The entry of a silent VM expires; what it said is known from before.
+		p.unheard = p.Silent && d.items[vmPrefix+name].Revision <= d.completeRevision
+		list = append(list, p)
 	}
 	return list
 }
 
+// votes reports whether a VM is registered and has a vote.
+func (d *Directory) votes(name string) bool {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	p := d.peers[name]
+	return p != nil && p.absentSince == 0
+}
+
 // PeerCount returns how many VMs may be running.
 func (d *Directory) PeerCount() int {
 	d.lock.Lock()
@@ -472,9 +554,17 @@
 }
 
 // SelfRemovedRevision returns the store's revision at which this VM's entry was
-// last removed; zero if it never was.
+// last removed or last began to say Silent; zero if it never was.
 func (d *Directory) SelfRemovedRevision() store.Revision {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	return d.selfRemoved
 }
+
+// selfSilencedRevision returns the store's revision at which this VM's entry last began
+// to say Silent; zero if it never did.
+func (d *Directory) selfSilencedRevision() store.Revision {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	return d.selfSilenced
+}
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -77,33 +77,74 @@
 	return mux
 }
 
-// Yield implements succession.Fleet. The record travels along the overlay of each
-// zone; VMs that do not confirm it that way within gatherTimeout are asked one by one
-// until the context ends.
-func (f *fleet) Yield(ctx context.Context, r succession.Record) ([]succession.Member, <-chan succession.Member) {
-	others := f.directory.recentPeers()
-	yields := make(chan succession.Member, len(others))
+// Yield implements succession.Fleet. It asks the VMs that this one knows at once, and
+// those of which only the store knows as soon as that has told them.
+func (f *fleet) Yield(ctx context.Context, r succession.Record) ([]succession.Member, <-chan string) {
+	yields := make(chan string)
+	known := f.directory.recentPeers()
+	f.requestYields(ctx, r, known, yields)
+	f.refreshPeers(ctx)
+	asked := map[string]bool{}
+	for _, p := range known {
+		asked[p.Name] = true
+	}
 	members := []succession.Member{}
-	zones := map[string][]recentPeer{}
-	for _, p := range others {
+	added := []recentPeer{}
+	for _, p := range f.directory.recentPeers() {
 		members = append(members, f.member(p))
-		zones[p.Zone] = append(zones[p.Zone], p)
+		if !asked[p.Name] {
+			added = append(added, p)
+		}
 	}
+	f.requestYields(ctx, r, added, yields)
+	return members, yields
+}
+
+// Announce implements succession.Fleet.
+func (f *fleet) Announce(ctx context.Context, r succession.Record) {
+	f.requestYields(ctx, r, f.directory.recentPeers(), make(chan string))
+}
+
+// refreshPeers reads the entries of all VMs from the store, and tries again until the
+// context ends.
+func (f *fleet) refreshPeers(ctx context.Context) {
+	for ctx.Err() == nil {
+		items, revision, err := f.Adapter.Store.List(ctx, vmPrefix)
+		if err == nil {
+			f.directory.ResetPeers(items, revision)
+			return
+		}
+		f.storeFailed("reading the VMs", err)
+		sleep(ctx, refreshInterval)
+	}
+}
+
+// refreshInterval is the time between two attempts to read the VMs from the store.
+const refreshInterval = 50 * time.Millisecond
+
+// requestYields passes a record on to VMs, in the background and until the context
+// ends, and sends the name of each that has taken it in to yields. The record travels
+// along the overlay of each zone; VMs that do not confirm it that way within
+// gatherTimeout are asked one by one.
+func (f *fleet) requestYields(ctx context.Context, r succession.Record, peers []recentPeer, yields chan<- string) {
 	encoded, err := r.Encode()
 	if err != nil {
 		f.Log.Error(err, "leader record cannot be encoded; other VMs are not asked to yield")
-		return members, yields
+		return
+	}
+	zones := map[string][]recentPeer{}
+	for _, p := range peers {
+		zones[p.Zone] = append(zones[p.Zone], p)
 	}
 	record := recordItem(r, encoded)
 	for zone, inZone := range zones {
 		go f.yieldInZone(ctx, zone, inZone, record, yields)
 	}
-	return members, yields
 }
 
-// yieldInZone passes a record on to the VMs of one zone and sends each that has taken
-// it in to yields.
-func (f *fleet) yieldInZone(ctx context.Context, zone string, inZone []recentPeer, record *peerpb.Item, yields chan<- succession.Member) {
+// yieldInZone passes a record on to the VMs of one zone and sends the name of each that
+// has taken it in to yields.
+func (f *fleet) yieldInZone(ctx context.Context, zone string, inZone []recentPeer, record *peerpb.Item, yields chan<- string) {
 	yielded := map[string]bool{}
 	for _, s := range f.gatherZone(ctx, zone, &peerpb.GatherRequest{Record: record}) {
 		yielded[s.GetName()] = store.At(s.GetRecordEra(), s.GetRecord()) >= store.At(record.GetEra(), record.GetRevision())
@@ -111,32 +152,41 @@
 	q := &peerpb.YieldRequest{Record: record}
 	for _, p := range inZone {
 		if yielded[p.Name] {
-			yields <- f.member(p)
+			sendName(ctx, yields, p.Name)
 			continue
 		}
 		go f.requestYield(ctx, p, q, yields)
 	}
 }
 
+// sendName sends a VM's name unless the context ends first.
+func sendName(ctx context.Context, names chan<- string, name string) {
+	select {
+	case names <- name:
+	case <-ctx.Done():
+	}
+}
+
 // member returns a VM as a member of the succession. It is established, and so
 // counted in quorums, once it has been registered for establishedAfter. On the
 // first start of the whole system all VMs are established from the beginning.
 func (f *fleet) member(p recentPeer) succession.Member {
 	return succession.Member{
 		Name:        p.Name,
-		Established: f.Settings.FirstStart() && f.Now()-f.startedAt < establishedAfter || f.Now()-p.firstSeen > establishedAfter,
+		Silent:      p.unheard,
+		Established: f.Settings.FirstStart() && !p.returned && f.Now()-f.startedAt < establishedAfter || f.Now()-p.firstSeen > establishedAfter,
 	}
 }
 
-// requestYield calls Yield on a VM until it succeeds, and then sends the VM to
+// requestYield calls Yield on a VM until it succeeds, and then sends the VM's name to
 // yields.
-func (f *fleet) requestYield(ctx context.Context, p recentPeer, q *peerpb.YieldRequest, yields chan<- succession.Member) {
+func (f *fleet) requestYield(ctx context.Context, p recentPeer, q *peerpb.YieldRequest, yields chan<- string) {
 	for ctx.Err() == nil {
 		limited, cancel := context.WithTimeout(ctx, yieldTimeout)
 		_, err := f.client(p.Address).Yield(limited, connect.NewRequest(q))
 		cancel()
 		if err == nil {
-			yields <- f.member(p)
+			sendName(ctx, yields, p.Name)
 			return
 		}
 		f.Log.V(1).Info("VM did not answer the request to yield; trying again", "peer", p.Name, "reason", err.Error())
@@ -170,6 +220,9 @@
 
 // Witness implements peerpbconnect.FleetHandler.
 func (s fleetServer) Witness(ctx context.Context, q *connect.Request[peerpb.WitnessRequest]) (*connect.Response[peerpb.WitnessResponse], error) {
+	if name := q.Msg.GetVm(); name != "" {
+		return connect.NewResponse(&peerpb.WitnessResponse{Reaches: s.reachesVM(ctx, name)}), nil
+	}
 	g, ok := s.existingPool(q.Msg.GetGroup())
 	reaches := ok && g.Reaches(ctx, q.Msg.GetTarget())
 	return connect.NewResponse(&peerpb.WitnessResponse{Reaches: reaches}), nil
@@ -192,6 +245,9 @@
 // Recall implements peerpbconnect.FleetHandler.
 func (s fleetServer) Recall(ctx context.Context, q *connect.Request[peerpb.RecallRequest]) (*connect.Response[peerpb.RecallResponse], error) {
 	arrived := s.Now()
+	if name := q.Msg.GetName(); name != "" {
+		s.followers.record(name, arrived)
+	}
 	since := store.At(q.Msg.GetSinceEra(), q.Msg.GetSince())
 	s.awaitNews(ctx, since, q.Msg.GetSeen(), time.Duration(q.Msg.GetWait())*time.Millisecond)
 	waited := s.Now() - arrived
@@ -276,7 +332,7 @@
 	defer cancel()
 	sent := f.Now()
 	since := f.directory.CompleteRevision()
-	q.Since, q.SinceEra = since.Number(), since.Era()
+	q.Since, q.SinceEra, q.Name = since.Number(), since.Era(), f.Settings.VM()
 	r, err := f.client(address).Recall(ctx, connect.NewRequest(q))
 	if err != nil {
 		f.Log.V(1).Info("VM did not answer a request for changes", "address", address, "reason", err.Error())
--- a/edge/leases.go
+++ b/edge/leases.go
@@ -221,6 +221,34 @@
 	}
 }
 
+// entry returns this VM's entry.
+func (r *registrar) entry() Peer {
+	return Peer{
+		Name:        r.Settings.VM(),
+		Zone:        r.Settings.Zone(),
+		Address:     r.Settings.PeerAddress(),
+		Relay:       r.Settings.RelayAddress(),
+		Cores:       r.Settings.Cores(),
+		Incarnation: r.incarnation,
+		Majority:    true,
+		Silence:     true,
+	}
+}
+
+// write writes an entry of this VM under a lease.
+func (r *registrar) write(ctx context.Context, p Peer, l store.LeaseID) (store.Revision, error) {
+	encoded, err := json.Marshal(p)
+	if err != nil {
+		return 0, fmt.Errorf("encode VM's entry: %w", err)
+	}
+	put := store.Put{Key: vmPrefix + r.Settings.VM(), Value: encoded, Lease: l}
+	revision, err := r.Adapter.Store.Apply(ctx, store.Transaction{Puts: []store.Put{put}})
+	if err != nil {
+		return 0, fmt.Errorf("write VM's entry: %w", err)
+	}
+	return revision, nil
+}
+
 // step renews the entry's lease, or writes the entry under a new lease if there
 // is none.
 func (r *registrar) step(ctx context.Context) error {
@@ -235,38 +263,36 @@
 	if err != nil {
 		return fmt.Errorf("grant lease for VM's entry: %w", err)
 	}
-	encoded, err := json.Marshal(Peer{
-		Name:        r.Settings.VM(),
-		Zone:        r.Settings.Zone(),
-		Address:     r.Settings.PeerAddress(),
-		Relay:       r.Settings.RelayAddress(),
-		Cores:       r.Settings.Cores(),
-		Incarnation: r.incarnation,
-		Majority:    true,
-	})
+	revision, err := r.write(ctx, r.entry(), l)
 	if err != nil {
-		return fmt.Errorf("encode VM's entry: %w", err)
-	}
-	put := store.Put{Key: vmPrefix + r.Settings.VM(), Value: encoded, Lease: l}
-	revision, err := r.Adapter.Store.Apply(ctx, store.Transaction{Puts: []store.Put{put}})
-	if err != nil {
-		return fmt.Errorf("write VM's entry: %w", err)
+		return err
 	}
 	r.lease = l
 	r.revision = revision
 	r.registeredAt.Store(int64(r.Now()))
+	r.registeredRevision.Store(uint64(revision))
 	return nil
 }
 
-// deregister stops the registrar and removes this VM's entry, so that other VMs need
-// not wait for it to expire.
+// deregister stops the registrar. It writes to this VM's entry that the VM has left,
+// which takes it out of all quorums at once; the entry then expires. While the VM still
+// has sessions, which may rely on the leader record, it removes the entry instead.
 func (r *registrar) deregister(ctx context.Context) {
 	r.cancel()
 	<-r.ended
 	if r.lease == 0 || r.Adapter.Store.Era() != r.revision.Era() {
 		return
 	}
-	if err := r.Adapter.Store.End(ctx, r.lease); err != nil {
+	var err error
+	if r.front.Sessions() == 0 {
+		r.left.Store(true)
+		p := r.entry()
+		p.Left = true
+		_, err = r.write(ctx, p, r.lease)
+	} else {
+		err = r.Adapter.Store.End(ctx, r.lease)
+	}
+	if err != nil {
 		r.Log.Info("this VM's entry could not be removed; it expires on its own", "reason", err.Error())
 	}
 }
--- a/edge/outage.go
+++ b/edge/outage.go
@@ -116,31 +116,27 @@
 
 // confirmAmongVMs asks all VMs, along the overlays of their zones, whether they know
 // a newer leader record or move a leadership. Independently of the store, the record
-// counts as confirmed if more than half of all VMs, this one included, are moving no
-// leadership and none that answered knows a newer record. While a VM may be running
-// whose build moves a leadership once a third has yielded, it takes two thirds.
+// counts as confirmed if enough VMs are moving no leadership and none that answered
+// knows a newer record; see confirmation.
 func (o *outagePoller) confirmAmongVMs(ctx context.Context) {
 	sent := o.Now()
 	revision, _, _ := o.grants.StoreConfirmation()
-	others := map[string]bool{}
-	majority := true
-	for _, p := range o.directory.recentPeers() {
-		others[p.Name] = true
-		majority = majority && p.Majority
+	c := newConfirmation(o.directory.recentPeers())
+	q := &peerpb.GatherRequest{}
+	if !o.grants.Record().Moving() {
+		// A move that cannot end, since most VMs are split from the one that makes it,
+		// is no news to those: they would lose the leader that they still reach.
+		q.Record = o.recordMessage()
 	}
-	confirming := 1
-	for _, s := range o.gatherAll(ctx, &peerpb.GatherRequest{Record: o.recordMessage()}) {
+	for _, s := range o.gatherAll(ctx, q) {
 		if store.At(s.GetRecordEra(), s.GetRecord()) > revision {
 			return
 		}
-		if s.GetResting() && others[s.GetName()] {
-			delete(others, s.GetName())
-			confirming++
+		if s.GetResting() {
+			c.agree(s.GetName())
 		}
 	}
-	vms := confirming + len(others)
-	enough := 3*confirming > 2*vms || majority && 2*confirming > vms
-	if enough && o.mover.Idle() && o.grants.ConfirmedSinceStart() {
+	if c.enough() && o.mover.Idle() && o.grants.ConfirmedSinceStart() {
 		o.grants.ConfirmByPeers(revision, sent)
 	}
 }
--- a/edge/overlay.go
+++ b/edge/overlay.go
@@ -70,6 +70,16 @@
 	return m.roots[:min(i, maxRootSources)]
 }
 
+// followers returns the VMs that normally follow a VM of a zone: its children, and the
+// other roots if it is the first of them.
+func (m *membership) followers(zone, name string) []Peer {
+	list := slices.Clone(m.zone(zone).children(name))
+	if m.rootRank(name) == 0 {
+		list = append(list, m.roots[1:]...)
+	}
+	return list
+}
+
 // rootRank returns the position of a VM among the roots; their number if it is none.
 func (m *membership) rootRank(name string) int {
 	i := slices.IndexFunc(m.roots, func(p Peer) bool { return p.Name == name })
--- a/edge/sources.go
+++ b/edge/sources.go
@@ -49,6 +49,13 @@
 	return slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return now < l.silentUntil[p.Name] })
 }
 
+// silent returns the VMs that have left a call unanswered within silentBackoff.
+func (l *sourceLog) silent(peers []Peer, now time.Duration) []Peer {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	return slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return now >= l.silentUntil[p.Name] })
+}
+
 // silentFor returns for how long no VM has answered.
 func (l *sourceLog) silentFor(now time.Duration) time.Duration {
 	l.lock.Lock()
--- a/edge/vm.go
+++ b/edge/vm.go
@@ -95,13 +95,18 @@
 	moveEnded chan string
 	// synced reports that everything was read from the store and changes are being
 	// followed.
-	synced  atomic.Bool
-	sources sourceLog
+	synced    atomic.Bool
+	sources   sourceLog
+	followers followerLog
 	// registered reports that the VM has registered since its start.
 	registered atomic.Bool
 	// registeredAt is when the VM's entry was last written, in nanoseconds since
 	// the machine's boot.
 	registeredAt atomic.Int64
+	// registeredRevision is the store's revision at which it was written.
+	registeredRevision atomic.Uint64
+	// left reports that the VM has written that it serves nobody any more.
+	left atomic.Bool
 	// ready reports that callers are accepted.
 	ready atomic.Bool
 	// startupDone is closed once the VM has all it needs to accept callers.
@@ -140,6 +145,7 @@
 	go (&recordConfirmer{VM: v}).run(work)
 	r.start(work)
 	go (&outagePoller{fleet: v.fleet}).run(work)
+	go (&silenceWatcher{fleet: v.fleet}).run(work)
 	go (&claimer{fleet: v.fleet}).run(work)
 	go (&supervisor{VM: v}).run(work)
 	go (&reloader{VM: v}).run(work)
@@ -360,10 +366,11 @@
 // established reports whether all other VMs can be assumed to know this one. On
 // the first start of the whole system no VM can have older state.
 func (v *VM) established() bool {
-	if !v.registered.Load() {
+	silenced := v.directory.selfSilencedRevision()
+	if !v.registered.Load() || uint64(silenced) > v.registeredRevision.Load() {
 		return false
 	}
-	return v.Settings.FirstStart() || v.Now()-time.Duration(v.registeredAt.Load()) > establishedAfter
+	return v.Settings.FirstStart() && silenced == 0 || v.Now()-time.Duration(v.registeredAt.Load()) > establishedAfter
 }
 
 // wakeSupervisor makes the supervisor check all groups at once.
--- a/scripts/spec.sh
+++ b/scripts/spec.sh
@@ -48,6 +48,10 @@
 for mutant in NO_END NO_WAIT LATE_CLOCK EARLY_CHECK VOUCH_MOVING FORGETFUL ALONE EARLY_WAIT READ_EARLY; do
   check "leaders-$mutant" leaders.pml violated -D$mutant
 done
+check silent leaders.pml holds -DSILENT
+for mutant in SILENT_VOTE SILENT_EARLY ALONE EARLY_WAIT; do
+  check "silent-$mutant" leaders.pml violated -DSILENT -D$mutant
+done
 check loss leaders.pml holds -DLOSS
 for mutant in CONFIRM_LOST VOUCH_LOST SETTLE_EARLY SETTLE_BLIND; do
   check "loss-$mutant" leaders.pml violated -DLOSS -D$mutant
--- a/spec/leaders.pml
+++ b/spec/leaders.pml
@@ -15,6 +15,11 @@
  * VM 0 never reaches VM 3. A confirmation by VMs needs three of the four, VM 1
  * included. Every step of each VM may be delayed by any time.
  *
+ * With SILENT, the store's entry of VM 2 may say from some time on that it answers nobody,
+ * although it does. VM 1 then counts it no more, so that VM 3 and VM 1 are most of the
+ * VMs. VM 0 reads the entries after it has written its record, and does not take the
+ * yield of a VM that is said to be silent for one of the half that it needs.
+ *
  * With LOSS, the store comes back once from a copy in which the record names the old
  * leader, under a lease that lives. It then confirms no record until VM 3 has written
  * the newest that the VMs know again. Before that, VM 3 has VM 0's answer, or waits
@@ -40,6 +45,12 @@
  *   READ_EARLY   an old leader that stepped down is taken as one from which nobody
  *                reads
  *
+ * With SILENT also:
+ *
+ *   SILENT_VOTE  VM 0 counts the yield of a VM that is said to be silent
+ *   SILENT_EARLY VM 1 counts a silent VM no more although it lacks an earlier change of
+ *                the record
+ *
  * With LOSS also:
  *
  *   CONFIRM_LOST the store confirms the record that the copy holds
@@ -83,6 +94,12 @@
 #define settled (!lost || revision >= 4)
 #endif
 
+/* Whether the store's entry of VM 2 says that it is silent, the revision of the record
+ * when it began to, and whether VM 1 knows. */
+bit  silent = 0;
+byte silentSince = 0;
+bit  unheard = 0;
+
 /* Whether the old target still accepts writes, and whether the new one was
  * promoted. */
 bit  leads = 1;
@@ -152,10 +169,21 @@
 		fi;
 		sent = 0
 	:: atomic { known < revision -> known = revision } /* learn the current revision */
+#ifdef SILENT
+	:: atomic { silent && !unheard -> /* learn of it, with all changes before */
+		unheard = 1;
+#ifndef SILENT_EARLY
+		if
+		:: known < silentSince -> known = silentSince
+		:: else
+		fi
+#endif
+		}
+#endif
 	:: now < HORIZON && known == 1 -> /* ask the others to confirm the record */
 		sent = now;
 		if
-		:: rests || (other <= 1 && remembers) ->
+		:: unheard || rests || (other <= 1 && remembers) ->
 			if
 			:: known == 1 && sent - stored <= OUTAGE && sent > confirmed -> confirmed = sent
 			:: else
@@ -206,9 +234,17 @@
 	od
 }
 
+#ifdef SILENT
+active proctype watcher() {
+	/* may also never happen */
+endSilent:	atomic { now < HORIZON -> silent = 1; silentSince = revision }
+}
+#endif
+
 active proctype mover() {
 	byte ended;
 	byte begun;
+	bit  votes;
 	now >= 1;
 	atomic {
 		/* the record of a copy is refused as a base */
@@ -221,6 +257,10 @@
 		revision = 2;
 		mine = 2
 	};
+	votes = !silent; /* read the entries of the VMs */
+#ifdef SILENT_VOTE
+	votes = 1;
+#endif
 #ifndef NO_END
 	/* a lease of an earlier era is left alone */
 	atomic {
@@ -249,7 +289,7 @@
 #endif
 	:: true -> /* every VM yields */
 		atomic { known = 2; other = 2 }
-	:: true -> /* only VM 2 yields, and the grants expire */
+	:: votes -> /* only VM 2 yields, and the grants expire */
 #ifndef ALONE
 		other = 2;
 #endif
--- a/succession/fence.go
+++ b/succession/fence.go
@@ -10,11 +10,18 @@
 
 // fence waits until no VM can release a commit of the old leader. It returns the reason
 // why this is certain, for the log. An old leader that has stepped down makes no more
-// commits; other VMs may still read from it until awaitGrants returns.
+// commits; other VMs may still read from it until awaitGrants returns. It is told to
+// step down only once half of the VMs have yielded: a VM that is split from most of the
+// others would otherwise stop a leader that serves those, and could not replace it.
 func (v *move) fence(ctx context.Context) (string, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
+		select {
+		case <-v.backed:
+		case <-ctx.Done():
+			return
+		}
 		if v.stepDown(ctx) == nil {
 			close(v.stepped)
 		}
@@ -32,15 +39,29 @@
 // watchGrants asks all VMs to yield, and closes grantsGone once no VM can rely on an
 // older record.
 func (v *move) watchGrants(ctx context.Context) {
-	if reason, ok := v.awaitGrants(ctx); ok {
+	ballots := make(chan ballot, 1)
+	asked := make(chan struct{})
+	go func() {
+		defer close(asked)
+		members, yields := v.Fleet.Yield(ctx, v.record)
+		ballots <- ballot{members, yields}
+	}()
+	if reason, ok := v.awaitGrants(ctx, ballots); ok {
 		v.grantsReason = reason
 		close(v.grantsGone)
 	}
+	<-asked
+}
+
+// ballot is what Fleet.Yield returns.
+type ballot struct {
+	members []Member
+	yields  <-chan string
 }
 
 // awaitGrants waits until no VM can rely on an older record, and returns the reason why
 // this is certain; false if the context ends first.
-func (v *move) awaitGrants(ctx context.Context) (string, bool) {
+func (v *move) awaitGrants(ctx context.Context, ballots <-chan ballot) (string, bool) {
 	leasesEnded := make(chan struct{})
 	go func() {
 		if v.endFormerLeases(ctx) == nil {
@@ -55,9 +76,12 @@
 	defer outageTimer.Stop()
 	stepped := v.stepped
 	var grantsExpired <-chan time.Time
-	others, yields := v.Fleet.Yield(ctx, v.record)
-	c := newYieldCount(others, v.Known())
+	var yields <-chan string
+	c := &yieldCount{}
 	for {
+		if c.backed() {
+			v.closeBacked()
+		}
 		if grantsExpired == nil && c.expiryIsSafe() {
 			grantsExpired = time.After(v.Grants.Length + clockRateMargin)
 		}
@@ -65,8 +89,11 @@
 		case <-stepped:
 			c.leaderHadTime = true
 			stepped = nil
-		case m := <-yields:
-			c.add(m)
+		case b := <-ballots:
+			c.open(b.members, v.Known())
+			yields = b.yields
+		case name := <-yields:
+			c.add(name)
 		case <-stepDownTimer.C:
 			c.leaderHadTime = true
 		case <-leasesEnded:
@@ -92,12 +119,25 @@
 	return max(min(v.movingSince, v.startedAt)+OutageLength+writeMargin-v.Now(), 0)
 }
 
+// closeBacked closes backed unless it is closed.
+func (v *move) closeBacked() {
+	select {
+	case <-v.backed:
+	default:
+		close(v.backed)
+	}
+}
+
 // yieldCount counts the VMs that have yielded, which means that they have
 // taken in the record of this move. This VM is included as established and
 // yielded.
 type yieldCount struct {
+	// members holds the other VMs by name; nil until they are known.
+	members                         map[string]Member
 	vms, yielded                    int
 	established, establishedYielded int
+	// starting counts the VMs that are neither established nor have yielded.
+	starting int
 	// knownToAll reports that every VM knows this one, and so asks it before
 	// peers confirm a record.
 	knownToAll bool
@@ -106,41 +146,56 @@
 	leaderHadTime, leasesEnded bool
 }
 
-func newYieldCount(others []Member, knownToAll bool) *yieldCount {
-	c := &yieldCount{vms: 1, yielded: 1, established: 1, establishedYielded: 1, knownToAll: knownToAll}
+// open begins the count.
+func (c *yieldCount) open(others []Member, knownToAll bool) {
+	c.members = map[string]Member{}
+	c.knownToAll = knownToAll
+	c.vms, c.yielded, c.established, c.establishedYielded = 1, 1, 1, 1
 	for _, m := range others {
+		c.members[m.Name] = m
 		c.vms++
 		if m.Established {
 			c.established++
+		} else {
+			c.starting++
 		}
 	}
-	return c
 }
 
-func (c *yieldCount) add(m Member) {
+// add counts the yield of a VM. That of a silent one is no vote.
+func (c *yieldCount) add(name string) {
+	m, counted := c.members[name]
+	if !counted {
+		return
+	}
 	c.yielded++
-	if m.Established {
+	switch {
+	case !m.Established:
+		c.starting--
+	case !m.Silent:
 		c.establishedYielded++
 	}
 }
 
+// backed reports whether no older record can be confirmed by peers any more, since
+// that takes more than half of the established VMs. VMs that are not established may be
+// known to those that confirm a record, or not: only their refusal counts.
+func (c *yieldCount) backed() bool {
+	return c.members != nil && 2*c.establishedYielded >= c.established+c.starting
+}
+
 // allYielded reports whether no VM relies on an older record any more, and the
 // old leader had its time to step down.
 func (c *yieldCount) allYielded() bool {
-	return c.knownToAll && c.leaderHadTime && c.yielded >= c.vms
+	return c.members != nil && c.knownToAll && c.leaderHadTime && c.yielded >= c.vms
 }
 
 // expiryIsSafe reports whether from now on no VM can get an older record
 // confirmed, so that waiting for the running grants to expire is enough. The
-// store confirms no record whose lease has ended. Confirmation by peers needs
-// more than half of the established VMs, which is out of reach once half of them
-// have yielded. What those VMs confirmed before they yielded is still
-// valid, so the wait must begin after this is true.
+// store confirms no record whose lease has ended. What VMs confirmed before they yielded
+// is still valid, so the wait must begin after this is true.
 func (c *yieldCount) expiryIsSafe() bool {
-	// VMs that are not established may be known to those that confirm a record, or
-	// not: only their refusal counts.
-	startedNotYielded := (c.vms - c.established) - (c.yielded - c.establishedYielded)
-	return c.knownToAll && c.leasesEnded && 2*c.establishedYielded >= c.established+startedNotYielded
+	return c.knownToAll && c.leasesEnded && c.backed()
 }
 
 // endFormerLeases ends the leases of older records, and retries until each has
--- a/succession/move.go
+++ b/succession/move.go
@@ -29,6 +29,8 @@
 	// once no VM can rely on an older record, for grantsReason.
 	stepped, grantsGone chan struct{}
 	grantsReason        string
+	// backed is closed once half of the VMs have yielded.
+	backed chan struct{}
 	// called reports that the platform was asked for a promotion.
 	called bool
 	// highestTerm is the highest term that any target reported.
@@ -37,7 +39,7 @@
 
 func (v *move) run(ctx context.Context, from Lead) error {
 	ctx, cancel := context.WithCancel(ctx)
-	v.stepped, v.grantsGone = make(chan struct{}), make(chan struct{})
+	v.stepped, v.grantsGone, v.backed = make(chan struct{}), make(chan struct{}), make(chan struct{})
 	watched := make(chan struct{})
 	go func() {
 		defer close(watched)
@@ -144,7 +146,7 @@
 func (m *Mover) announce(r Record) {
 	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
 	time.AfterFunc(announceTimeout, cancel)
-	m.Fleet.Yield(ctx, r)
+	m.Fleet.Announce(ctx, r)
 }
 
 // recordLeader writes the new leader to the leader record. It retries until it
--- a/succession/mover.go
+++ b/succession/mover.go
@@ -105,9 +105,14 @@
 // Fleet communicates with the other VMs.
 type Fleet interface {
 	// Yield sends a record to all other VMs that may rely on an older one,
-	// until each has taken it in or the context ends. It returns these VMs,
-	// and a channel that receives each one that has taken it in.
-	Yield(ctx context.Context, r Record) ([]Member, <-chan Member)
+	// until each has taken it in or the context ends. It returns these VMs as the
+	// store knows them after the record was written, and a channel that receives the
+	// name of each one that has taken it in. It waits until the store has told them;
+	// the result means nothing after the context has ended.
+	Yield(ctx context.Context, r Record) ([]Member, <-chan string)
+	// Announce sends a record to all other VMs in the background, until each has
+	// taken it in or the context ends.
+	Announce(ctx context.Context, r Record)
 	// Survey tells all other VMs that may be running of the store's era, and has
 	// Grants observe the newest record that any of them knows. A VM that has
 	// answered has no record of an earlier era promoted for which it has not
@@ -130,6 +135,9 @@
 	// Established reports that every VM has known this one for long enough to
 	// count it in the majority that confirms a record without the store.
 	Established bool
+	// Silent reports that the VM's entry says that it answers nobody. Others may not
+	// count it any more, so its yield is no vote.
+	Silent bool
 }
 
 // Mover moves leaderships. Set the exported fields before the first call.
--- a/succession/record.go
+++ b/succession/record.go
@@ -88,6 +88,16 @@
 	Stored store.Revision `json:"-"`
 }
 
+// Moving reports whether a move of any leadership is in progress.
+func (r Record) Moving() bool {
+	for _, l := range r.Leads {
+		if l.Moving() {
+			return true
+		}
+	}
+	return false
+}
+
 // WithLead returns a copy of the record in which one group's leadership is
 // replaced.
 func (r Record) WithLead(group string, l Lead) Record {
--- a/succession/succession_test.go
+++ b/succession/succession_test.go
@@ -36,6 +36,8 @@
 	// lostAnswers is the number of next transactions that take effect without
 	// an answer, and delayedWrites the number that do so 300 ms later.
 	lostAnswers, delayedWrites int
+	// keepLeases makes the store end no lease, without an answer.
+	keepLeases bool
 	// readDelay is the duration of a read.
 	readDelay time.Duration
 }
@@ -143,6 +145,9 @@
 func (l *memoryStore) End(_ context.Context, n store.LeaseID) error {
 	l.lock.Lock()
 	defer l.lock.Unlock()
+	if l.keepLeases {
+		return store.ErrUnavailable
+	}
 	delete(l.leases, n)
 	return nil
 }
@@ -226,17 +231,19 @@
 	return c.survey(ctx)
 }
 
-func (c *fakeFleet) Yield(context.Context, succession.Record) ([]succession.Member, <-chan succession.Member) {
-	all := make(chan succession.Member, len(c.members))
+func (c *fakeFleet) Yield(context.Context, succession.Record) ([]succession.Member, <-chan string) {
+	all := make(chan string, len(c.members))
 	for _, m := range c.members[:c.yields] {
-		all <- m
+		all <- m.Name
 	}
 	if c.yieldDelay > 0 {
-		time.AfterFunc(c.yieldDelay, func() { all <- c.members[c.yields] })
+		time.AfterFunc(c.yieldDelay, func() { all <- c.members[c.yields].Name })
 	}
 	return c.members, all
 }
 
+func (c *fakeFleet) Announce(context.Context, succession.Record) {}
+
 // fixture holds the collaborators of movers for one group, choir, which the
 // target a leads at first.
 type fixture struct {
@@ -396,21 +403,45 @@
 	})
 
 	ginkgo.It("does not record the new leader while VMs may read from an old leader that has stepped down", func() {
-		// Most VMs are on the other side of a network partition with the old leader,
-		// which steps down through one of them. It still answers reads.
+		// Half of the VMs are on the other side of a network partition with the old
+		// leader, which steps down through one of them. It still answers reads, and the
+		// store may still confirm the older record.
 		s := newFixture()
 		s.reports["b"].Received = group.At(3, 9)
 		s.fakeFleet.members = []succession.Member{{Name: "x", Established: true}, {Name: "y", Established: true}, {Name: "z", Established: true}}
+		s.fakeFleet.yields = 1
+		s.memoryStore.keepLeases = true
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		gomega.Expect(s.mover("vm-0").Move(ctx, "choir", s.grants.Lead("choir"), "test")).NotTo(gomega.Succeed())
 		gomega.Expect(s.fakePlatform.calls).To(gomega.Equal([]string{"b"}))
 		gomega.Expect(s.grants.Lead("choir").Moving()).To(gomega.BeTrue())
+		s.memoryStore.lock.Lock()
+		s.memoryStore.keepLeases = false
+		s.memoryStore.lock.Unlock()
 		s.fakeFleet.yields = 3
 		gomega.Expect(s.mover("vm-1").Move(context.Background(), "choir", s.grants.Lead("choir"), "test")).To(gomega.Succeed())
 		gomega.Expect(s.grants.Lead("choir")).To(gomega.Equal(succession.Lead{Target: "b"}))
 	})
 
+	ginkgo.It("leaves a leader alone that serves most of the VMs", func() {
+		// A partition separates this VM and x from the leader and all others, except for
+		// one VM that has just started, through which the leader could be told to step
+		// down.
+		s := newFixture()
+		s.reports["b"].Received = group.At(3, 9)
+		for i := range 4 {
+			s.fakeFleet.members = append(s.fakeFleet.members, succession.Member{Name: fmt.Sprint(i), Established: true})
+		}
+		s.fakeFleet.members = append([]succession.Member{{Name: "new"}}, s.fakeFleet.members...)
+		s.fakeFleet.yields = 2
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		gomega.Expect(s.mover("vm-0").Move(ctx, "choir", s.grants.Lead("choir"), "test")).NotTo(gomega.Succeed())
+		gomega.Expect(s.reports["a"].Role).To(gomega.Equal(pool.RolePrimary))
+		gomega.Expect(s.fakePlatform.calls).To(gomega.BeEmpty())
+	})
+
 	ginkgo.It("counts the time since the first of several unfinished moves", func() {
 		s := newFixture()
 		s.fakePlatform.down["a"] = true
@@ -481,6 +512,12 @@
 				s.fakeFleet.yields = 1
 				s.fakeFleet.members = append(s.fakeFleet.members, succession.Member{Name: "new"})
 			},
+			"a silent VM is one of the half that have yielded": func(s *fixture) {
+				for i := range 3 {
+					s.fakeFleet.members = append(s.fakeFleet.members, succession.Member{Name: fmt.Sprint(i), Established: true, Silent: i == 0})
+				}
+				s.fakeFleet.yields = 1
+			},
 			"this VM is unknown to the others": func(s *fixture) { s.known = false },
 		} {
 			s := newFixture()
