Look for silent VMs also before any VM is known

A VM that knows of no VM, itself included, took the list of roots after the first for non-empty and its process ended. TestFollowersOfAVM failed before.

--- a/edge/overlay.go
+++ b/edge/overlay.go
@@ -74,7 +74,7 @@
 // other roots if it is the first of them.
 func (m *membership) followers(zone, name string) []Peer {
 	list := slices.Clone(m.zone(zone).children(name))
-	if m.rootRank(name) == 0 {
+	if len(m.roots) > 0 && m.roots[0].Name == name {
 		list = append(list, m.roots[1:]...)
 	}
 	return list
--- a/edge/overlay_test.go
+++ b/edge/overlay_test.go
@@ -128,6 +128,32 @@
 	}
 }
 
+func TestFollowersOfAVM(t *testing.T) {
+	two := newMembership([]Peer{{Name: "a", Zone: "x"}, {Name: "b", Zone: "y"}})
+	cases := map[string]struct {
+		membership *membership
+		name       string
+		want       []Peer
+	}{
+		"of one that knows no VM":        {newMembership(nil), "new", nil},
+		"of one that is not registered":  {two, "new", nil},
+		"of the first root":              {two, two.roots[0].Name, two.roots[1:]},
+		"of the second root":             {two, two.roots[1].Name, nil},
+		"of the only VM, which is alone": {newMembership([]Peer{{Name: "a", Zone: "x"}}), "a", nil},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			zone := two.roots[0].Zone
+			if c.name == two.roots[1].Name {
+				zone = two.roots[1].Zone
+			}
+			if got := c.membership.followers(zone, c.name); !slices.Equal(got, c.want) {
+				t.Errorf("followers %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
 // BenchmarkChooseHolders measures the placement of all groups on the VMs of a fleet
 // after one VM has joined.
 func BenchmarkChooseHolders(b *testing.B) {
