Ask further VMs of a zone while the first is silent

Each zone is gathered through one of its first two VMs, one after the other and 300 ms each.

Change: the next of up to four VMs is asked when those before have failed or take 90 ms. Ruled out: the gathering within a zone, which is bounded by 200 ms.

--- a/edge/gather.go
+++ b/edge/gather.go
@@ -24,6 +24,12 @@
 	gatherHop = 25 * time.Millisecond
 	// minGatherTimeout is the least timeout with which a VM is asked.
 	minGatherTimeout = 30 * time.Millisecond
+	// contactDelay is how long one VM of a zone may take to answer for it before the
+	// next one is asked as well. It covers a round trip between regions and the
+	// gathering in a zone whose VMs all answer.
+	contactDelay = 90 * time.Millisecond
+	// maxContacts is how many VMs of a zone are asked to answer for it.
+	maxContacts = 4
 )
 
 // status returns this VM's own state.
@@ -124,24 +130,71 @@
 	return a.Msg.GetMembers(), true
 }
 
+// gathered is what one VM of a zone answered for it; ok is false if it did not.
+type gathered struct {
+	members []*peerpb.Status
+	ok      bool
+}
+
 // gatherZone returns the states of the VMs of a zone that answer within
-// gatherTimeout, without this VM's own.
+// gatherTimeout, without this VM's own. One VM of the zone answers for it.
 func (f *fleet) gatherZone(ctx context.Context, zone string, q *peerpb.GatherRequest) []*peerpb.Status {
 	z := f.directory.members().zone(zone)
 	contacts := f.sources.answering(z.order, f.Now())
-	for _, p := range contacts[:min(len(contacts), maxZoneWatchers)] {
-		isRoot := p.Name == z.order[0].Name
-		if p.Name == f.Settings.VM() {
-			return f.gatherBelow(ctx, &peerpb.GatherRequest{Record: q.GetRecord(), Root: !isRoot, Settling: q.GetSettling()}, gatherTimeout)
+	contacts = contacts[:min(len(contacts), maxContacts)]
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	return gatherFirst(len(contacts), func(i int) gathered { return f.gatherThrough(ctx, z, contacts[i], q) })
+}
+
+// gatherFirst asks one of several contacts after the other and returns the first answer.
+// The next one is asked when those before have failed, or after contactDelay.
+func gatherFirst(contacts int, ask func(contact int) gathered) []*peerpb.Status {
+	answers := make(chan gathered, contacts)
+	waiting := 0
+	for i := range contacts {
+		waiting++
+		go func() { answers <- ask(i) }()
+		if a := firstGathered(answers, &waiting, contactDelay); a.ok {
+			return a.members
 		}
-		passed := &peerpb.GatherRequest{Record: q.GetRecord(), Root: !isRoot, Timeout: uint32(gatherTimeout.Milliseconds()), Settling: q.GetSettling()}
-		members, ok := f.callGather(ctx, p, passed, zoneCallTimeout)
-		if ok {
-			return members
+	}
+	return firstGathered(answers, &waiting, zoneCallTimeout).members
+}
+
+// firstGathered returns the first answer that is one; none once as many as are waited
+// for have failed, or when the limit has passed.
+func firstGathered(answers <-chan gathered, waiting *int, limit time.Duration) gathered {
+	t := time.NewTimer(limit)
+	defer t.Stop()
+	for *waiting > 0 {
+		select {
+		case a := <-answers:
+			*waiting--
+			if a.ok {
+				return a
+			}
+		case <-t.C:
+			return gathered{}
 		}
+	}
+	return gathered{}
+}
+
+// gatherThrough has one VM, which may be this one, answer for its zone.
+func (f *fleet) gatherThrough(ctx context.Context, z *zoneMembership, p Peer, q *peerpb.GatherRequest) gathered {
+	passed := &peerpb.GatherRequest{
+		Record: q.GetRecord(), Settling: q.GetSettling(),
+		Root: p.Name != z.order[0].Name, Timeout: uint32(gatherTimeout.Milliseconds()),
+	}
+	if p.Name == f.Settings.VM() {
+		return gathered{f.gatherBelow(ctx, passed, gatherTimeout), true}
+	}
+	members, ok := f.callGather(ctx, p, passed, zoneCallTimeout)
+	if !ok && ctx.Err() == nil {
 		f.sources.recordAnswer(p.Name, f.Now(), false, 0)
 	}
-	return nil
+	return gathered{members, ok}
 }
 
 // recordMessage returns the newest known leader record as a message; nil if there is
