Confirm the leader record among VMs sooner, and one confirmation after the other

Then rounds took 0.4 to 0.6 s and began 0.45 s after the last, so that grants expired between two of them, and again each time when a silent VM was asked in its turn.

Change: the next source is asked when the first is late; only zone watchers, and VMs of which no source answers, poll; a round ends with enough answers; rounds follow after 0.06 s while the store is silent, beside the questions to other zones; a VM that stays silent is left alone for 2, 4, 8 s and then asked beside the next one.

--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -302,6 +303,10 @@
 // follow asks a VM to wait for something newer, and applies it as recall does.
 func (f *fleet) follow(ctx context.Context, p Peer, wait time.Duration) *peerpb.RecallResponse {
 	a := f.recall(ctx, p.Address, &peerpb.RecallRequest{Wait: uint32(wait.Milliseconds()), Seen: f.sources.lastSeen(p.Name)})
+	if a == nil && errors.Is(ctx.Err(), context.Canceled) {
+		// Another VM answered first.
+		return nil
+	}
 	f.sources.recordAnswer(p.Name, f.Now(), a != nil, a.GetConfirmations())
 	if len(a.GetItems()) > 0 {
 		f.wakeSupervisor()
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -29,6 +29,9 @@
 	// newer. A confirmation of the leader record ends the wait, so that this is
 	// also the time in which a VM that no longer gets any is noticed.
 	peerFollowTimeout = 450 * time.Millisecond
+	// sourceDelay is how long a VM may take beyond peerFollowTimeout before the next
+	// one that is followed is asked as well. It covers a round trip between regions.
+	sourceDelay = 100 * time.Millisecond
 	// maxStaleness is how long a VM goes on following others that answer but do
 	// not reach the store, before it calls the store itself. A configuration has
 	// to be in force within 4 s on every VM that reaches it.
@@ -170,20 +173,58 @@
 
 // followPeers waits for changes from the VMs that this one follows, until one answers
 // that has heard from the store lately. VMs that confirm the leader record among
-// themselves do not count: they may lack changes that the store has.
+// themselves do not count: they may lack changes that the store has. The next VM is
+// asked when those before have answered, or are late.
 func (f *storeFollower) followPeers(ctx context.Context) followed {
-	outcome := followedNone
-	for _, p := range f.ownSources() {
-		a := f.fleet.follow(ctx, p, peerFollowTimeout)
-		if a == nil {
-			continue
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	sources := f.ownSources()
+	outcomes := make(chan followed, len(sources))
+	best, waiting := followedNone, 0
+	for i, p := range sources {
+		waiting++
+		go func() { outcomes <- f.followOne(ctx, p) }()
+		late := f.sources.patience(p.Name, peerFollowTimeout+sourceDelay)
+		if i == len(sources)-1 {
+			late = peerFollowTimeout + recallTimeout
+		}
+		best = max(best, firstFollowed(outcomes, &waiting, late))
+		if best == followedCurrent {
+			break
 		}
-		if isCurrent(a) {
-			return followedCurrent
+	}
+	return best
+}
+
+// followOne follows one VM once.
+func (f *storeFollower) followOne(ctx context.Context, p Peer) followed {
+	a := f.fleet.follow(ctx, p, peerFollowTimeout)
+	switch {
+	case a == nil:
+		return followedNone
+	case isCurrent(a):
+		return followedCurrent
+	default:
+		return followedStale
+	}
+}
+
+// firstFollowed returns followedCurrent as soon as a VM that is waited for answers so,
+// and otherwise the best outcome once all have ended or the limit has passed.
+func firstFollowed(outcomes <-chan followed, waiting *int, limit time.Duration) followed {
+	t := time.NewTimer(limit)
+	defer t.Stop()
+	best := followedNone
+	for *waiting > 0 && best != followedCurrent {
+		select {
+		case n := <-outcomes:
+			*waiting--
+			best = max(best, n)
+		case <-t.C:
+			return best
 		}
-		outcome = followedStale
 	}
-	return outcome
+	return best
 }
 
 // maxBackoff returns the longest pause between calls to a store that does not
--- a/edge/gather.go
+++ b/edge/gather.go
@@ -144,18 +144,20 @@
 	contacts = contacts[:min(len(contacts), maxContacts)]
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	return gatherFirst(len(contacts), func(i int) gathered { return f.gatherThrough(ctx, z, contacts[i], q) })
+	patience := func(i int) time.Duration { return f.sources.patience(contacts[i].Name, contactDelay) }
+	return gatherFirst(len(contacts), patience, func(i int) gathered { return f.gatherThrough(ctx, z, contacts[i], q) })
 }
 
 // gatherFirst asks one of several contacts after the other and returns the first answer.
-// The next one is asked when those before have failed, or after contactDelay.
-func gatherFirst(contacts int, ask func(contact int) gathered) []*peerpb.Status {
+// The next one is asked when those before have failed, or when the patience with the last
+// one has ended.
+func gatherFirst(contacts int, patience func(contact int) time.Duration, ask func(contact int) gathered) []*peerpb.Status {
 	answers := make(chan gathered, contacts)
 	waiting := 0
 	for i := range contacts {
 		waiting++
 		go func() { answers <- ask(i) }()
-		if a := firstGathered(answers, &waiting, contactDelay); a.ok {
+		if a := firstGathered(answers, &waiting, patience(i)); a.ok {
 			return a.members
 		}
 	}
--- a/edge/gather_test.go
+++ b/edge/gather_test.go
@@ -16,24 +16,33 @@
 		// after is when each VM answers, in the order in which they are asked;
 		// negative for one that fails then.
 		after []time.Duration
+		// failed is the number, from one, of a VM that left an earlier call unanswered.
+		failed int
 		// want is the VM whose answer counts, and within when it is there.
 		want   int
 		within time.Duration
 	}{
-		"the first answers":             {[]time.Duration{40 * time.Millisecond}, 0, 40 * time.Millisecond},
-		"the first is slow":             {[]time.Duration{80 * time.Millisecond, time.Millisecond}, 0, 80 * time.Millisecond},
-		"the first refuses connections": {[]time.Duration{-time.Millisecond, 40 * time.Millisecond}, 1, 41 * time.Millisecond},
-		"the first is silent":           {[]time.Duration{time.Hour, 40 * time.Millisecond}, 1, contactDelay + 40*time.Millisecond},
-		"the first three are silent":    {[]time.Duration{time.Hour, time.Hour, time.Hour, 40 * time.Millisecond}, 3, 3*contactDelay + 40*time.Millisecond},
+		"the first answers":             {[]time.Duration{40 * time.Millisecond}, 0, 0, 40 * time.Millisecond},
+		"the first is slow":             {[]time.Duration{80 * time.Millisecond, time.Millisecond}, 0, 0, 80 * time.Millisecond},
+		"the first refuses connections": {[]time.Duration{-time.Millisecond, 40 * time.Millisecond}, 0, 1, 41 * time.Millisecond},
+		"the first is silent":           {[]time.Duration{time.Hour, 40 * time.Millisecond}, 0, 1, contactDelay + 40*time.Millisecond},
+		"the first three are silent":    {[]time.Duration{time.Hour, time.Hour, time.Hour, 40 * time.Millisecond}, 0, 3, 3*contactDelay + 40*time.Millisecond},
 		"the first is late, the second silent": {
-			[]time.Duration{contactDelay + 10*time.Millisecond, time.Hour}, 0, contactDelay + 10*time.Millisecond,
+			[]time.Duration{contactDelay + 10*time.Millisecond, time.Hour}, 0, 0, contactDelay + 10*time.Millisecond,
 		},
+		"the first is silent, as before": {[]time.Duration{time.Hour, 40 * time.Millisecond}, 1, 1, 40 * time.Millisecond},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				begun := time.Now()
-				got := gatherFirst(len(c.after), func(i int) gathered {
+				patience := func(i int) time.Duration {
+					if i == c.failed-1 {
+						return 0
+					}
+					return contactDelay
+				}
+				got := gatherFirst(len(c.after), patience, func(i int) gathered {
 					time.Sleep(max(c.after[i], -c.after[i]))
 					return gathered{members: make([]*peerpb.Status, i+1), ok: c.after[i] > 0}
 				})
--- a/edge/outage.go
+++ b/edge/outage.go
@@ -12,12 +12,17 @@
 
 // Timing of calls between VMs while the store does not confirm the leader record.
 const (
-	// pollInterval is the time between two rounds of calls.
-	pollInterval = 200 * time.Millisecond
+	// pollInterval is the time between two rounds of calls. outagePollInterval
+	// replaces it while the store confirms nothing: a round of confirmations among
+	// VMs takes up to half a second, and one in three may fail before a grant expires.
+	pollInterval       = 200 * time.Millisecond
+	outagePollInterval = 60 * time.Millisecond
 	// pollAfter is the age of the last confirmation from which on a VM polls. The
 	// confirmation that it gets reaches the VMs that follow it before theirs are
-	// older than storeStaleAfter.
-	pollAfter = 450 * time.Millisecond
+	// older than storeStaleAfter. outagePollAfter replaces it while the store confirms
+	// nothing.
+	pollAfter       = 450 * time.Millisecond
+	outagePollAfter = 150 * time.Millisecond
 	// seedInterval is the time between two calls of a VM that knows no others, to
 	// one of its seeds.
 	seedInterval = time.Second
@@ -25,9 +30,14 @@
 	// it of others.
 	seedDelay = time.Second
 	// pollTimeout bounds the questions to the roots of other zones, two round
-	// trips between regions and a new connection. The VMs still have time to
-	// confirm the record among themselves before the last confirmation expires.
+	// trips between regions and a new connection. After pollLead, a round trip over
+	// an open connection, the VMs begin to confirm the record among themselves, so
+	// that they have before the last confirmation expires.
 	pollTimeout = 200 * time.Millisecond
+	pollLead    = 80 * time.Millisecond
+	// orphanTimeout is how long no VM that a VM follows may answer before it polls
+	// itself, like a zone watcher. It polls at once if none is left that answers.
+	orphanTimeout = 2 * time.Second
 )
 
 // outagePoller asks other VMs for changes and confirmations of the leader record
@@ -43,7 +53,11 @@
 // run polls other VMs when needed, until the context ends.
 func (o *outagePoller) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, pollInterval+rand.N(pollInterval/4))
+		interval := pollInterval
+		if o.isStoreSilent() {
+			interval = outagePollInterval
+		}
+		sleep(ctx, interval+rand.N(interval/4))
 		if o.isConfirmed() {
 			continue
 		}
@@ -52,18 +66,29 @@
 			o.askSeed(ctx)
 		case !o.synced.Load():
 			o.askSources(ctx)
-		case o.isZoneWatcher() || o.sources.silentFor(o.Now()) > storeStaleAfter:
+		case o.isZoneWatcher() || len(o.ownSources()) == 0 || o.sources.silentFor(o.Now()) > orphanTimeout:
 			o.poll(ctx)
 		}
 	}
 }
 
+// isStoreSilent reports whether neither this VM nor another that it heard of had the
+// leader record confirmed by the store lately.
+func (o *outagePoller) isStoreSilent() bool {
+	_, confirmedAt, confirmed := o.grants.StoreConfirmation()
+	return confirmed && o.Now()-confirmedAt > storeStaleAfter
+}
+
 // isConfirmed reports whether the leader record was confirmed less than pollAfter
-// ago.
+// ago, or outagePollAfter.
 func (o *outagePoller) isConfirmed() bool {
+	limit := pollAfter
+	if o.isStoreSilent() {
+		limit = outagePollAfter
+	}
 	revision, _, _ := o.grants.StoreConfirmation()
 	validAt, ever := o.grants.ValidFrom(revision)
-	return ever && o.Now()-validAt < pollAfter
+	return ever && o.Now()-validAt < limit
 }
 
 // askSeed asks one of the seeds for everything it knows, if the store has not told
@@ -96,7 +121,9 @@
 // fresh confirmation, the VMs confirm the record among themselves.
 func (o *outagePoller) poll(ctx context.Context) {
 	limited, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
 	wait := sync.WaitGroup{}
+	defer wait.Wait()
 	for name, z := range o.directory.members().zones {
 		if name == o.Settings.Zone() {
 			continue
@@ -106,8 +133,17 @@
 			wait.Go(func() { o.follow(limited, p, 0) })
 		}
 	}
-	wait.Wait()
-	cancel()
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		wait.Wait()
+	}()
+	lead := time.NewTimer(pollLead)
+	defer lead.Stop()
+	select {
+	case <-answered:
+	case <-lead.C:
+	}
 	o.wakeSupervisor()
 	if !o.isConfirmed() {
 		o.confirmAmongVMs(ctx)
@@ -128,12 +164,19 @@
 		// is no news to those: they would lose the leader that they still reach.
 		q.Record = o.recordMessage()
 	}
-	for _, s := range o.gatherAll(ctx, q) {
-		if store.At(s.GetRecordEra(), s.GetRecord()) > revision {
-			return
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for members := range o.gatherAll(ctx, q) {
+		for _, s := range members {
+			if store.At(s.GetRecordEra(), s.GetRecord()) > revision {
+				return
+			}
+			if s.GetResting() {
+				c.agree(s.GetName())
+			}
 		}
-		if s.GetResting() {
-			c.agree(s.GetName())
+		if c.enough() {
+			break
 		}
 	}
 	if c.enough() && o.mover.Idle() && o.grants.ConfirmedSinceStart() {
@@ -141,21 +184,18 @@
 	}
 }
 
-// gatherAll returns the states of the VMs of all zones that answer, without this VM's
-// own.
-func (f *fleet) gatherAll(ctx context.Context, q *peerpb.GatherRequest) []*peerpb.Status {
+// gatherAll returns a channel with the states of the VMs that answer, zone by zone and
+// without this VM's own. It is closed when all zones have been gathered.
+func (f *fleet) gatherAll(ctx context.Context, q *peerpb.GatherRequest) <-chan []*peerpb.Status {
 	zones := f.directory.members().zones
-	lock := sync.Mutex{}
-	all := []*peerpb.Status{}
+	all := make(chan []*peerpb.Status, len(zones))
 	wait := sync.WaitGroup{}
 	for name := range zones {
-		wait.Go(func() {
-			members := f.gatherZone(ctx, name, q)
-			lock.Lock()
-			defer lock.Unlock()
-			all = append(all, members...)
-		})
+		wait.Go(func() { all <- f.gatherZone(ctx, name, q) })
 	}
-	wait.Wait()
+	go func() {
+		wait.Wait()
+		close(all)
+	}()
 	return all
 }
--- a/edge/settle.go
+++ b/edge/settle.go
@@ -43,7 +43,9 @@
 			}
 		}
 	}
-	take(f.gatherAll(ctx, q))
+	for members := range f.gatherAll(ctx, q) {
+		take(members)
+	}
 	for len(missing) > 0 && ctx.Err() == nil {
 		take(f.askEach(ctx, missing, q))
 		if len(missing) > 0 {
--- a/edge/vm.go
+++ b/edge/vm.go
@@ -429,6 +429,7 @@
 	defer v.lock.Unlock()
 	if v.storeLost {
 		v.Log.Info("store answers again", "after", (v.Now() - v.storeFailingSince).String())
+		v.sources.forgive()
 	}
 	v.storeFailingSince = 0
 	v.storeLost = false
