Refuse at once where no leader has been reached for long, and begin moves again in time

And a move that less than half of the VMs back ends only after its promotion window, with the split, and then begins again.

Change: the time without a leader counts as one in which it is not reached; a move that is not backed within 2.5 s begins again, so that it can promote when the split ends.

--- a/front/attempt.go
+++ b/front/attempt.go
@@ -14,9 +14,9 @@
 
 // Limits and retry delays of running a statement.
 const (
-	// unreachableLimit is how long the leader may be unreachable from this VM
-	// before statements that need it are refused at once. A leader that all VMs
-	// had lost would have been replaced by then, so other VMs do reach it.
+	// unreachableLimit is how long this VM may reach no leader before statements that
+	// need one are refused at once. A leader that all VMs had lost would have been
+	// replaced by then, so other VMs do reach it.
 	unreachableLimit = 2500 * time.Millisecond
 	// busyRetryDelay is the delay before a busy target, or one that does not
 	// lead, is tried again.
--- a/pool/group.go
+++ b/pool/group.go
@@ -21,12 +21,15 @@
 	Now func() time.Duration
 	Log logr.Logger
 
-	lock          sync.Mutex
-	servers       map[string]*server
-	waiting       []*waiter
-	leader        string
-	budget        int
-	idleAllowance int
+	lock    sync.Mutex
+	servers map[string]*server
+	waiting []*waiter
+	leader  string
+	// leaderlessSince is when the group's last leader ceased to be known; zero while it
+	// has one, and if it had none yet.
+	leaderlessSince time.Duration
+	budget          int
+	idleAllowance   int
 	// linkGeneration is incremented by ReplaceLinks; connections of an older
 	// generation are closed instead of being reused.
 	linkGeneration int
@@ -114,6 +117,10 @@
 		return
 	}
 	g.leader = id
+	g.leaderlessSince = 0
+	if id == "" {
+		g.leaderlessSince = max(g.Now(), 1)
+	}
 	g.dispatch()
 }
 
--- a/pool/observe.go
+++ b/pool/observe.go
@@ -79,11 +79,15 @@
 	return p, g.Now() - at, ok
 }
 
-// LeaderUnreachableFor returns how long the leader has been unreachable for
-// this VM; zero if it is reached or the group has no leader.
+// LeaderUnreachableFor returns for how long this VM has reached no leader, because the
+// group has none or it does not answer; zero if it reaches the leader, or has not known
+// any yet.
 func (g *Group) LeaderUnreachableFor() time.Duration {
 	g.lock.Lock()
 	defer g.lock.Unlock()
+	if g.leaderlessSince != 0 {
+		return g.Now() - g.leaderlessSince
+	}
 	s := g.servers[g.leader]
 	if s == nil || !s.unreachable() {
 		return 0
--- a/succession/fence.go
+++ b/succession/fence.go
@@ -26,6 +26,17 @@
 			close(v.stepped)
 		}
 	}()
+	late := time.NewTimer(backingTimeout)
+	defer late.Stop()
+	select {
+	case <-v.backed:
+	case <-v.grantsGone:
+		return v.grantsReason, nil
+	case <-late.C:
+		return "", ErrNotBacked
+	case <-ctx.Done():
+		return "", fmt.Errorf("await yields: %w", ctx.Err())
+	}
 	select {
 	case <-v.stepped:
 		return "old leader stepped down", nil
--- a/succession/mover.go
+++ b/succession/mover.go
@@ -34,6 +34,8 @@
 	// ErrOutdated reports that the store came back from a copy, and that the leader
 	// record has not been written in its present era yet.
 	ErrOutdated = errors.New("leader record is from an earlier era of the store")
+	// ErrNotBacked reports that less than half of the VMs yielded in time.
+	ErrNotBacked = errors.New("half of the VMs did not yield in time")
 	// ErrWindowExpired reports that a move took so long that another VM may
 	// take it over.
 	ErrWindowExpired = errors.New("promotion window expired before a target was promoted")
@@ -71,6 +73,10 @@
 	// stepDownTimeout is how long an unreachable leader may delay a move that
 	// all other VMs have yielded to.
 	stepDownTimeout = 500 * time.Millisecond
+	// backingTimeout is how long half of the VMs may take to yield. A move that begins
+	// again after that has its whole promotion window left when a split of the network
+	// ends.
+	backingTimeout = 2500 * time.Millisecond
 	// catchUpTimeout is how long a move waits for a replica to receive the
 	// last commit of an old leader that has stepped down.
 	catchUpTimeout = time.Second
