Report a VM that lacks a leader as not ready

A load balancer sends callers to another zone if no VM of theirs is ready.

Change: a VM that has reached no leader of a group for 0.8 s reports that it is not ready. The time counts from when the last leader was not reached, also once it is being replaced. Where all VMs lack it, a load balancer uses them all.

--- a/edge/leader_test.go
+++ b/edge/leader_test.go
@@ -53,6 +53,27 @@
 		gomega.Expect(f.site.FencingTokens()).To(gomega.BeEmpty())
 	})
 
+	ginkgo.It("is served by other VMs of a zone while one does not reach it", func() {
+		// That VM reports that it is not ready, since callers try VMs of their zone only.
+		f := openFixture(threeZones, 3)
+		leader := f.site.Leader("choir").ID
+		f.vms[0].blocked.Store(leader)
+		// Wait until the connection that the VM opened at its start has been closed
+		// as unused.
+		time.Sleep(5 * time.Second)
+		c := f.vms[0].session("choir-own")
+		gomega.Eventually(func() bool {
+			_, err := c.ask("WRITE bar alone")
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			return f.vms[0].isReady()
+		}, recoveryTimeout, "20ms").Should(gomega.BeFalse())
+		gomega.Expect(f.vms[1].isReady()).To(gomega.BeTrue())
+		gomega.Expect(f.vms[2].isReady()).To(gomega.BeTrue())
+		f.vms[0].blocked.Store("")
+		gomega.Eventually(f.vms[0].isReady, recoveryTimeout, "20ms").Should(gomega.BeTrue())
+		c.must("WRITE bar again")
+	})
+
 	ginkgo.It("is promoted under fencing tokens that never decrease, also when the store's answers are lost", func() {
 		f := openFixture(threeZones, 3)
 		c := f.vms[1].session("choir-own")
--- a/edge/vm.go
+++ b/edge/vm.go
@@ -35,6 +35,9 @@
 	// unreadyAfter is how long the leader record may be unconfirmed before the
 	// VM reports that it is not ready, so that callers are sent to other VMs.
 	unreadyAfter = 250 * time.Millisecond
+	// unreadyWithoutLeader is how long a VM may reach no leader of a group before it
+	// reports that it is not ready.
+	unreadyWithoutLeader = 800 * time.Millisecond
 	// closeSessionsAfter is how long the leader record must be unconfirmed
 	// before sessions are ended between operations, so that their callers
 	// reconnect to other VMs. The load balancer has noticed by then that this
@@ -322,7 +325,7 @@
 
 // handleReady answers the load balancer's readiness check.
 func (v *VM) handleReady(w http.ResponseWriter, _ *http.Request) {
-	if v.ready.Load() && !v.stopping.Load() && !v.leadersUnconfirmed() {
+	if v.ready.Load() && !v.stopping.Load() && !v.leadersUnconfirmed() && !v.lacksLeader() {
 		w.WriteHeader(http.StatusOK)
 		return
 	}
@@ -333,6 +336,22 @@
 // longer than unreadyAfter.
 func (v *VM) leadersUnconfirmed() bool { return v.grants.ExpiredFor() > unreadyAfter }
 
+// lacksLeader reports whether this VM has reached no leader of a group for longer than
+// unreadyWithoutLeader. Callers then do better with another VM. Where all VMs lack it, a
+// load balancer uses them all.
+func (v *VM) lacksLeader() bool {
+	c := v.catalog.Current()
+	if c == nil {
+		return false
+	}
+	for name, g := range v.pools() {
+		if _, used := c.Groups[name]; used && g.LeaderUnreachableFor() > unreadyWithoutLeader {
+			return true
+		}
+	}
+	return false
+}
+
 // stop reports the VM as not ready, waits until callers are no longer sent to it,
 // lets sessions end between operations, and rolls back the transactions that are
 // still open after half of the grace period.
--- a/pool/group.go
+++ b/pool/group.go
@@ -116,14 +116,23 @@
 	if g.leader == id {
 		return
 	}
+	g.leaderlessSince = g.nextLeaderlessSince(id)
 	g.leader = id
-	g.leaderlessSince = 0
-	if id == "" {
-		g.leaderlessSince = max(g.Now(), 1)
-	}
 	g.dispatch()
 }
 
+// nextLeaderlessSince returns leaderlessSince for a new leader, or for none: the time
+// since which the last one was not reached, or since now. The caller holds the lock.
+func (g *Group) nextLeaderlessSince(id string) time.Duration {
+	if id != "" {
+		return 0
+	}
+	if s := g.servers[g.leader]; s != nil && s.unreachable() {
+		return s.failingSince
+	}
+	return max(g.Now(), 1)
+}
+
 // Targets returns the registered targets, sorted by ID.
 func (g *Group) Targets() []Target {
 	g.lock.Lock()
--- a/pool/wait_test.go
+++ b/pool/wait_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
@@ -235,6 +236,20 @@
 		s.Release()
 	})
 
+	ginkgo.It("counts the time without a leader as one in which it is not reached", func() {
+		now := time.Hour
+		g := &pool.Group{Name: "choir", Zone: "coban", Now: func() time.Duration { return now }, Log: logr.Discard()}
+		gomega.Expect(g.LeaderUnreachableFor()).To(gomega.BeZero())
+		g.SetLeader("a")
+		now += time.Second
+		g.SetLeader("")
+		now += 3 * time.Second
+		g.SetLeader("")
+		gomega.Expect(g.LeaderUnreachableFor()).To(gomega.Equal(3 * time.Second))
+		g.SetLeader("b")
+		gomega.Expect(g.LeaderUnreachableFor()).To(gomega.BeZero())
+	})
+
 	ginkgo.It("distinguishes an unreachable leader from a slow one", func() {
 		c := newTestGroup(1)
 		s := c.acquire(c.need(true))
