--- a/succession/mover.go
+++ b/succession/mover.go
@@ -72,7 +72,7 @@
 	stragglerTimeout = 150 * time.Millisecond
 	// stepDownTimeout is how long an unreachable leader may delay a move that
 	// all other VMs have yielded to.
-	stepDownTimeout = 500 * time.Millisecond
+	stepDownTimeout = 250 * time.Millisecond
 	// backingTimeout is how long half of the VMs may take to yield. A move that begins
 	// again after that has its whole promotion window left when a split of the network
 	// ends.
