--- a/edge/vm.go
+++ b/edge/vm.go
@@ -144,14 +144,8 @@
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	r := &registrar{VM: v}
-	go (&storeFollower{VM: v}).run(work)
-	go (&recordConfirmer{VM: v}).run(work)
 	r.start(work)
-	go (&outagePoller{fleet: v.fleet}).run(work)
-	go (&silenceWatcher{fleet: v.fleet}).run(work)
-	go (&claimer{fleet: v.fleet}).run(work)
-	go (&supervisor{VM: v}).run(work)
-	go (&reloader{VM: v}).run(work)
+	v.startDuties(work)
 	go v.dialer.WatchHolders(work)
 	go v.serveRelays(work, listeners)
 	v.serveHTTP(listeners)
@@ -164,6 +158,21 @@
 	return nil
 }
 
+// startDuties starts what the VM does besides serving connections.
+func (v *VM) startDuties(ctx context.Context) {
+	for name, run := range map[string]func(context.Context){
+		"follow the store":           (&storeFollower{VM: v}).run,
+		"confirm the leader record":  (&recordConfirmer{VM: v}).run,
+		"ask VMs during an outage":   (&outagePoller{fleet: v.fleet}).run,
+		"look for silent VMs":        (&silenceWatcher{fleet: v.fleet}).run,
+		"claim connections":          (&claimer{fleet: v.fleet}).run,
+		"supervise groups":           (&supervisor{VM: v}).run,
+		"read the settings when new": (&reloader{VM: v}).run,
+	} {
+		go runDuty(ctx, v.Log, name, run)
+	}
+}
+
 // prepare creates the VM's components from its settings and adapter.
 func (v *VM) prepare() {
 	v.startedAt = v.Now()
--- a/internal/socket/accept.go
+++ b/internal/socket/accept.go
@@ -5,12 +5,16 @@
 	"errors"
 	"fmt"
 	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
 )
 
+// ErrPanic reports that the function that serves a connection panicked.
+var ErrPanic = errors.New("panic while a connection was served")
+
 // acceptRetryDelay is the pause after a failed accept, such as when the process has no
 // free file descriptors.
 const acceptRetryDelay = 20 * time.Millisecond
@@ -27,7 +31,8 @@
 
 // Accept calls serve for each connection until the listener is closed, and then returns
 // nil. A failed accept, such as without free file descriptors, is logged and retried
-// after acceptRetryDelay; the error is that of a context that ends during this pause.
+// after acceptRetryDelay; the error is that of a context that ends during this pause. A
+// panic of serve is logged, and closes the connection.
 func (a *Acceptor) Accept(ctx context.Context, l net.Listener, log logr.Logger, serve func(net.Conn)) error {
 	for {
 		conn, err := l.Accept()
@@ -38,6 +43,7 @@
 			a.begin()
 			go func() {
 				defer a.end()
+				defer closeAfterPanic(conn, log)
 				serve(conn)
 			}()
 			continue
@@ -51,6 +57,19 @@
 	}
 }
 
+// closeAfterPanic closes the connection if the function that defers this call panics, and
+// ends the panic.
+func closeAfterPanic(c net.Conn, log logr.Logger) {
+	reason := recover()
+	if reason == nil {
+		return
+	}
+	log.Error(ErrPanic, "connection is closed", "peer", c.RemoteAddr().String(), "reason", fmt.Sprint(reason), "stack", string(debug.Stack()))
+	if err := c.Close(); err != nil {
+		log.V(1).Info("connection was closed already", "reason", err.Error())
+	}
+}
+
 // Await waits until serve has returned for all accepted connections, or the context ends.
 // Connections may be accepted meanwhile, which a sync.WaitGroup would not allow.
 func (a *Acceptor) Await(ctx context.Context) {
