--- a/cmd/amaranthsill/main.go
+++ b/cmd/amaranthsill/main.go
@@ -1,6 +1,7 @@
 // Command amaranthsill is the operators' command-line client. It checks and
 // submits manifests, shows the status of the VMs, reports error budget burn
-// rates, and traces a request through the VMs' logs.
+// rates, traces a request through the VMs' logs, and reports from them what callers did
+// not get.
 //
 // The exit code is 0 on success, 1 if a manifest is rejected, 2 for invalid
 // usage or input, and 3 if the outcome is unknown or a VM did not answer.
@@ -59,9 +60,9 @@
 
 func command() *ffcli.Command {
 	return &ffcli.Command{
-		ShortUsage:  "amaranthsill <check|submit|status|burn|explain> [flags] [FILE]",
+		ShortUsage:  "amaranthsill <check|submit|status|burn|explain|losses> [flags] [FILE]",
 		Options:     options(),
-		Subcommands: []*ffcli.Command{checkCommand(), submitCommand(), statusCommand(), burnCommand(), explainCommand()},
+		Subcommands: []*ffcli.Command{checkCommand(), submitCommand(), statusCommand(), burnCommand(), explainCommand(), lossesCommand()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 }
