Keep a VM ready that lacks the leaders of few of its groups

Change: a VM reports that it is not ready if it lacks the leaders of a quarter of its groups or more.

--- a/edge/vm.go
+++ b/edge/vm.go
@@ -35,9 +35,11 @@
 	// unreadyAfter is how long the leader record may be unconfirmed before the
 	// VM reports that it is not ready, so that callers are sent to other VMs.
 	unreadyAfter = 250 * time.Millisecond
-	// unreadyWithoutLeader is how long a VM may reach no leader of a group before it
-	// reports that it is not ready.
+	// unreadyWithoutLeader is how long a VM may reach no leader of one in
+	// maxGroupsPerLack groups before it reports that it is not ready. With more groups
+	// for each, most of its callers are better off where they are.
 	unreadyWithoutLeader = 800 * time.Millisecond
+	maxGroupsPerLack     = 4
 	// closeSessionsAfter is how long the leader record must be unconfirmed
 	// before sessions are ended between operations, so that their callers
 	// reconnect to other VMs. The load balancer has noticed by then that this
@@ -334,7 +336,7 @@
 
 // handleReady answers the load balancer's readiness check.
 func (v *VM) handleReady(w http.ResponseWriter, _ *http.Request) {
-	if v.ready.Load() && !v.stopping.Load() && !v.leadersUnconfirmed() && !v.lacksLeader() {
+	if v.ready.Load() && !v.stopping.Load() && !v.leadersUnconfirmed() && !v.lacksLeaders() {
 		w.WriteHeader(http.StatusOK)
 		return
 	}
@@ -345,20 +347,21 @@
 // longer than unreadyAfter.
 func (v *VM) leadersUnconfirmed() bool { return v.grants.ExpiredFor() > unreadyAfter }
 
-// lacksLeader reports whether this VM has reached no leader of a group for longer than
-// unreadyWithoutLeader. Callers then do better with another VM. Where all VMs lack it, a
-// load balancer uses them all.
-func (v *VM) lacksLeader() bool {
+// lacksLeaders reports whether this VM has reached no leader for longer than
+// unreadyWithoutLeader, in one of maxGroupsPerLack groups or more. Callers then do better
+// with another VM. Where all VMs lack them, a load balancer uses them all.
+func (v *VM) lacksLeaders() bool {
 	c := v.catalog.Current()
 	if c == nil {
 		return false
 	}
+	lacking := 0
 	for name, g := range v.pools() {
 		if _, used := c.Groups[name]; used && g.LeaderUnreachableFor() > unreadyWithoutLeader {
-			return true
+			lacking++
 		}
 	}
-	return false
+	return lacking > 0 && lacking*maxGroupsPerLack >= len(c.Groups)
 }
 
 // stop reports the VM as not ready, waits until callers are no longer sent to it,
