Count no yield of a VM that is marked as silent, whatever else is known

Found by reading the diff: a move took a VM's mark into account only once this VM knew every change before it, as one that confirms a record has to. TestYieldOfASilentVMNeverCounts failed before.

--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -174,7 +174,7 @@
 func (f *fleet) member(p recentPeer) succession.Member {
 	return succession.Member{
 		Name:        p.Name,
-		Silent:      p.unheard,
+		Silent:      p.Silent,
 		Established: f.Settings.FirstStart() && !p.returned && f.Now()-f.startedAt < establishedAfter || f.Now()-p.firstSeen > establishedAfter,
 	}
 }
--- a/edge/silence_test.go
+++ b/edge/silence_test.go
@@ -174,3 +174,20 @@
 		t.Errorf("%v are silent, want b", got)
 	}
 }
+
+// TestYieldOfASilentVMNeverCounts guards against a move that counts it since this VM does
+// not know every change before the silence yet: those who do may not count the VM.
+func TestYieldOfASilentVMNeverCounts(t *testing.T) {
+	d := newPeerDirectory()
+	d.write(Peer{Name: "x"})
+	encoded, err := json.Marshal(Peer{Name: "x", Zone: "coban", Address: "10.0.0.1:1", Silent: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.ResetPeers([]store.Item{{Key: vmPrefix + "x", Value: encoded, Revision: d.revision + 5}}, d.revision+9)
+	f := &fleet{VM: &VM{Now: d.Now}}
+	p, _ := d.recentPeer("x")
+	if m := f.member(p); !m.Silent {
+		t.Error("yield of a silent VM counts")
+	}
+}
