--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -12,6 +12,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"amaranthsill/customer"
 )
 
 // Consistency is the guarantee of a route about the commits that its reads
@@ -48,6 +50,8 @@
 	LatencyObjective time.Duration
 	// Priority ranks routes under load; zero is the highest priority.
 	Priority int
+	// Public means that callers need no key.
+	Public bool
 }
 
 // Group holds the limits of a database group.
@@ -68,6 +72,9 @@
 	Routes map[string]*Route
 	// Groups are keyed by name.
 	Groups map[string]Group
+	// Customers are the customers with their keys and limits; nil if the deployment
+	// has none.
+	Customers *customer.Set
 	// TransactionIdleTimeout is the time for which a transaction may be idle.
 	TransactionIdleTimeout time.Duration
 }
--- a/edge/control.go
+++ b/edge/control.go
@@ -176,7 +176,7 @@
 	if !ok {
 		return pool.Report{}, fmt.Errorf("target %s is not registered: %w", target, pool.ErrNoTarget)
 	}
-	link, _, err := c.Adapter.Dialer.Dial(ctx, t)
+	link, _, err := c.Adapter.Dialer.Dial(ctx, t, "")
 	if err != nil {
 		return pool.Report{}, fmt.Errorf("open control connection: %w", err)
 	}
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -143,11 +143,11 @@
 	vm *vm
 }
 
-func (d partialDialer) Dial(ctx context.Context, t pool.Target) (pool.Link, query.Position, error) {
+func (d partialDialer) Dial(ctx context.Context, t pool.Target, customer string) (pool.Link, query.Position, error) {
 	if d.vm.blocked.Load() == t.ID {
 		return nil, query.Position{}, context.DeadlineExceeded
 	}
-	return d.Dialer.Dial(ctx, t)
+	return d.Dialer.Dial(ctx, t, customer)
 }
 
 // caller is a session of a caller.
--- a/front/front.go
+++ b/front/front.go
@@ -18,6 +18,7 @@
 	"github.com/go-logr/logr"
 
 	"amaranthsill/catalog"
+	"amaranthsill/customer"
 	"amaranthsill/internal/socket"
 	"amaranthsill/pool"
 	"amaranthsill/query"
@@ -61,6 +62,13 @@
 	AwaitLeader(ctx context.Context, group, target string, until time.Duration) error
 }
 
+// Limiter admits operations under the customers' limits.
+type Limiter interface {
+	// Admit takes one operation of a customer. If it is over the customer's limit, the
+	// result is false, with the time after which it may be tried again.
+	Admit(ctx context.Context, c *customer.Customer) (retry time.Duration, ok bool)
+}
+
 // Server serves the callers of one VM. Set the exported fields before the call
 // of Serve.
 type Server struct {
@@ -70,6 +78,8 @@
 	Group func(name string) (*pool.Group, bool)
 	// NewCallerConn wraps an accepted connection.
 	NewCallerConn func(net.Conn) CallerConn
+	// Limits admits operations under the customers' limits; nil if nothing is limited.
+	Limits Limiter
 	// Now is a monotonic clock that includes the time for which the VM was
 	// suspended.
 	Now     func() time.Duration
--- a/front/load_test.go
+++ b/front/load_test.go
@@ -21,7 +21,9 @@
 	work  time.Duration
 }
 
-func (b *busyTarget) Dial(context.Context, pool.Target) (pool.Link, query.Position, error) {
+func (b *busyTarget) Affinity(pool.Target, string) string { return "" }
+
+func (b *busyTarget) Dial(context.Context, pool.Target, string) (pool.Link, query.Position, error) {
 	b.run()
 	return &busyLink{target: b}, query.Position{}, nil
 }
--- a/pool/dial.go
+++ b/pool/dial.go
@@ -31,7 +31,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 		defer cancel()
-		link, p, err := g.Dialer.Dial(ctx, t)
+		link, p, err := g.Dialer.Dial(ctx, t, "")
 		g.finishDial(s, &connection{link: link, generation: generation}, p, err)
 	}()
 }
@@ -79,7 +79,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 		defer cancel()
-		link, _, err := g.Dialer.Dial(ctx, t)
+		link, _, err := g.Dialer.Dial(ctx, t, "")
 		if err == nil {
 			link.Close()
 		}
@@ -105,7 +105,7 @@
 	}
 	t := s.Target
 	g.lock.Unlock()
-	link, _, err := g.Dialer.Dial(ctx, t)
+	link, _, err := g.Dialer.Dial(ctx, t, "")
 	g.lock.Lock()
 	defer g.lock.Unlock()
 	if err != nil {
--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"amaranthsill/customer"
 	"amaranthsill/query"
 )
 
@@ -42,6 +43,9 @@
 	QueueDeadline time.Duration
 	// Tried holds the IDs of targets that have refused this statement.
 	Tried []string
+	// Customer is the customer that sent the statement; nil if the deployment has
+	// none.
+	Customer *customer.Customer
 	// StateHash is the hash of the session's values; a connection with the same
 	// hash already holds them.
 	StateHash uint64
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -63,7 +63,9 @@
 	batches [][]pool.Order
 }
 
-func (d *dialer) Dial(_ context.Context, t pool.Target) (pool.Link, query.Position, error) {
+func (d *dialer) Affinity(pool.Target, string) string { return "" }
+
+func (d *dialer) Dial(_ context.Context, t pool.Target, _ string) (pool.Link, query.Position, error) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	if err := d.dialErrors[t.ID]; err != nil {
--- a/pool/target.go
+++ b/pool/target.go
@@ -80,9 +80,13 @@
 
 // Dialer opens links to targets.
 type Dialer interface {
-	// Dial opens a link and returns the target's log position. A refusal by
-	// the target is returned as *query.Failure.
-	Dial(ctx context.Context, t Target) (Link, query.Position, error)
+	// Dial opens a link for a customer and returns the target's log position. The
+	// name is empty where the deployment has no customers, and for control orders.
+	// A refusal by the target is returned as *query.Failure.
+	Dial(ctx context.Context, t Target, customer string) (Link, query.Position, error)
+	// Affinity returns a text that is equal for two customers whose links to a target
+	// are opened in the same way, so that a CustomerLink of one can serve the other.
+	Affinity(t Target, customer string) string
 	// ParseStatus reads a Report from the answer to a Status, StepDown or
 	// Pause order.
 	ParseStatus(r query.Reply) (Report, error)
@@ -101,6 +105,15 @@
 	Close()
 }
 
+// CustomerLink is a link that several customers can use in turn. Any other link
+// belongs to the customer for which it was opened.
+type CustomerLink interface {
+	Link
+	// SetCustomer names the customer of the orders that follow, and the priority of
+	// its route.
+	SetCustomer(name string, priority int)
+}
+
 // Order is a request to a target.
 type Order interface{ order() }
 
--- a/query/query.go
+++ b/query/query.go
@@ -138,6 +138,7 @@
 	CodeTooLarge
 	CodeMalformed
 	CodeOther
+	CodeAuthenticationFailed
 )
 
 // NothingKept reports whether the code guarantees that nothing the attempt wrote
@@ -167,7 +168,7 @@
 	names := [...]string{
 		"busy", "aborted", "lagging", "read-only", "misrouted", "too-many-connections",
 		"no-statement", "failed", "timeout", "in-doubt", "unknown-database", "too-large",
-		"malformed", "other",
+		"malformed", "other", "authentication-failed",
 	}
 	return names[c]
 }
--- a/relay/dialer.go
+++ b/relay/dialer.go
@@ -84,7 +84,7 @@
 // has seen of the target; otherwise it is the one that Direct returns. The error
 // wraps pool.ErrReserved if no holder is reached and this VM has a direct
 // connection to the target already.
-func (d *Dialer) Dial(ctx context.Context, t pool.Target) (pool.Link, query.Position, error) {
+func (d *Dialer) Dial(ctx context.Context, t pool.Target, customer string) (pool.Link, query.Position, error) {
 	h := d.Holders(t.Group)
 	if !h.Self {
 		for _, address := range h.Addresses {
@@ -96,13 +96,16 @@
 		}
 	}
 	if h.Self {
-		return d.dialDirect(ctx, t)
+		return d.dialDirect(ctx, t, customer)
 	}
-	return d.dialFallback(ctx, t)
+	return d.dialFallback(ctx, t, customer)
 }
 
-func (d *Dialer) dialDirect(ctx context.Context, t pool.Target) (pool.Link, query.Position, error) {
-	l, p, err := d.Direct.Dial(ctx, t)
+// Affinity implements pool.Dialer.
+func (d *Dialer) Affinity(pool.Target, string) string { return "" }
+
+func (d *Dialer) dialDirect(ctx context.Context, t pool.Target, customer string) (pool.Link, query.Position, error) {
+	l, p, err := d.Direct.Dial(ctx, t, customer)
 	if err != nil {
 		return nil, p, fmt.Errorf("dial directly: %w", err)
 	}
@@ -112,11 +115,11 @@
 // dialFallback connects directly to a target whose holders are not reached.
 // It allows one such connection per target and VM, because the targets'
 // connection limits are reserved for the holders.
-func (d *Dialer) dialFallback(ctx context.Context, t pool.Target) (pool.Link, query.Position, error) {
+func (d *Dialer) dialFallback(ctx context.Context, t pool.Target, customer string) (pool.Link, query.Position, error) {
 	if !d.reserveFallback(t.ID) {
 		return nil, query.Position{}, fmt.Errorf("no holder is reached, and this VM has a connection of its own: %w", pool.ErrReserved)
 	}
-	l, p, err := d.dialDirect(ctx, t)
+	l, p, err := d.dialDirect(ctx, t, customer)
 	if err != nil {
 		d.releaseFallback(t.ID)
 		return nil, p, err
--- a/relay/doc.go
+++ b/relay/doc.go
@@ -20,5 +20,5 @@
 //
 //	d := &relay.Dialer{Direct: direct, Holders: holders, Now: clock.SinceBoot, Log: log}
 //	go d.WatchHolders(ctx)
-//	link, position, err := d.Dial(ctx, target)
+//	link, position, err := d.Dial(ctx, target, customer)
 package relay
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -49,7 +49,9 @@
 	open   bool
 }
 
-func (t *fakeTarget) Dial(context.Context, pool.Target) (pool.Link, query.Position, error) {
+func (t *fakeTarget) Affinity(pool.Target, string) string { return "" }
+
+func (t *fakeTarget) Dial(context.Context, pool.Target, string) (pool.Link, query.Position, error) {
 	t.lock.Lock()
 	defer t.lock.Unlock()
 	c := &fakeConn{target: t}
@@ -193,7 +195,7 @@
 }
 
 func dial(d *relay.Dialer) pool.Link {
-	l, _, err := d.Dial(context.Background(), commonTarget)
+	l, _, err := d.Dial(context.Background(), commonTarget, "")
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	gomega.Expect(l.SetDeadline(time.Now().Add(5 * time.Second))).To(gomega.Succeed())
 	return l
@@ -217,7 +219,7 @@
 var _ = ginkgo.Describe("A relayed link", func() {
 	ginkgo.It("forwards statements unchanged and returns complete answers", func() {
 		h := newHolder(2)
-		l, p, err := dialer(nil, h.address()).Dial(context.Background(), commonTarget)
+		l, p, err := dialer(nil, h.address()).Dial(context.Background(), commonTarget, "")
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		gomega.Expect(p).To(gomega.Equal(query.Position{}))
 		gomega.Expect(l.SetDeadline(time.Now().Add(5 * time.Second))).To(gomega.Succeed())
@@ -393,7 +395,7 @@
 		gomega.Expect(gone.Close()).To(gomega.Succeed())
 		d := dialer(&fakeTarget{}, gone.Addr().String())
 		first := dial(d)
-		_, _, err = d.Dial(context.Background(), commonTarget)
+		_, _, err = d.Dial(context.Background(), commonTarget, "")
 		gomega.Expect(errors.Is(err, pool.ErrReserved)).To(gomega.BeTrue())
 		first.Close()
 		first.Close()
@@ -432,7 +434,7 @@
 		}()
 		_, err := idle.Receive()
 		gomega.Expect(err).To(gomega.HaveOccurred())
-		l, _, err := d.Dial(context.Background(), commonTarget)
+		l, _, err := d.Dial(context.Background(), commonTarget, "")
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		exchange(l, read("q3"))
 		gomega.Expect(h.orders()).NotTo(gomega.ContainElement(gomega.ContainElement("q3 READ 1")))
