--- a/cmd/amaranthsill/manifest.go
+++ b/cmd/amaranthsill/manifest.go
@@ -15,33 +15,6 @@
 	"amaranthsill/submission"
 )
 
-func checkCommand() *ffcli.Command {
-	flags := flag.NewFlagSet("amaranthsill check", flag.ContinueOnError)
-	asJSON := flags.Bool("json", false, "print JSON")
-	return &ffcli.Command{
-		Name:       "check",
-		ShortUsage: "amaranthsill check [--json] FILE",
-		ShortHelp:  "check a manifest without submitting it",
-		FlagSet:    flags,
-		Options:    options(),
-		Exec: func(_ context.Context, args []string) error {
-			m, err := loadManifest(args)
-			if err != nil {
-				return printResult(*asJSON, checkReport{Error: err.Error()}, err.Error(), exitRefused)
-			}
-			r := checkReport{Groups: len(m.Groups()), Kinds: len(m.Kinds())}
-			return printResult(*asJSON, r, fmt.Sprintf("%s: %d groups, %d kinds: good", args[0], r.Groups, r.Kinds), 0)
-		},
-	}
-}
-
-// checkReport is the JSON output of the check command.
-type checkReport struct {
-	Groups int    `json:"groups"`
-	Kinds  int    `json:"kinds"`
-	Error  string `json:"error,omitempty"`
-}
-
 // loadManifest reads and validates the manifest file that is the only argument.
 func loadManifest(args []string) (*manifest.Manifest, error) {
 	if len(args) != 1 {
