--- a/customer/customer.go
+++ b/customer/customer.go
@@ -10,6 +10,7 @@
 import (
 	"cmp"
 	"crypto/sha256"
+	"crypto/subtle"
 	"errors"
 	"fmt"
 	"maps"
@@ -49,14 +50,31 @@
 // Set holds the customers of one configuration. It is immutable and safe for
 // concurrent use.
 type Set struct {
-	byKey  map[Digest]*Customer
+	// byKey holds the keys by the first 8 bytes of their digests.
+	byKey  map[prefix]*heldKey
 	byName map[string]*Customer
 }
 
+// prefix is the first 8 bytes of a digest. A map with whole digests as keys would
+// compare them with early exit.
+type prefix [8]byte
+
+// heldKey is a key and the customer that holds it.
+type heldKey struct {
+	digest   Digest
+	customer *Customer
+	// next is another key whose digest has the same prefix; nil if there is none.
+	next *heldKey
+}
+
 // NewSet returns a set of the entries. Its error wraps ErrInvalid if a name is missing
 // or given twice, a key is held twice, or a limit is negative.
 func NewSet(entries []Entry) (*Set, error) {
-	s := &Set{byKey: map[Digest]*Customer{}, byName: make(map[string]*Customer, len(entries))}
+	keys := 0
+	for _, e := range entries {
+		keys += len(e.Keys)
+	}
+	s := &Set{byKey: make(map[prefix]*heldKey, keys), byName: make(map[string]*Customer, len(entries))}
 	for _, e := range entries {
 		if e.Name == "" {
 			return nil, fmt.Errorf("customer has no name: %w", ErrInvalid)
@@ -70,21 +88,24 @@
 		c := e.Customer
 		s.byName[c.Name] = &c
 		for _, k := range e.Keys {
-			if other := s.byKey[k]; other != nil {
+			if other, held := s.Lookup(k); held {
 				return nil, fmt.Errorf("customers %s and %s hold the same key %s: %w", other.Name, c.Name, k, ErrInvalid)
 			}
-			s.byKey[k] = &c
+			s.byKey[prefix(k[:])] = &heldKey{digest: k, customer: &c, next: s.byKey[prefix(k[:])]}
 		}
 	}
 	return s, nil
 }
 
-// Lookup returns the customer that holds a key; false if nobody does.
-//
-// Only digests are compared, so the time that a look-up takes tells nothing of a key.
+// Lookup returns the customer that holds a key; false if nobody does. Whole digests are
+// compared in constant time.
 func (s *Set) Lookup(d Digest) (*Customer, bool) {
-	c, ok := s.byKey[d]
-	return c, ok
+	for k := s.byKey[prefix(d[:])]; k != nil; k = k.next {
+		if subtle.ConstantTimeCompare(k.digest[:], d[:]) == 1 {
+			return k.customer, true
+		}
+	}
+	return nil, false
 }
 
 // Named returns the customer with a name; false if there is none.
