--- a/pool/budget.go
+++ b/pool/budget.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 )
 
@@ -15,6 +16,11 @@
 // may be dead without this VM having noticed.
 const keptIdleTimeout = 4 * time.Second
 
+// customerIdleTimeout replaces idleTimeout for a customer's own connection while a
+// target has no more open connections than an equal share, which is twice the idle
+// allowance. Most customers use a target less than once in keptIdleTimeout.
+const customerIdleTimeout = 30 * time.Second
+
 // SetIdleAllowance sets the idle allowance: the number of connections to each
 // target up to which idle ones are kept for keptIdleTimeout instead of
 // idleTimeout.
@@ -28,16 +34,38 @@
 // and all idle connections of a draining target. The caller holds the lock.
 func (g *Group) trim(s *server) {
 	now := g.Now()
-	for len(s.idle) > 0 && (s.open+s.dialing > g.budgetOf(s, now) || s.Draining || now-s.idle[0].lastUsed > g.idleTimeoutOf(s)) {
-		s.idle[0].link.Close()
-		s.idle = s.idle[1:]
-		s.open--
+	for len(s.idle) > 0 {
+		i := slices.IndexFunc(s.idle, func(c *connection) bool { return s.Draining || now-c.lastUsed > g.idleTimeoutOf(s, c) })
+		if s.open+s.dialing > g.budgetOf(s, now) {
+			i = g.leastNeeded(s, now)
+		}
+		if i < 0 {
+			return
+		}
+		s.closeIdle(i)
+	}
+}
+
+// leastNeeded returns the index of the idle connection that will not be needed for
+// the longest time; without customers, of the one that has been idle for longest.
+func (g *Group) leastNeeded(s *server, now time.Duration) int {
+	if !slices.ContainsFunc(s.idle, func(c *connection) bool { return c.customer != "" }) {
+		return 0
 	}
+	idle := g.idleConnections(s, nil, now, func(*connection) bool { return true })
+	for i := range idle {
+		idle[i].yields = true
+	}
+	return chooseVictim(idle)
 }
 
-// idleTimeoutOf returns the idle timeout that applies to the longest idle
-// connection of a target.
-func (g *Group) idleTimeoutOf(s *server) time.Duration {
+// idleTimeoutOf returns the idle timeout that applies to an idle connection to a
+// target. A direct connection of a VM that else reaches the target through another
+// one is no customer's own: it is reserved for the other VM.
+func (g *Group) idleTimeoutOf(s *server, c *connection) time.Duration {
+	if c.customer != "" && !c.isShared() && !s.relayed[c.affinity] && s.open <= 2*g.idleAllowance {
+		return customerIdleTimeout
+	}
 	if s.open <= g.idleAllowance {
 		return keptIdleTimeout
 	}
--- a/pool/dial.go
+++ b/pool/dial.go
@@ -19,28 +19,32 @@
 	for _, s := range g.servers {
 		preferred := s.Zone == g.Zone || s.ID == g.leader
 		if preferred && !s.Draining && s.open+s.dialing == 0 {
-			g.dial(s)
+			g.dial(s, g.identity(s, ""))
 		}
 	}
 }
 
 // dial opens a connection in the background. The caller holds the lock.
-func (g *Group) dial(s *server) {
-	s.dialing++
+func (g *Group) dial(s *server, i identity) {
+	o := s.beginOpening(i)
 	t, generation := s.Target, g.linkGeneration
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 		defer cancel()
-		link, p, err := g.Dialer.Dial(ctx, t, "")
-		g.finishDial(s, &connection{link: link, generation: generation}, p, err)
+		link, p, err := g.Dialer.Dial(ctx, t, i.customer)
+		g.finishDial(s, o, &connection{link: link, generation: generation, identity: i}, p, err)
 	}()
 }
 
-func (g *Group) finishDial(s *server, c *connection, p query.Position, err error) {
+func (g *Group) finishDial(s *server, o opening, c *connection, p query.Position, err error) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
-	s.dialing--
+	s.endOpening(o)
 	now := g.Now()
+	if err != nil && g.evictReserved(s, o.identity, err, now) {
+		g.dispatch()
+		return
+	}
 	if err != nil {
 		s.recordDialFailure(now, err)
 		g.Log.V(1).Info("dial of target failed; it is retried after a backoff", "group", g.Name, "target", s.ID, "reason", err.Error())
@@ -58,7 +62,9 @@
 		s.position = p
 	}
 	s.open++
-	c.lastUsed = now
+	s.opens++
+	s.recordPath(c)
+	c.openedAt, c.lastUsed = now, now
 	s.idle = append(s.idle, c)
 	g.trim(s)
 	g.dispatch()
--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -46,6 +46,10 @@
 	// Customer is the customer that sent the statement; nil if the deployment has
 	// none.
 	Customer *customer.Customer
+	// Locate states that only Locate orders will be sent, which run no statement of a
+	// customer. Any idle connection to the target is suitable, whoever it was opened
+	// for; the slot refuses other orders with ErrNotLocate.
+	Locate bool
 	// StateHash is the hash of the session's values; a connection with the same
 	// hash already holds them.
 	StateHash uint64
@@ -57,6 +61,8 @@
 	slot chan *Slot
 	// enqueuedAt is when Acquire was called.
 	enqueuedAt time.Duration
+	// served reports that the statement got a connection in this dispatch run.
+	served bool
 }
 
 // Acquire waits for a connection to a suitable target. Its error wraps
@@ -188,16 +194,13 @@
 	now := g.Now()
 	for _, s := range g.servers {
 		s.unserved = 0
+		clear(s.unservedBy)
 	}
-	remaining := g.waiting[:0]
 	for _, w := range g.waiting {
-		if !g.assign(w, now) {
-			remaining = append(remaining, w)
-		}
+		w.served = g.assign(w, now)
 	}
-	clear(g.waiting[len(remaining):])
-	g.waiting = remaining
-	g.throughput.setQueued(now, len(remaining) > 0 && g.reachable(g.leader))
+	g.waiting = slices.DeleteFunc(g.waiting, func(w *waiter) bool { return w.served })
+	g.throughput.setQueued(now, len(g.waiting) > 0 && g.reachable(g.leader))
 	for _, s := range g.servers {
 		s.demand.add(now, s.open-len(s.idle)+s.unserved)
 	}
@@ -210,35 +213,43 @@
 	if s == nil {
 		return false
 	}
-	if c := s.takeIdle(w.need.StateHash); c != nil {
+	i := g.identity(s, w.need.customerName())
+	if c := s.takeIdle(i, &w.need); c != nil {
 		if s.ID != g.leader && !s.probablyShows(w.need.Floor, w.need.FloorAge, now) {
 			s.lagProbedAt = now
 		}
 		g.throughput.countServed()
-		w.slot <- g.newSlot(s, c, now)
+		w.slot <- g.newSlot(s, c, &w.need, now)
 		return true
 	}
-	s.unserved++
-	if s.dialing < s.unserved && s.open+s.dialing < g.budgetOf(s, now) && now >= s.retryAt {
-		g.dial(s)
-	}
+	g.openFor(s, w, i, now)
 	return false
 }
 
-func (g *Group) newSlot(s *server, c *connection, now time.Duration) *Slot {
-	n := &Slot{group: g, target: s.ID, server: s, conn: c, leader: s.ID == g.leader}
+func (g *Group) newSlot(s *server, c *connection, need *Need, now time.Duration) *Slot {
+	if l, ok := c.link.(CustomerLink); ok {
+		l.SetCustomer(need.customerName(), need.Priority)
+	}
+	if !need.Locate {
+		s.recordUse(c, now)
+	}
+	n := &Slot{group: g, target: s.ID, server: s, conn: c, leader: s.ID == g.leader, locateOnly: need.Locate}
 	s.pending[n] = now
 	s.window.add(n)
 	return n
 }
 
-// takeIdle removes and returns an idle connection, or nil if there is none. It
-// prefers one that already holds the session's values, then one without any
-// values.
-func (s *server) takeIdle(stateHash uint64) *connection {
-	best := -1
+// takeIdle removes and returns an idle connection that the statement may use, or
+// nil if there is none. It prefers one that already holds the session's values, then
+// one without any values.
+func (s *server) takeIdle(id identity, n *Need) *connection {
+	best, last := -1, -1
 	for i, c := range s.idle {
-		if c.state.Hash() == stateHash {
+		if !n.Locate && !c.serves(id) {
+			continue
+		}
+		last = i
+		if c.state.Hash() == n.StateHash {
 			best = i
 		}
 		if best < 0 && c.state.Hash() == 0 {
@@ -246,7 +257,7 @@
 		}
 	}
 	if best < 0 {
-		best = len(s.idle) - 1
+		best = last
 	}
 	if best < 0 {
 		return nil
@@ -293,7 +304,7 @@
 		return 0, false
 	}
 	c := s.cost(now, g.Zone)
-	if len(s.idle) == 0 {
+	if !g.hasIdle(s, n) {
 		// All connections are in use, or a new one has to be opened.
 		c += s.expectedLatency(now, g.Zone)
 	}
--- a/pool/group.go
+++ b/pool/group.go
@@ -33,9 +33,11 @@
 	// linkGeneration is incremented by ReplaceLinks; connections of an older
 	// generation are closed instead of being reused.
 	linkGeneration int
-	samples        Samples
-	throughput     throughput
-	pathLatencies  pathLatencies
+	// redispatchPending reports that a timer will run dispatch (redispatchAfter).
+	redispatchPending bool
+	samples           Samples
+	throughput        throughput
+	pathLatencies     pathLatencies
 }
 
 // Configure sets the registered targets, and the number of connections to each
@@ -60,6 +62,7 @@
 		}
 	}
 	for _, s := range g.servers {
+		s.forgetUsage(g.Now())
 		g.trim(s)
 		s.abandonLostAnswers(g.Now())
 	}
@@ -104,6 +107,7 @@
 			s.open--
 		}
 		s.idle = nil
+		clear(s.relayed)
 	}
 	g.dispatch()
 }
--- /dev/null
+++ b/pool/ownership.go
@@ -0,0 +1,313 @@
+package pool
+
+import (
+	"cmp"
+	"errors"
+	"maps"
+	"slices"
+	"time"
+)
+
+// identity states for whom a connection is opened and how it reaches its target.
+type identity struct{ customer, affinity string }
+
+// identity returns the identity of a connection to a target for a need. The caller
+// holds the lock.
+func (g *Group) identity(s *server, customer string) identity {
+	return identity{customer: customer, affinity: g.Dialer.Affinity(s.Target, customer)}
+}
+
+// openKey returns the key under which connection opens are counted. Without a
+// customer all are counted as one: each connection suits each statement, however
+// the target is reached.
+func (i identity) openKey() identity {
+	if i.customer == "" {
+		return identity{}
+	}
+	return i
+}
+
+// user identifies whose use of a connection is expected: a customer's, or that of
+// all customers with an affinity if the connection is shared.
+type user struct {
+	identity
+	shared bool
+}
+
+// customerName returns the name of the statement's customer; empty if there is none.
+func (n *Need) customerName() string {
+	if n.Customer == nil {
+		return ""
+	}
+	return n.Customer.Name
+}
+
+// isShared reports whether the connection may be used by several customers.
+func (c *connection) isShared() bool {
+	_, ok := c.link.(CustomerLink)
+	return ok
+}
+
+func (c *connection) user() user {
+	if c.isShared() {
+		return user{identity: identity{affinity: c.affinity}, shared: true}
+	}
+	return user{identity: identity{customer: c.customer}}
+}
+
+// serves reports whether a statement with an identity may run on the connection. One
+// that was opened without a customer serves each statement without one, however the
+// target is reached by now; ReplaceLinks closes those that must not be used.
+func (c *connection) serves(i identity) bool {
+	if c.customer == "" && i.customer == "" {
+		return true
+	}
+	return c.affinity == i.affinity && (c.customer == i.customer || c.isShared())
+}
+
+// hasIdle reports whether a target has an idle connection for a need. The caller
+// holds the lock.
+func (g *Group) hasIdle(s *server, n *Need) bool {
+	if len(s.idle) == 0 {
+		return false
+	}
+	i := g.identity(s, n.customerName())
+	return n.Locate || slices.ContainsFunc(s.idle, func(c *connection) bool { return c.serves(i) })
+}
+
+// openFor opens a connection for a waiter that found no idle one, if the budget, the
+// bound on opens and the backoff allow it. With no budget left it closes another
+// idle connection first. The caller holds the lock.
+func (g *Group) openFor(s *server, w *waiter, i identity, now time.Duration) {
+	key := i.openKey()
+	s.unserved++
+	s.unservedBy[key]++
+	if s.opening[key] >= s.unservedBy[key] || now < s.retryAt || !s.mayOpen(i) {
+		return
+	}
+	if s.open+s.dialing >= g.budgetOf(s, now) && !g.evict(s, w, now, func(*connection) bool { return true }) {
+		return
+	}
+	g.dial(s, i)
+}
+
+// mayOpen reports whether the target has a slot to spare for opening a connection.
+// One through another VM needs none. Without customers the number is not bounded.
+func (s *server) mayOpen(i identity) bool {
+	return i.customer == "" || s.relayed[i.affinity] || s.openingInSlots < max(s.Slots/2, 1)
+}
+
+// opening is a connection that is being opened.
+type opening struct {
+	identity
+	// inSlot reports whether it counts as occupying one of the target's slots.
+	inSlot bool
+}
+
+func (s *server) beginOpening(i identity) opening {
+	o := opening{identity: i, inSlot: !s.relayed[i.affinity]}
+	s.dialing++
+	s.opening[i.openKey()]++
+	if o.inSlot {
+		s.openingInSlots++
+	}
+	return o
+}
+
+func (s *server) endOpening(o opening) {
+	key := o.openKey()
+	s.dialing--
+	s.opening[key]--
+	if s.opening[key] == 0 {
+		delete(s.opening, key)
+	}
+	if o.inSlot {
+		s.openingInSlots--
+	}
+}
+
+// recordPath records whether connections with an affinity lead through another VM.
+func (s *server) recordPath(c *connection) {
+	if c.isShared() {
+		s.relayed[c.affinity] = true
+	} else {
+		delete(s.relayed, c.affinity)
+	}
+}
+
+// evict closes the idle connection, among those for which candidate is true, that
+// will not be needed for the longest time. It returns false if there is none that
+// can be closed for the waiter, which is nil if none waits. The caller holds the
+// lock.
+func (g *Group) evict(s *server, w *waiter, now time.Duration, candidate func(*connection) bool) bool {
+	v := chooseVictim(g.idleConnections(s, w, now, candidate))
+	if v < 0 {
+		g.awaitTurn(s, w, now, candidate)
+		return false
+	}
+	s.closeIdle(v)
+	s.evictions++
+	return true
+}
+
+// awaitTurn runs dispatch again when a waiter may take the turn of another customer.
+func (g *Group) awaitTurn(s *server, w *waiter, now time.Duration, candidate func(*connection) bool) {
+	turn := never
+	for _, c := range s.idle {
+		if w != nil && candidate(c) {
+			turn = min(turn, max(w.enqueuedAt, c.openedAt)+evictionTurn)
+		}
+	}
+	if turn != never && turn > now {
+		g.redispatchAfter(turn - now)
+	}
+}
+
+// idleConnections describes a target's idle connections for the choice of a victim.
+func (g *Group) idleConnections(s *server, w *waiter, now time.Duration, candidate func(*connection) bool) []idleConnection {
+	waiting := g.waitingUsers(s, w)
+	list := make([]idleConnection, len(s.idle))
+	position := map[user]int{}
+	// The connection that was used last is the one that is used next (takeIdle).
+	for i := len(s.idle) - 1; i >= 0; i-- {
+		c := s.idle[i]
+		u := c.user()
+		position[u]++
+		list[i] = idleConnection{
+			nextUse: expectedNextUse(s.usageOf(u, now), position[u], waiting[u].count),
+			yields:  w != nil && now-max(w.enqueuedAt, c.openedAt) >= evictionTurn && !waiting[u].first,
+			fixed:   !candidate(c),
+		}
+		if !u.shared && u.customer != "" && c.affinity != g.Dialer.Affinity(s.Target, u.customer) {
+			// The customer's statements reach the target in another way now.
+			list[i].nextUse = never
+		}
+	}
+	return list
+}
+
+// waitingStatements counts the statements that wait for connections of one user.
+type waitingStatements struct {
+	count int
+	// first reports that one of them comes before the waiter that needs a connection.
+	first bool
+}
+
+// waitingUsers counts the statements that wait and that could run on a target, by
+// the user whose connection they need.
+func (g *Group) waitingUsers(s *server, before *waiter) map[user]waitingStatements {
+	users := map[user]waitingStatements{}
+	passed := false
+	count := func(u user) {
+		n := users[u]
+		n.count++
+		n.first = n.first || !passed
+		users[u] = n
+	}
+	for _, w := range g.waiting {
+		if w == before {
+			passed = true
+			continue
+		}
+		if w.served || cmp.Or(g.requiredTarget(&w.need), s.ID) != s.ID {
+			continue
+		}
+		name := w.need.customerName()
+		count(user{identity: identity{customer: name}})
+		if len(s.relayed) > 0 {
+			count(user{identity: identity{affinity: g.Dialer.Affinity(s.Target, name)}, shared: true})
+		}
+	}
+	return users
+}
+
+func (s *server) usageOf(u user, now time.Duration) float64 {
+	if r := s.usage[u]; r != nil {
+		return r.at(now)
+	}
+	return 0
+}
+
+// recordUse counts a use of a connection.
+func (s *server) recordUse(c *connection, now time.Duration) {
+	u := c.user()
+	r := s.usage[u]
+	if r == nil {
+		r = &usageRate{}
+		s.usage[u] = r
+	}
+	r.add(now)
+}
+
+const (
+	// forgottenUsage is the rate below which a user is forgotten: one use, 60 s ago.
+	forgottenUsage = 0.00025
+	// usageCheckInterval is the time between two searches for users to forget.
+	usageCheckInterval = 10 * time.Second
+)
+
+// forgetUsage drops the rates of users that have not used the target for long.
+func (s *server) forgetUsage(now time.Duration) {
+	if now-s.usageCheckedAt < usageCheckInterval {
+		return
+	}
+	s.usageCheckedAt = now
+	maps.DeleteFunc(s.usage, func(_ user, r *usageRate) bool { return r.at(now) < forgottenUsage })
+}
+
+// closeIdle closes the idle connection at an index.
+func (s *server) closeIdle(i int) {
+	s.idle[i].link.Close()
+	s.idle = slices.Delete(s.idle, i, i+1)
+	s.open--
+}
+
+// evictReserved closes an idle connection of another customer after a dial was not
+// attempted because this VM has its only direct connection to the target already.
+// It returns false if no connection can be closed. The caller holds the lock.
+func (g *Group) evictReserved(s *server, i identity, err error, now time.Duration) bool {
+	if !errors.Is(err, ErrReserved) {
+		return false
+	}
+	var first *waiter
+	for _, w := range g.waiting {
+		if w.need.customerName() == i.customer && cmp.Or(g.requiredTarget(&w.need), s.ID) == s.ID {
+			first = w
+			break
+		}
+	}
+	return g.evict(s, first, now, func(c *connection) bool { return !c.isShared() && c.customer != i.customer })
+}
+
+// redispatchAfter runs dispatch after a time, unless it is to run anyway. The caller
+// holds the lock.
+func (g *Group) redispatchAfter(d time.Duration) {
+	if g.redispatchPending {
+		return
+	}
+	g.redispatchPending = true
+	time.AfterFunc(d, func() {
+		g.lock.Lock()
+		defer g.lock.Unlock()
+		g.redispatchPending = false
+		g.dispatch()
+	})
+}
+
+// Opens returns the number of connections to the registered targets that this VM has
+// opened.
+func (g *Group) Opens() int { return g.sum(func(s *server) int { return s.opens }) }
+
+// Evictions returns the number of idle connections to the registered targets that
+// were closed to open another.
+func (g *Group) Evictions() int { return g.sum(func(s *server) int { return s.evictions }) }
+
+func (g *Group) sum(count func(*server) int) int {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	n := 0
+	for _, s := range g.servers {
+		n += count(s)
+	}
+	return n
+}
--- a/pool/server.go
+++ b/pool/server.go
@@ -47,6 +47,18 @@
 	idle    []*connection
 	open    int
 	dialing int
+	// opening counts the dials in progress by whom they are for; openingInSlots is
+	// the number among them that occupy one of the target's slots.
+	opening        map[identity]int
+	openingInSlots int
+	// relayed holds the affinities of which the last link led through another VM.
+	relayed map[string]bool
+	usage   map[user]*usageRate
+	// usageCheckedAt is when forgetUsage last looked for rates to drop.
+	usageCheckedAt time.Duration
+	// opens and evictions count the connections that were opened, and those that
+	// were closed to open another.
+	opens, evictions int
 	// budget was set by SetBudget at budgetSetAt; that time is zero if no
 	// budget was set yet.
 	budget      int
@@ -55,6 +67,8 @@
 	// unserved is the number of waiters in one dispatch run for which this
 	// target has no idle connection.
 	unserved int
+	// unservedBy counts the same waiters by whom a connection would be opened for.
+	unservedBy map[identity]int
 	// pending holds the time at which each statement in flight was sent.
 	pending    map[*Slot]time.Duration
 	lastAnswer time.Duration
@@ -89,7 +103,10 @@
 }
 
 func newServer(t Target, now time.Duration) *server {
-	return &server{Target: t, window: newWindow(), pending: map[*Slot]time.Duration{}, lastAnswer: now}
+	return &server{
+		Target: t, window: newWindow(), pending: map[*Slot]time.Duration{}, lastAnswer: now,
+		opening: map[identity]int{}, unservedBy: map[identity]int{}, relayed: map[string]bool{}, usage: map[user]*usageRate{},
+	}
 }
 
 // usable reports whether new work may be sent to the target.
--- a/pool/slot.go
+++ b/pool/slot.go
@@ -14,9 +14,12 @@
 type connection struct {
 	link     Link
 	state    session.ConnectionState
+	openedAt time.Duration
 	lastUsed time.Duration
 	// generation is the group's linkGeneration when the connection was opened.
 	generation int
+	// identity states for whom the connection was opened.
+	identity
 }
 
 // Slot is a connection to a target, reserved for one statement or transaction.
@@ -37,6 +40,9 @@
 	// leader reports whether the target led the group when the slot was
 	// acquired.
 	leader bool
+	// locateOnly reports that the connection may belong to another customer, so that
+	// only Locate orders may be sent.
+	locateOnly bool
 }
 
 // Target returns the ID of the slot's target.
@@ -64,6 +70,9 @@
 // the last. A failure of another order is returned as an error; such orders
 // must be safe to follow by the rest of the batch even if they fail.
 func (s *Slot) runBatch(orders []Order, until time.Duration) (Answer, error) {
+	if err := s.allows(orders); err != nil {
+		return Answer{}, err
+	}
 	sent := s.group.Now()
 	s.group.statementStarted(s, sent)
 	r, err := s.exchange(orders, until-sent)
@@ -75,6 +84,20 @@
 	return Answer{Reply: r, Sent: sent}, nil
 }
 
+// ErrNotLocate reports an order that must not be sent on a connection that was
+// acquired with Need.Locate. It was not sent.
+var ErrNotLocate = errors.New("only a position may be requested on this connection")
+
+// allows returns an error if one of the orders must not be sent on the slot.
+func (s *Slot) allows(orders []Order) error {
+	for _, o := range orders {
+		if _, ok := o.(Locate); s.locateOnly && !ok {
+			return fmt.Errorf("run on target %s: %w", s.target, ErrNotLocate)
+		}
+	}
+	return nil
+}
+
 func (s *Slot) exchange(orders []Order, timeout time.Duration) (query.Reply, error) {
 	if err := s.conn.link.SetDeadline(time.Now().Add(timeout)); err != nil {
 		return query.Reply{}, err
--- a/pool/target.go
+++ b/pool/target.go
@@ -86,6 +86,8 @@
 	Dial(ctx context.Context, t Target, customer string) (Link, query.Position, error)
 	// Affinity returns a text that is equal for two customers whose links to a target
 	// are opened in the same way, so that a CustomerLink of one can serve the other.
+	// It is called often and while the group is locked: it must be fast, and must not
+	// call the group.
 	Affinity(t Target, customer string) string
 	// ParseStatus reads a Report from the answer to a Status, StepDown or
 	// Pause order.
