--- a/edge/holders.go
+++ b/edge/holders.go
@@ -188,9 +188,9 @@
 	return order
 }
 
-// heldPool returns the pool of a group whose connections this VM holds; false if
-// it does not hold them.
-func (v *VM) heldPool(group string) (*pool.Group, bool) {
+// heldPool returns the pool of a group if this VM holds the connections to the
+// target; false if it does not.
+func (v *VM) heldPool(group, _ string) (*pool.Group, bool) {
 	if !v.holdersOf(group).Self {
 		return nil, false
 	}
@@ -203,7 +203,7 @@
 func (v *VM) newDialer() *relay.Dialer {
 	return &relay.Dialer{
 		Direct:  v.Adapter.Dialer,
-		Holders: func(group string) relay.Holders { return v.holdersOf(group).Holders },
+		Holders: func(t pool.Target, _ string) relay.Holders { return v.holdersOf(t.Group).Holders },
 		Now:     v.Now,
 		Log:     v.Log,
 	}
--- /dev/null
+++ b/relay/customer_test.go
@@ -0,0 +1,272 @@
+package relay_test
+
+import (
+	"context"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"amaranthsill/clock"
+	"amaranthsill/customer"
+	"amaranthsill/pool"
+	"amaranthsill/query"
+	"amaranthsill/relay"
+)
+
+// named records the customers that relayed orders name to a holder, each as
+// "name@version". The holder knows all customers except "gone".
+type named struct {
+	lock sync.Mutex
+	list []string
+}
+
+func (n *named) lookup(name string, version uint64) (*customer.Customer, bool) {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	n.list = append(n.list, fmt.Sprintf("%s@%d", name, version))
+	return &customer.Customer{Name: name}, name != "gone"
+}
+
+func (n *named) orders() []string {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	return n.list
+}
+
+// newCustomersHolder returns a holder in a deployment with customers.
+func newCustomersHolder(connections int) (*holder, *named) {
+	n := &named{}
+	h := newHolder(connections)
+	h.server.Customer = n.lookup
+	return h, n
+}
+
+// customersDialer returns the dialer of another VM that has version 7 of a
+// configuration with customers.
+func customersDialer(direct pool.Dialer, addresses ...string) *relay.Dialer {
+	d := dialer(direct)
+	d.Holders = func(pool.Target, string) relay.Holders {
+		return relay.Holders{ByCustomer: true, Addresses: addresses}
+	}
+	d.Version = func() uint64 { return 7 }
+	return d
+}
+
+// dialFor opens a link for a customer.
+func dialFor(d *relay.Dialer, name string) pool.Link {
+	l, _, err := d.Dial(context.Background(), commonTarget, name)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	gomega.Expect(l.SetDeadline(time.Now().Add(5 * time.Second))).To(gomega.Succeed())
+	return l
+}
+
+// closedAddress returns an address at which connections are refused.
+func closedAddress() string {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	gomega.Expect(l.Close()).To(gomega.Succeed())
+	return l.Addr().String()
+}
+
+var _ = ginkgo.Describe("A relayed link of several customers", func() {
+	ginkgo.It("names to the holder the customer of each order, and the version that the sender has", func() {
+		h, n := newCustomersHolder(2)
+		l := dialFor(customersDialer(nil, h.address()), "bell").(pool.CustomerLink)
+		l.SetCustomer("bell", 1)
+		exchange(l, read("q1"))
+		l.SetCustomer("drum", 1)
+		exchange(l, pool.Begin{})
+		exchange(l, commit("q2"))
+		l.SetCustomer("", 1)
+		exchange(l, read("q3"))
+		gomega.Expect(n.orders()).To(gomega.Equal([]string{"bell@7", "drum@7"}))
+	})
+
+	// A revoked customer's statement must not run on a holder that knows of the
+	// revocation, although the sending VM does not yet.
+	ginkgo.It("answers an order of a customer that does not exist any more as busy, and runs nothing", func() {
+		h, _ := newCustomersHolder(2)
+		l := dialFor(customersDialer(nil, h.address()), "gone").(pool.CustomerLink)
+		l.SetCustomer("gone", 0)
+		gomega.Expect(exchange(l, read("q1")).Failure.Code).To(gomega.Equal(query.CodeBusy))
+		r := exchange(l, pool.Begin{})
+		gomega.Expect(r.Failure.Code).To(gomega.Equal(query.CodeBusy))
+		gomega.Expect(r.State).To(gomega.Equal(query.StateIdle))
+		gomega.Expect(h.orders()).To(gomega.BeEmpty())
+		l.SetCustomer("bell", 0)
+		exchange(l, read("q2"))
+		gomega.Expect(h.orders()).To(gomega.Equal([][]string{{"q2 READ 1"}}))
+	})
+
+	ginkgo.It("orders statements at the holder by the priorities of their routes", func() {
+		h, _ := newCustomersHolder(1)
+		d := customersDialer(nil, h.address())
+		open := dialFor(d, "bell").(pool.CustomerLink)
+		open.SetCustomer("bell", 0)
+		exchange(open, pool.Begin{})
+		wait := sync.WaitGroup{}
+		for i, priority := range []int{3, 0} {
+			l := dialFor(d, "bell").(pool.CustomerLink)
+			l.SetCustomer("bell", priority)
+			gomega.Expect(l.Send(read(fmt.Sprint("q", priority)))).To(gomega.Succeed())
+			gomega.Eventually(h.pool.Waiting, "1s", "1ms").Should(gomega.Equal(i + 1))
+			wait.Go(func() {
+				defer ginkgo.GinkgoRecover()
+				_, err := l.Receive()
+				gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			})
+		}
+		exchange(open, commit("end"))
+		wait.Wait()
+		gomega.Expect(h.orders()).To(gomega.Equal([][]string{{"begin", "end COMMIT", "q0 READ 1", "q3 READ 1"}}))
+	})
+
+	ginkgo.It("is refused for a target whose connections other VMs hold", func() {
+		h, _ := newCustomersHolder(1)
+		h.server.Group = func(_, target string) (*pool.Group, bool) { return h.pool, target == "b" }
+		direct := &fakeTarget{}
+		exchange(dialFor(customersDialer(direct, h.address()), "bell"), read("q1"))
+		gomega.Expect(h.orders()).To(gomega.BeEmpty())
+		gomega.Expect(direct.orders()).To(gomega.Equal([][]string{{"q1 READ 1"}}))
+	})
+})
+
+// oldRequest is a request without the fields that name the customer, as builds send
+// and expect it that do not know of customers.
+type oldRequest struct {
+	Kind     uint8
+	Left     time.Duration
+	ID, Text string
+}
+
+// oldHello is the hello of such a build.
+type oldHello struct{ Group, Target string }
+
+// oldResponse is the response of such a build.
+type oldResponse struct {
+	Rows []string
+	Code query.Code
+}
+
+// oldForward is the kind of an order that forwards a query.
+const oldForward = 2
+
+var _ = ginkgo.Describe("A link between builds with and without customers", func() {
+	ginkgo.It("serves orders that name no customer as before", func() {
+		h, n := newCustomersHolder(1)
+		conn, err := net.Dial("tcp4", h.address())
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		defer func() { _ = conn.Close() }()
+		encoder, decoder := gob.NewEncoder(conn), gob.NewDecoder(conn)
+		gomega.Expect(encoder.Encode(oldHello{"choir", "a"})).To(gomega.Succeed())
+		gomega.Expect(decoder.Decode(&oldResponse{})).To(gomega.Succeed())
+		gomega.Expect(encoder.Encode(oldRequest{Kind: oldForward, Left: time.Second, ID: "q1", Text: "READ 1"})).To(gomega.Succeed())
+		r := oldResponse{}
+		gomega.Expect(decoder.Decode(&r)).To(gomega.Succeed())
+		gomega.Expect(r).To(gomega.Equal(oldResponse{Rows: []string{"row"}}))
+		gomega.Expect(n.orders()).To(gomega.BeEmpty())
+	})
+
+	ginkgo.It("sends orders that a holder without customers understands", func() {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		defer func() { _ = l.Close() }()
+		received := make(chan oldRequest, 1)
+		go func() {
+			defer ginkgo.GinkgoRecover()
+			conn, err := l.Accept()
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			encoder, decoder := gob.NewEncoder(conn), gob.NewDecoder(conn)
+			gomega.Expect(decoder.Decode(&oldHello{})).To(gomega.Succeed())
+			gomega.Expect(encoder.Encode(oldResponse{})).To(gomega.Succeed())
+			q := oldRequest{}
+			gomega.Expect(decoder.Decode(&q)).To(gomega.Succeed())
+			gomega.Expect(encoder.Encode(oldResponse{})).To(gomega.Succeed())
+			received <- q
+		}()
+		link := dialFor(customersDialer(nil, l.Addr().String()), "bell").(pool.CustomerLink)
+		link.SetCustomer("bell", 2)
+		exchange(link, read("q1"))
+		q := <-received
+		gomega.Expect([]any{q.Kind, q.ID, q.Text}).To(gomega.Equal([]any{uint8(oldForward), "q1", "READ 1"}))
+	})
+})
+
+var _ = ginkgo.Describe("The affinity of a customer", func() {
+	ginkgo.It("is empty for direct connections and where customers do not change the holders", func() {
+		for _, h := range []relay.Holders{{Self: true, ByCustomer: true, Addresses: []string{"x"}}, {Addresses: []string{"x"}}, {ByCustomer: true}} {
+			d := dialer(nil)
+			d.Holders = func(pool.Target, string) relay.Holders { return h }
+			gomega.Expect(d.Affinity(commonTarget, "bell")).To(gomega.BeEmpty())
+		}
+	})
+
+	// Statements of a customer must come together at one VM: the first holder while it
+	// answers, the next while it does not, and the first again after that.
+	ginkgo.It("is the first holder that answers, and a holder that was lost is probed in the background", func() {
+		h, _ := newCustomersHolder(1)
+		second, _ := newCustomersHolder(1)
+		d := customersDialer(nil, h.address(), second.address())
+		offset := atomic.Int64{}
+		d.Now = func() time.Duration { return clock.SinceBoot() + time.Duration(offset.Load()) }
+		exchange(dialFor(d, "bell"), read("q1"))
+		gomega.Expect(d.Affinity(commonTarget, "bell")).To(gomega.Equal(h.address()))
+		gomega.Expect(h.listener.Close()).To(gomega.Succeed())
+		exchange(dialFor(d, "bell"), read("q2"))
+		gomega.Expect(d.Affinity(commonTarget, "bell")).To(gomega.Equal(second.address()))
+		offset.Store(int64(3 * time.Second))
+		gomega.Expect(d.Affinity(commonTarget, "bell")).To(gomega.Equal(second.address()))
+		again, err := net.Listen("tcp4", h.address())
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		defer func() { _ = again.Close() }()
+		go func() { _ = h.server.Serve(context.Background(), again) }()
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go d.WatchHolders(ctx)
+		gomega.Eventually(func() string { return d.Affinity(commonTarget, "bell") }, "10s", "5ms").Should(gomega.Equal(h.address()))
+		gomega.Expect(h.orders()).To(gomega.Equal([][]string{{"q1 READ 1"}}))
+		gomega.Expect(second.orders()).To(gomega.Equal([][]string{{"q2 READ 1"}}))
+	})
+})
+
+var _ = ginkgo.Describe("The direct connection of a VM that reaches no holder", func() {
+	// Otherwise a statement would run on a connection that was opened for another
+	// customer.
+	ginkgo.It("belongs to one customer, and is reserved until it is closed", func() {
+		d := customersDialer(&fakeTarget{}, closedAddress(), closedAddress())
+		gomega.Expect(d.IsFallback(commonTarget)).To(gomega.BeFalse())
+		first := dialFor(d, "bell")
+		_, shared := first.(pool.CustomerLink)
+		gomega.Expect(shared).To(gomega.BeFalse())
+		gomega.Expect(d.IsFallback(commonTarget)).To(gomega.BeTrue())
+		gomega.Expect(d.Affinity(commonTarget, "drum")).To(gomega.BeEmpty())
+		_, _, err := d.Dial(context.Background(), commonTarget, "drum")
+		gomega.Expect(errors.Is(err, pool.ErrReserved)).To(gomega.BeTrue())
+		first.Close()
+		dialFor(d, "drum")
+	})
+
+	ginkgo.It("is opened in the name of its customer", func() {
+		direct := &namedTarget{}
+		dialFor(customersDialer(direct, closedAddress()), "bell")
+		gomega.Expect(direct.customers).To(gomega.Equal([]string{"bell"}))
+	})
+})
+
+// namedTarget records the customers for which connections are opened.
+type namedTarget struct {
+	fakeTarget
+	customers []string
+}
+
+func (t *namedTarget) Dial(ctx context.Context, target pool.Target, name string) (pool.Link, query.Position, error) {
+	t.customers = append(t.customers, name)
+	return t.fakeTarget.Dial(ctx, target, name)
+}
--- a/relay/dialer.go
+++ b/relay/dialer.go
@@ -30,10 +30,12 @@
 	watchInterval = 150 * time.Millisecond
 )
 
-// Holders describes how this VM reaches a group's targets.
+// Holders describes how this VM reaches a target.
 type Holders struct {
-	// Self is true if this VM holds connections to the targets itself.
+	// Self is true if this VM holds connections to the target itself.
 	Self bool
+	// ByCustomer is true if the order of the addresses depends on the customer.
+	ByCustomer bool
 	// Addresses are the addresses at which holders accept links, in the order in
 	// which they are tried.
 	Addresses []string
@@ -45,8 +47,12 @@
 type Dialer struct {
 	// Direct opens direct connections to targets.
 	Direct pool.Dialer
-	// Holders returns how the targets of a group are reached.
-	Holders func(group string) Holders
+	// Holders returns how a target is reached for a customer, whose name may be
+	// empty. It is called for each statement.
+	Holders func(t pool.Target, customer string) Holders
+	// Version returns the version of the configuration in force, or zero if that
+	// has no customers. Nil means that there are never any.
+	Version func() uint64
 	// Now is a monotonic clock that includes the time for which the VM was
 	// suspended.
 	Now func() time.Duration
@@ -68,6 +74,10 @@
 	// avoidUntil.
 	lastAnswer, avoidUntil time.Duration
 	probing                bool
+	// down reports that the holder was marked as unreachable and has not replied
+	// since. wantedAt is when a statement of a customer last had it in its order.
+	down     bool
+	wantedAt time.Duration
 }
 
 // ParseStatus implements pool.Dialer.
@@ -85,10 +95,10 @@
 // wraps pool.ErrReserved if no holder is reached and this VM has a direct
 // connection to the target already.
 func (d *Dialer) Dial(ctx context.Context, t pool.Target, customer string) (pool.Link, query.Position, error) {
-	h := d.Holders(t.Group)
+	h := d.Holders(t, customer)
 	if !h.Self {
 		for _, address := range h.Addresses {
-			l, p, err := d.dialHolder(ctx, address, t)
+			l, p, err := d.dialHolder(ctx, address, t, h.ByCustomer)
 			if err == nil {
 				return l, p, nil
 			}
@@ -101,9 +111,6 @@
 	return d.dialFallback(ctx, t, customer)
 }
 
-// Affinity implements pool.Dialer.
-func (d *Dialer) Affinity(pool.Target, string) string { return "" }
-
 func (d *Dialer) dialDirect(ctx context.Context, t pool.Target, customer string) (pool.Link, query.Position, error) {
 	l, p, err := d.Direct.Dial(ctx, t, customer)
 	if err != nil {
@@ -133,10 +140,11 @@
 	release func()
 }
 
-// Close implements pool.Link.
+// Close implements pool.Link. The reservation is freed after the connection is
+// closed, so that the target never has two from this VM.
 func (b *fallbackLink) Close() {
-	b.release()
 	b.Link.Close()
+	b.release()
 }
 
 // reserveFallback reserves the VM's direct connection to a target. It returns
@@ -166,8 +174,8 @@
 
 // dialHolder opens a link to a target through the holder at the address. A
 // holder that does not answer is marked as unreachable.
-func (d *Dialer) dialHolder(ctx context.Context, address string, t pool.Target) (pool.Link, query.Position, error) {
-	if d.isAvoided(address) {
+func (d *Dialer) dialHolder(ctx context.Context, address string, t pool.Target, byCustomer bool) (pool.Link, query.Position, error) {
+	if d.isAvoided(address, byCustomer) {
 		return nil, query.Position{}, errAvoided
 	}
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
@@ -221,9 +229,14 @@
 	return p
 }
 
-func (d *Dialer) isAvoided(address string) bool {
+// isAvoided reports whether a holder is skipped: for holderBackoff after it was not
+// reached or, where holders are ordered by customer, until a probe has reached it.
+func (d *Dialer) isAvoided(address string, byCustomer bool) bool {
 	d.lock.Lock()
 	defer d.lock.Unlock()
+	if byCustomer {
+		return d.isDown(address, d.Now())
+	}
 	return d.Now() < d.holderState(address).avoidUntil
 }
 
@@ -237,6 +250,7 @@
 		d.Log.Info("holder is unreachable; skipping it for a while and breaking its links", "holder", address, "links", len(p.links))
 	}
 	p.avoidUntil = d.Now() + holderBackoff
+	p.down = true
 	for l := range p.links {
 		// The goroutine that waits on the link reports the error.
 		_ = l.conn.SetDeadline(time.Unix(1, 0))
@@ -246,7 +260,9 @@
 func (d *Dialer) recordAnswer(l *link) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
-	d.holderState(l.address).lastAnswer = d.Now()
+	p := d.holderState(l.address)
+	p.lastAnswer = d.Now()
+	p.down = false
 }
 
 // setPending records whether a reply is pending on a link.
@@ -265,9 +281,9 @@
 	delete(d.holderState(l.address).links, l)
 }
 
-// WatchHolders breaks the links to holders that do not answer any more, until
-// ctx is done. Without it, requests on such links wait until their own
-// deadlines.
+// WatchHolders breaks the links to holders that do not answer any more, and probes
+// unreachable holders of customers, until ctx is done. Without it, requests on such
+// links wait until their own deadlines, and such holders are not used again.
 func (d *Dialer) WatchHolders(ctx context.Context) {
 	t := time.NewTicker(watchInterval)
 	defer t.Stop()
@@ -276,18 +292,19 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			d.probeSilent(ctx)
+			d.probeHolders(ctx)
 		}
 	}
 }
 
-// probeSilent starts a probe of each silent holder.
-func (d *Dialer) probeSilent(ctx context.Context) {
+// probeHolders starts a probe of each silent holder, and of each unreachable one that
+// customers' statements would use.
+func (d *Dialer) probeHolders(ctx context.Context) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	now := d.Now()
 	for address, p := range d.holderStates {
-		if p.probing || !p.isSilent(now) {
+		if p.probing || !p.isSilent(now) && !p.isDueForRetry(now) {
 			continue
 		}
 		p.probing = true
@@ -325,5 +342,6 @@
 	p.probing = false
 	if err == nil {
 		p.lastAnswer = d.Now()
+		p.down = false
 	}
 }
--- a/relay/doc.go
+++ b/relay/doc.go
@@ -1,7 +1,11 @@
 // Package relay forwards orders to targets through another VM. If a target
-// allows fewer connections than there are VMs, a few VMs of each availability
-// zone hold the connections, and the other VMs reach the target through these
-// holders, over at most one hop.
+// allows fewer connections than there are VMs, a few VMs hold the connections, of
+// each availability zone or, with customers, of the target's zone. The other VMs
+// reach the target through these holders, over at most one hop.
+//
+// With customers, each order names its customer, and the holders are tried in an
+// order that depends on the customer. A link is shared by customers; a connection
+// to the target is not.
 //
 // A relayed link behaves like a direct one: orders are answered in sequence,
 // and a transaction keeps its connection from its opening to its end. If a
--- a/relay/link.go
+++ b/relay/link.go
@@ -24,12 +24,17 @@
 	encoder  *gob.Encoder
 	decoder  *gob.Decoder
 	deadline time.Time
+	// customer and priority were set by SetCustomer while the configuration of the
+	// given version was in force; zero if there are no customers.
+	customer string
+	priority int
+	version  uint64
 	// pendingSince is when orders were last sent, if no reply has been received
 	// since; zero otherwise. It is guarded by the dialer's lock.
 	pendingSince time.Duration
 }
 
-var _ pool.Link = (*link)(nil)
+var _ pool.CustomerLink = (*link)(nil)
 
 // handshake names the target to the holder and returns the holder's first
 // reply.
@@ -46,6 +51,11 @@
 	return l.receive()
 }
 
+// SetCustomer implements pool.CustomerLink.
+func (l *link) SetCustomer(name string, priority int) {
+	l.customer, l.priority, l.version = name, priority, l.dialer.version()
+}
+
 // Send implements pool.Link.
 func (l *link) Send(orders ...pool.Order) error {
 	for _, o := range orders {
@@ -53,6 +63,9 @@
 		if err != nil {
 			return err
 		}
+		if l.version != 0 {
+			r.Customer, r.Priority, r.Version = l.customer, l.priority, l.version
+		}
 		if err := l.encoder.Encode(r); err != nil {
 			return fmt.Errorf("send order to holder: %w", err)
 		}
--- a/relay/message.go
+++ b/relay/message.go
@@ -64,6 +64,13 @@
 	Name, Value string
 	// MaxAge is how old a requested position may be.
 	MaxAge time.Duration
+	// Customer is the name of the customer that sent the order; empty for none.
+	// Priority is its route's. Version is the configuration version that the sender
+	// had, from which the customer was known. The three are set only where the
+	// sender's configuration has customers; otherwise Version is zero.
+	Customer string
+	Priority int
+	Version  uint64
 }
 
 // response is the reply to one request, or to the hello.
@@ -130,6 +137,15 @@
 
 func (r *request) position() query.Position { return group.At(group.Term(r.Term), r.Offset) }
 
+// priority returns the priority of the order in the holder's queue. A sender without
+// customers names none.
+func (r *request) priority() int {
+	if r.Version == 0 {
+		return relayPriority
+	}
+	return r.Priority
+}
+
 // order returns the order for the target.
 func (r *request) order() pool.Order {
 	switch r.Kind {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -158,7 +158,7 @@
 	h.pool = &pool.Group{Name: "choir", Zone: "xela", Dialer: h.fakeTarget, Now: clock.SinceBoot, Log: logr.Discard()}
 	h.pool.Configure([]pool.Target{commonTarget}, connections)
 	h.server = &relay.Server{
-		Group:    func(string) (*pool.Group, bool) { return h.pool, !h.retired.Load() },
+		Group:    func(string, string) (*pool.Group, bool) { return h.pool, !h.retired.Load() },
 		IsLeader: func(string, string) bool { return h.leads.Load() },
 		Refresh: func(context.Context, *pool.Group) error {
 			h.refreshes.Add(1)
@@ -188,7 +188,7 @@
 func dialer(direct pool.Dialer, addresses ...string) *relay.Dialer {
 	return &relay.Dialer{
 		Direct:  direct,
-		Holders: func(string) relay.Holders { return relay.Holders{Addresses: addresses} },
+		Holders: func(pool.Target, string) relay.Holders { return relay.Holders{Addresses: addresses} },
 		Now:     clock.SinceBoot,
 		Log:     logr.Discard(),
 	}
--- a/relay/server.go
+++ b/relay/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/go-logr/logr"
 
+	"amaranthsill/customer"
 	"amaranthsill/internal/socket"
 	"amaranthsill/pool"
 	"amaranthsill/query"
@@ -27,18 +28,23 @@
 	// maxQueueWait is how long an order waits for a connection while the target
 	// is busy. After that the VM that sent it decides anew where to run it.
 	maxQueueWait = 150 * time.Millisecond
-	// relayPriority is the priority of all relayed orders in the holder's queue,
-	// neither the highest nor the lowest. The sending VM has ordered its own
-	// statements by their routes' priorities before.
+	// relayPriority is the priority in the holder's queue of relayed orders that
+	// name none, neither the highest nor the lowest. The sending VM has ordered its
+	// own statements by their routes' priorities before.
 	relayPriority = 1
 )
 
 // Server accepts links from other VMs on a holder and runs their orders on
 // targets. Set the exported fields before the call of Serve.
 type Server struct {
-	// Group returns the pool of a group to whose targets this VM holds the
-	// connections.
-	Group func(name string) (*pool.Group, bool)
+	// Group returns the pool of a group if this VM holds the connections to the
+	// target.
+	Group func(group, target string) (*pool.Group, bool)
+	// Customer returns the customer with the name that an order gives, sent under a
+	// version of the configuration. It returns nil if this VM's configuration has no
+	// customers, and false if the customer does not exist any more. Nil means that
+	// there are never any customers.
+	Customer func(name string, version uint64) (*customer.Customer, bool)
 	// IsLeader reports whether a target is confirmed as its group's leader now.
 	IsLeader func(group, target string) bool
 	// Refresh returns once the group's pool knows a position that the leader had
@@ -134,9 +140,9 @@
 	if h.Target == "" {
 		return nil, query.Reply{}
 	}
-	g, ok := s.Group(h.Group)
+	g, ok := s.Group(h.Group, h.Target)
 	if !ok {
-		return nil, busyReply("no connections of this group are held here", query.StateIdle)
+		return nil, busyReply("no connections to this target are held here", query.StateIdle)
 	}
 	if _, known := g.Target(h.Target); !known || g.Health(h.Target).FailingFor > 0 {
 		return nil, busyReply("target is not reached from here", query.StateIdle)
--- a/relay/serverlink.go
+++ b/relay/serverlink.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"amaranthsill/customer"
 	"amaranthsill/pool"
 	"amaranthsill/query"
 	"amaranthsill/session"
@@ -70,7 +71,7 @@
 		r.used = true
 		r.setIdle(false)
 		if r.slot == nil && !r.isHolder() {
-			return r.sendReply(busyReply("connections of this group are held elsewhere now", query.StateIdle))
+			return r.sendReply(busyReply("connections to this target are held elsewhere now", query.StateIdle))
 		}
 		answer, err := r.handle(ctx, &q)
 		if err != nil {
@@ -83,10 +84,10 @@
 	return nil
 }
 
-// isHolder reports whether this VM still holds the group's connections. If
+// isHolder reports whether this VM still holds the target's connections. If
 // not, it would relay orders over a second hop.
 func (r *serverLink) isHolder() bool {
-	_, ok := r.server.Group(r.hello.Group)
+	_, ok := r.server.Group(r.hello.Group, r.hello.Target)
 	return ok
 }
 
@@ -182,7 +183,11 @@
 	if q.Kind < kindBegin || q.Kind > kindLocate {
 		return query.Reply{}, fmt.Errorf("relay order of kind %d: %w", q.Kind, ErrOrder)
 	}
-	slot, err := r.acquire(ctx, until)
+	c, known := r.customer(q)
+	if !known {
+		return busyReply("customer does not exist any more", query.StateIdle), nil
+	}
+	slot, err := r.acquire(ctx, pool.Need{Priority: q.priority(), Customer: c}, until)
 	if err != nil {
 		r.server.Log.Info("no connection for a relayed order; answered as busy", "request", q.ID, "target", r.hello.Target, "reason", err.Error())
 		return busyReply(err.Error(), query.StateIdle), nil
@@ -242,16 +247,24 @@
 	return a.Reply, nil
 }
 
-// acquire acquires a connection to the link's target.
-func (r *serverLink) acquire(ctx context.Context, until time.Duration) (*pool.Slot, error) {
+// customer returns the customer for which an order runs, nil if it names none. It
+// returns false if the customer does not exist any more.
+func (r *serverLink) customer(q *request) (*customer.Customer, bool) {
+	if q.Customer == "" || r.server.Customer == nil {
+		return nil, true
+	}
+	return r.server.Customer(q.Customer, q.Version)
+}
+
+// acquire acquires a connection to the link's target, given the priority and the
+// customer of the order.
+func (r *serverLink) acquire(ctx context.Context, n pool.Need, until time.Duration) (*pool.Slot, error) {
 	now := r.server.Now()
-	slot, err := r.group.Acquire(ctx, pool.Need{
-		Target:        r.hello.Target,
-		Priority:      relayPriority,
-		Until:         min(until, now+2*maxQueueWait),
-		QueueDeadline: now + maxQueueWait,
-		StateHash:     r.state.Hash(),
-	})
+	n.Target = r.hello.Target
+	n.Until = min(until, now+2*maxQueueWait)
+	n.QueueDeadline = now + maxQueueWait
+	n.StateHash = r.state.Hash()
+	slot, err := r.group.Acquire(ctx, n)
 	if err != nil {
 		return nil, fmt.Errorf("get connection: %w", err)
 	}
