--- a/front/attempt.go
+++ b/front/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"amaranthsill/catalog"
@@ -98,7 +97,7 @@
 // refuse returns a busy failure, which guarantees that nothing ran, and tells
 // the caller when to retry.
 func (s *session) refuse(reason string) query.Reply {
-	return s.failure(query.CodeBusy, fmt.Sprintf("%s; retry after %d ms", reason, retryAfter().Milliseconds()))
+	return s.failure(query.CodeBusy, retryLater(reason, retryAfter()))
 }
 
 // need returns the requirements on the target of the next try. A read
@@ -113,6 +112,7 @@
 		Until:         a.dispatchDeadline,
 		QueueDeadline: a.queueDeadline,
 		Tried:         a.tried,
+		Customer:      a.session.customer,
 		StateHash:     a.session.state.Hash(),
 	}
 	if n.Leader {
@@ -296,9 +296,9 @@
 
 // runSingle runs a statement outside a transaction.
 func (s *session) runSingle(ctx context.Context, q query.Query) query.Reply {
-	r, ok := s.route()
-	if !ok {
-		return s.failure(query.CodeUnknownDatabase, "the route was removed")
+	r, refusal := s.startOperation()
+	if refusal != nil {
+		return *refusal
 	}
 	st, refusal := s.classify(q)
 	if refusal != nil {
@@ -308,6 +308,9 @@
 	if refusal != nil {
 		return *refusal
 	}
+	if f := s.admitOperation(ctx, r); f != nil {
+		return *f
+	}
 	reply := a.run(ctx, st)
 	s.server.Metrics.recordOutcome(r, reply, s.server.Now()-a.arrived)
 	return reply
--- a/front/front.go
+++ b/front/front.go
@@ -80,6 +80,10 @@
 	NewCallerConn func(net.Conn) CallerConn
 	// Limits admits operations under the customers' limits; nil if nothing is limited.
 	Limits Limiter
+	// Current reports whether the configuration in force is known to be the newest. It is
+	// asked at the start of each session and operation that needs a key; nil means that
+	// it always is.
+	Current func() bool
 	// Now is a monotonic clock that includes the time for which the VM was
 	// suspended.
 	Now     func() time.Duration
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -20,6 +20,8 @@
 	sessions         prometheus.Gauge
 	unknownDatabases prometheus.Counter
 	brokenSessions   prometheus.Counter
+	refusedStarts    *prometheus.CounterVec
+	revokedSessions  prometheus.Counter
 }
 
 // NewMetrics returns metrics that are registered with r. It panics if
@@ -52,7 +54,16 @@
 			Name: "amaranthsill_broken_sessions_total",
 			Help: "Sessions that ended with a read error or a malformed message.",
 		}),
+		refusedStarts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "amaranthsill_refused_starts_total",
+			Help: "Sessions refused because of the key, or since the VM cannot check it, by reason.",
+		}, []string{"reason"}),
+		revokedSessions: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "amaranthsill_revoked_sessions_total",
+			Help: "Sessions ended since their key was revoked.",
+		}),
 	}
+	r.MustRegister(m.refusedStarts, m.revokedSessions)
 	r.MustRegister(m.statements, m.refusals, m.latency, m.sessions, m.unknownDatabases, m.brokenSessions)
 	return m
 }
--- a/front/session.go
+++ b/front/session.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"amaranthsill/catalog"
+	"amaranthsill/customer"
 	"amaranthsill/query"
 	sessionstate "amaranthsill/session"
 )
@@ -26,6 +26,7 @@
 	tx        *transaction
 
 	lock sync.Mutex
+	access
 	// idle is true while the session waits for the caller outside a transaction,
 	// so that it may be closed.
 	idle bool
@@ -69,16 +70,14 @@
 	if err := s.conn.SetReadDeadline(time.Now().Add(startTimeout)); err != nil {
 		return false
 	}
-	database, _, err := s.conn.Start()
+	database, key, err := s.conn.Start()
 	if err != nil {
 		s.server.Metrics.recordBrokenSession(err)
 		s.reject(query.CodeMalformed, "a session starts with a start-up message")
 		return false
 	}
-	s.database = database
-	if _, ok := s.server.Catalog.Route(database); !ok {
-		s.server.Metrics.unknownDatabases.Inc()
-		s.reject(query.CodeUnknownDatabase, "no route has this database name")
+	if f := s.admitStart(database, customer.DigestOf(key)); f != nil {
+		s.reject(f.Code, f.Detail)
 		return false
 	}
 	return s.conn.Ready(query.StateIdle, query.Position{}) == nil
@@ -92,8 +91,14 @@
 // awaitMessage waits for the caller's next message and reports whether one
 // has arrived. If not, the session ends.
 func (s *session) awaitMessage() bool {
-	if s.tx != nil && s.tx.hasConnection() {
+	switch {
+	case s.tx != nil && s.isExpired():
+		return s.awaitAfterRevocation()
+	case s.tx != nil && s.tx.hasConnection():
 		return s.awaitInTransaction()
+	case s.tx == nil:
+		// ConfigurationChanged does not know of a session that is about to start.
+		s.checkKey(s.server.Catalog.Current())
 	}
 	if !s.setIdle() {
 		return false
@@ -102,6 +107,9 @@
 	s.lock.Lock()
 	s.idle = false
 	s.lock.Unlock()
+	if s.tx != nil && errors.Is(err, os.ErrDeadlineExceeded) && s.isExpired() {
+		return s.awaitAfterRevocation()
+	}
 	if err != nil {
 		return false
 	}
@@ -118,28 +126,52 @@
 		return false
 	}
 	s.idle = s.tx == nil
-	return s.conn.SetReadDeadline(time.Time{}) == nil
+	if s.revoked && s.tx == nil {
+		return s.conn.SetReadDeadline(time.Now().Add(closeGrace)) == nil
+	}
+	return s.clearDeadline() == nil
+}
+
+// clearDeadline lets the session wait for the caller without limit, unless its time is
+// over. The caller holds the lock.
+func (s *session) clearDeadline() error {
+	if s.expired {
+		return s.conn.SetReadDeadline(expiredDeadline)
+	}
+	return s.conn.SetReadDeadline(time.Time{})
+}
+
+// setTransactionDeadline lets the session wait for the caller for the given time, or not
+// at all once its transaction must end.
+func (s *session) setTransactionDeadline(idle time.Duration) error {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.aborted || s.expired {
+		idle = 0
+	}
+	return s.conn.SetReadDeadline(time.Now().Add(idle))
 }
 
 // awaitInTransaction waits for the caller's next message while a transaction
 // holds a connection. Once the transaction has been idle for too long, or the
 // VM stops, it is rolled back.
 func (s *session) awaitInTransaction() bool {
-	idle := s.server.TransactionIdleTimeout()
-	if s.isAborted() {
-		idle = 0
-	}
-	if err := s.conn.SetReadDeadline(time.Now().Add(idle)); err != nil {
+	if err := s.setTransactionDeadline(s.server.TransactionIdleTimeout()); err != nil {
 		return false
 	}
 	err := s.conn.Wait()
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	if errors.Is(err, os.ErrDeadlineExceeded) && !s.isExpired() {
 		s.tx.fail("the transaction was idle for too long or its VM stops")
-		err = s.conn.SetReadDeadline(time.Time{})
+		s.lock.Lock()
+		err = s.clearDeadline()
+		s.lock.Unlock()
 		if err == nil {
 			err = s.conn.Wait()
 		}
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) && s.isExpired() {
+		return s.awaitAfterRevocation()
+	}
 	if err != nil {
 		return false
 	}
@@ -206,16 +238,35 @@
 	s.lock.Lock()
 	s.answered = true
 	s.lock.Unlock()
-	return r.Failure == nil || r.Failure.Code != query.CodeUnknownDatabase
+	return !s.endsWith(r)
+}
+
+// endsWith reports whether the session ends with a reply: its route was removed, or its
+// key was revoked. A target's failure of the same code does not end it.
+func (s *session) endsWith(r query.Reply) bool {
+	if r.Failure == nil {
+		return false
+	}
+	switch r.Failure.Code {
+	case query.CodeUnknownDatabase:
+		return true
+	case query.CodeAuthenticationFailed:
+		return s.isRevoked()
+	default:
+		return false
+	}
 }
 
 func (s *session) handle(ctx context.Context, q query.Query) query.Reply {
 	if s.tx != nil {
 		return s.handleInTransaction(ctx, q)
 	}
+	if s.isRevoked() {
+		return s.failure(query.CodeAuthenticationFailed, keyRevoked)
+	}
 	switch op := q.Operation.(type) {
 	case query.Begin:
-		return s.begin(op)
+		return s.begin(ctx, op)
 	case query.Commit, query.Rollback:
 		return s.failure(query.CodeMalformed, "no transaction is open")
 	case query.Read, query.Write, query.Execute:
@@ -290,11 +341,6 @@
 	return st, nil
 }
 
-// route returns the session's route in the configuration in force.
-func (s *session) route() (*catalog.Route, bool) {
-	return s.server.Catalog.Route(s.database)
-}
-
 // defaultTransactionIdle is the idle timeout of transactions before the first
 // configuration arrives.
 const defaultTransactionIdle = 3 * time.Second
--- a/front/transaction.go
+++ b/front/transaction.go
@@ -28,10 +28,13 @@
 
 // begin opens a transaction for the caller. The target opens it later,
 // together with the first statement.
-func (s *session) begin(b query.Begin) query.Reply {
-	r, ok := s.route()
-	if !ok {
-		return s.failure(query.CodeUnknownDatabase, "the route was removed")
+func (s *session) begin(ctx context.Context, b query.Begin) query.Reply {
+	r, refusal := s.startOperation()
+	if refusal != nil {
+		return *refusal
+	}
+	if f := s.admitOperation(ctx, r); f != nil {
+		return *f
 	}
 	s.tx = &transaction{session: s, route: r, readOnly: b.ReadOnly}
 	return query.Reply{State: query.StateOpen, Position: s.floor}
@@ -43,8 +46,8 @@
 // handleInTransaction handles a query while a transaction is open.
 func (s *session) handleInTransaction(ctx context.Context, q query.Query) query.Reply {
 	t := s.tx
-	if s.isAborted() {
-		t.fail("the VM stops")
+	if reason := s.endedReason(); reason != "" {
+		t.fail(reason)
 	}
 	switch q.Operation.(type) {
 	case query.Rollback:
