--- a/edge/adapter.go
+++ b/edge/adapter.go
@@ -32,4 +32,7 @@
 	ConfigurationKey string
 	// DecodeConfiguration decodes the operators' configuration.
 	DecodeConfiguration func([]byte) (*catalog.Configuration, error)
+	// WithoutKeys returns the encoding of a configuration without the customers' keys,
+	// which VMs must not pass to one another. DecodeConfiguration decodes it as well.
+	WithoutKeys func([]byte) []byte
 }
--- a/edge/directory.go
+++ b/edge/directory.go
@@ -97,6 +97,9 @@
 	Adapter Adapter
 	// Catalog gets each configuration that is put in force.
 	Catalog *catalog.Catalog
+	// Changed is called in a goroutine of its own after each change of Catalog; nil if
+	// nobody needs to know.
+	Changed func()
 	// Grants gets each leader record.
 	Grants *succession.Grants
 	// Self is this VM's name.
@@ -213,7 +216,7 @@
 	if i.Revision <= d.items[i.Key].Revision {
 		return
 	}
-	d.items[i.Key] = i
+	d.items[i.Key] = d.withoutKeys(i)
 	d.newestRevision = max(d.newestRevision, i.Revision)
 	if id, ok := d.Adapter.ParseTargetKey(i.Key); ok {
 		d.applyTarget(id, i)
@@ -231,6 +234,14 @@
 	}
 }
 
+// withoutKeys returns an item as it may be passed to other VMs.
+func (d *Directory) withoutKeys(i store.Item) store.Item {
+	if i.Key == d.Adapter.ConfigurationKey && !i.Deleted && d.Adapter.WithoutKeys != nil {
+		i.Value = d.Adapter.WithoutKeys(i.Value)
+	}
+	return i
+}
+
 // MarkComplete records that every change up to a revision was applied.
 func (d *Directory) MarkComplete(revision store.Revision) {
 	d.lock.Lock()
@@ -383,8 +394,17 @@
 		d.Log.Error(err, "configuration cannot be decoded; the one in force stays", "revision", i.Revision.String())
 		return
 	}
-	if d.Catalog.Update(c) {
-		d.Log.Info("configuration in force", "version", c.Version, "routes", len(c.Routes), "revision", i.Revision.String())
+	if !d.Catalog.Update(c) {
+		return
+	}
+	customers := 0
+	if c.Customers != nil {
+		customers = len(c.Customers.All())
+	}
+	d.Log.Info("configuration in force", "version", c.Version, "routes", len(c.Routes), "customers", customers, "revision", i.Revision.String())
+	if d.Changed != nil {
+		// It takes time in proportion to the sessions, and the lock is held here.
+		go d.Changed()
 	}
 }
 
--- a/edge/directory_test.go
+++ b/edge/directory_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -9,6 +10,7 @@
 
 	"amaranthsill/catalog"
 	"amaranthsill/clock"
+	"amaranthsill/customer"
 	"amaranthsill/edge"
 	"amaranthsill/platform"
 	"amaranthsill/store"
@@ -63,6 +65,30 @@
 		gomega.Expect(d.Targets("choir")).To(gomega.BeEmpty())
 	})
 
+	ginkgo.It("passes a configuration on without its keys, and tells of each newer version once", func() {
+		d, _ := newDirectory()
+		changes := make(chan struct{}, 9)
+		d.Changed = func() { changes <- struct{}{} }
+		configuration := func(version int, revision store.Revision) store.Item {
+			text := fmt.Sprintf(`{"version":%d,"tenants":[{"name":"miny","api_keys":["3fgfsecret"]}]}`, version)
+			return store.Item{Key: platform.ConfigurationKey, Value: []byte(text), Revision: revision}
+		}
+		d.Apply(configuration(7, 20))
+		d.Apply(configuration(6, 21))
+		d.Apply(configuration(8, 22))
+		gomega.Eventually(changes).Should(gomega.HaveLen(2))
+		gomega.Consistently(changes, "50ms").Should(gomega.HaveLen(2))
+		items := d.ItemsSince(0)
+		gomega.Expect(items).To(gomega.HaveLen(1))
+		gomega.Expect(string(items[0].Value)).NotTo(gomega.ContainSubstring("3fgfsecret"))
+		other, _ := newDirectory()
+		other.Apply(items[0])
+		c := other.Catalog.Current()
+		gomega.Expect(c.Version).To(gomega.Equal(uint64(8)))
+		_, known := c.Customers.Lookup(customer.DigestOf("3fgfsecret"))
+		gomega.Expect(known).To(gomega.BeTrue())
+	})
+
 	ginkgo.It("drops a draining target as soon as its entry is removed", func() {
 		d, _ := newDirectory()
 		i := target("a", 8)
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -161,13 +161,20 @@
 var callerCount atomic.Int64
 
 // connect opens a session for a database.
-func (v *vm) connect(database string) (*caller, error) {
+func (v *vm) connect(database string) (*caller, error) { return v.connectAs(database, "") }
+
+// connectAs opens a session for a database with a key; an empty one means that the
+// caller's name is sent instead.
+func (v *vm) connectAs(database, key string) (*caller, error) {
 	conn, err := net.DialTimeout("tcp4", v.callers, time.Second)
 	if err != nil {
 		return nil, fmt.Errorf("connect to VM: %w", err)
 	}
 	c := &caller{conn: conn, reader: bufio.NewReader(conn), name: fmt.Sprintf("c%d", callerCount.Add(1))}
-	if _, err := fmt.Fprintf(conn, "STARTUP %s %s\r\n", database, c.name); err != nil {
+	if key == "" {
+		key = c.name
+	}
+	if _, err := fmt.Fprintf(conn, "STARTUP %s %s\r\n", database, key); err != nil {
 		return nil, fmt.Errorf("start session: %w", err)
 	}
 	line, err := c.line()
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -352,6 +352,7 @@
 	record := store.At(a.GetRecordEra(), a.GetRecord())
 	answeredAt := sent + time.Duration(a.GetWaited())*time.Millisecond
 	if a.GetAge() >= 0 {
+		f.confirmConfiguration(answeredAt - time.Duration(a.GetAge())*time.Millisecond)
 		f.grants.ConfirmRevision(record, answeredAt-time.Duration(a.GetAge())*time.Millisecond)
 	}
 	if a.GetValid() > 0 {
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -125,6 +125,7 @@
 		f.directory.Apply(i)
 	}
 	f.directory.MarkComplete(revision)
+	f.confirmConfiguration(f.currentAt)
 	if len(items) > 0 {
 		f.wakeSupervisor()
 	}
@@ -255,6 +256,7 @@
 	f.directory.Reset(items, revision)
 	f.confirmRecord(items, sent)
 	f.directory.MarkComplete(revision)
+	f.confirmConfiguration(sent)
 	f.synced.Store(true)
 	f.syncTimeout = 0
 	f.storeAnswered()
--- a/edge/vm.go
+++ b/edge/vm.go
@@ -110,6 +110,9 @@
 	registeredAt atomic.Int64
 	// registeredRevision is the store's revision at which it was written.
 	registeredRevision atomic.Uint64
+	// configurationConfirmedAt is when the configuration in force was last known to be
+	// the newest, in nanoseconds since the machine's boot; zero if it never was.
+	configurationConfirmedAt atomic.Int64
 	// left reports that the VM has written that it serves nobody any more.
 	left atomic.Bool
 	// ready reports that callers are accepted.
@@ -220,10 +223,12 @@
 		Leaders:       v.grants,
 		Group:         v.existingPool,
 		NewCallerConn: v.Adapter.NewCallerConn,
+		Current:       v.hasNewestConfiguration,
 		Now:           v.Now,
 		Metrics:       front.NewMetrics(v.registry, v.Log),
 		Log:           v.Log,
 	}
+	v.directory.Changed = v.front.ConfigurationChanged
 	v.relays = &relay.Server{
 		Group:    v.heldPool,
 		IsLeader: v.grants.IsLeader,
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -45,6 +45,7 @@
 	listener             net.Listener
 	lock                 sync.Mutex
 	configurationVersion int
+	customers            []Customer
 	fencingTokens        []uint64
 	closed               chan struct{}
 }
@@ -154,13 +155,24 @@
 // Route is one route of the operators' configuration, as a JSON object.
 type Route map[string]any
 
+// Customer is one customer of the operators' configuration, as a JSON object.
+type Customer map[string]any
+
+// SetCustomers sets the customers of the next versions that Configure writes. Nil means
+// that the deployment has none.
+func (s *Site) SetCustomers(customers []Customer) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.customers = customers
+}
+
 // Configure writes a new version of the operators' configuration to the store and
 // returns its version. It has three routes for each group, GROUP-current,
 // GROUP-bounded and GROUP-own, and the extra ones.
 func (s *Site) Configure(extra []Route) int {
 	s.lock.Lock()
 	s.configurationVersion += 3
-	version := s.configurationVersion
+	version, customers := s.configurationVersion, s.customers
 	s.lock.Unlock()
 	routes := append([]Route{}, extra...)
 	services := []map[string]any{}
@@ -173,10 +185,14 @@
 			})
 		}
 	}
-	s.Store.Put("op/config", map[string]any{
+	configuration := map[string]any{
 		"version": version, "routes": routes, "services": services,
 		"limits": map[string]any{"tx_idle_ms": 1000},
-	})
+	}
+	if customers != nil {
+		configuration["tenants"] = customers
+	}
+	s.Store.Put("op/config", configuration)
 	return version
 }
 
