--- a/customer/customer.go
+++ b/customer/customer.go
@@ -114,6 +114,9 @@
 	return c, ok
 }
 
+// Len returns the number of customers.
+func (s *Set) Len() int { return len(s.byName) }
+
 // All returns the customers in the order of their names.
 func (s *Set) All() []*Customer {
 	return slices.SortedFunc(maps.Values(s.byName), func(a, b *Customer) int { return cmp.Compare(a.Name, b.Name) })
--- a/edge/collector.go
+++ b/edge/collector.go
@@ -2,6 +2,8 @@
 
 import (
 	"github.com/prometheus/client_golang/prometheus"
+
+	"amaranthsill/catalog"
 )
 
 // collector reports a VM's state as Prometheus metrics, read at each scrape.
@@ -12,6 +14,7 @@
 	waitingStatements, targetConnections, activeStatements    *prometheus.Desc
 	unreachableTargets, replicaLag, recordAge, movesUnderWay  *prometheus.Desc
 	storeEra, storeLosses                                     *prometheus.Desc
+	confirmationAge, customers, customerSessions              *prometheus.Desc
 }
 
 var _ prometheus.Collector = (*collector)(nil)
@@ -26,6 +29,9 @@
 		VM:                   v,
 		droppedLines:         describe("log_lines_dropped_total", "Log lines lost since nobody read them."),
 		configurationVersion: describe("configuration_version", "Version of the operators' configuration in force."),
+		confirmationAge:      describe("configuration_age_seconds", "Time since the configuration in force was last known to be the newest."),
+		customers:            describe("customers", "Customers of the configuration in force."),
+		customerSessions:     describe("customer_sessions", "Open sessions of the customers with the most; those of the rest are summed as other.", "customer"),
 		recordRevision:       describe("record_revision", "Revision of the newest known record of leaders."),
 		recordAge:            describe("record_age_seconds", "Time since the store confirmed the record of leaders."),
 		storeEra:             describe("store_era", "Era that the store told last; it rises when the store came back from an older copy."),
@@ -44,6 +50,18 @@
 // Describe implements prometheus.Collector.
 func (c *collector) Describe(d chan<- *prometheus.Desc) { prometheus.DescribeByCollect(c, d) }
 
+// collectCustomers reports the customers of a configuration, if it has any, and their
+// sessions.
+func (c *collector) collectCustomers(n *catalog.Configuration, gauge func(*prometheus.Desc, float64, ...string)) {
+	if n.Customers == nil {
+		return
+	}
+	gauge(c.customers, float64(n.Customers.Len()))
+	for name, sessions := range c.front.CustomerSessions() {
+		gauge(c.customerSessions, float64(sessions), name)
+	}
+}
+
 // Collect implements prometheus.Collector.
 func (c *collector) Collect(m chan<- prometheus.Metric) {
 	gauge := func(d *prometheus.Desc, value float64, labels ...string) {
@@ -54,6 +72,10 @@
 	}
 	if n := c.catalog.Current(); n != nil {
 		gauge(c.configurationVersion, float64(n.Version))
+		c.collectCustomers(n, gauge)
+	}
+	if age, known := c.configurationAge(); known {
+		gauge(c.confirmationAge, age.Seconds())
 	}
 	revision, confirmedAt, confirmed := c.grants.StoreConfirmation()
 	gauge(c.recordRevision, float64(revision.Number()))
--- a/edge/customers_test.go
+++ b/edge/customers_test.go
@@ -78,7 +78,14 @@
 			kept[i].must("WRITE bar 1")
 			_, err := v.connectAs("choir-own", "key-a")
 			gomega.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("AUTHFAIL")))
-			gomega.Expect(v.readMetrics()).NotTo(gomega.ContainSubstring("key-"))
+			gomega.Expect(v.readMetrics()).To(gomega.And(
+				gomega.ContainSubstring("amaranthsill_customers 1\n"),
+				gomega.ContainSubstring("amaranthsill_customer_sessions{customer=\"miny\"} 2\n"),
+				gomega.ContainSubstring("amaranthsill_refused_starts_total{reason=\"unknown-key\"} 2\n"),
+				gomega.MatchRegexp("amaranthsill_revoked_sessions_total 3\n"),
+				gomega.MatchRegexp("amaranthsill_configuration_age_seconds [0-2]"),
+				gomega.Not(gomega.ContainSubstring("key-")),
+			))
 		}
 	})
 
--- a/edge/directory.go
+++ b/edge/directory.go
@@ -399,7 +399,7 @@
 	}
 	customers := 0
 	if c.Customers != nil {
-		customers = len(c.Customers.All())
+		customers = c.Customers.Len()
 	}
 	d.Log.Info("configuration in force", "version", c.Version, "routes", len(c.Routes), "customers", customers, "revision", i.Revision.String())
 	if d.Changed != nil {
