--- a/cmd/amaranthsill/manifest.go
+++ b/cmd/amaranthsill/manifest.go
@@ -123,6 +123,9 @@
 
 func (s *submitFlags) run(ctx context.Context, args []string) error {
 	m, err := loadManifest(args)
+	if err == nil {
+		err = m.RejectCustomers()
+	}
 	if err != nil {
 		return printResult(s.asJSON, submitReport{Outcome: "refused", Error: err.Error()}, err.Error(), exitRefused)
 	}
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -120,6 +120,9 @@
 		return
 	}
 	m, err := manifest.Parse(fmt.Sprintf("version %d", r.Version()), r.Text())
+	if err == nil {
+		err = m.RejectCustomers()
+	}
 	if err != nil {
 		v.manifestsUnreadable.Inc()
 		v.Log.Error(err, "new manifest version is invalid; keeping the one in force")
--- a/manifest/manifest.go
+++ b/manifest/manifest.go
@@ -2,7 +2,8 @@
 // database groups and kinds of request.
 //
 // A manifest is JSON with comments. It lists groups, each with its targets,
-// and kinds, each of which says how requests of that kind may be served.
+// and kinds, each of which says how requests of that kind may be served. It may
+// list customers, with their keys and limits.
 // Manifests receive a version when they are submitted; it increases with each
 // submission.
 //
@@ -20,6 +21,7 @@
 	"net/netip"
 	"time"
 
+	"amaranthsill/customer"
 	"amaranthsill/internal/strict"
 )
 
@@ -62,7 +64,9 @@
 type Manifest struct {
 	groups []Group
 	kinds  []Kind
-	text   []byte
+	// customers is nil if the manifest does not list customers.
+	customers []customer.Entry
+	text      []byte
 }
 
 // Groups returns the database groups in the order of the text. Callers must not
@@ -143,6 +147,7 @@
 	repeatable   bool
 	timeout      time.Duration
 	objective    float64
+	public       bool
 }
 
 // Name returns the name of the kind, as requests give it.
@@ -169,6 +174,9 @@
 // succeed in time.
 func (k Kind) SuccessObjective() float64 { return k.objective }
 
+// Public reports whether callers need no key for requests of the kind.
+func (k Kind) Public() bool { return k.public }
+
 // DefaultKind returns the kind of requests that do not name one: a write that is
 // executed at most once, with the default timeout and objective.
 func DefaultKind() Kind {
@@ -191,6 +199,8 @@
 	err = root.Object(strict.Fields{
 		"groups": m.readGroups,
 		"kinds":  m.readKinds,
+
+		"customers": m.readCustomers,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("check manifest: %w", err)
@@ -309,6 +319,7 @@
 		},
 		"timeout":   func(f strict.Field) error { return f.Duration(&k.timeout, MinTimeout, MaxTimeout) },
 		"objective": func(f strict.Field) error { return f.Fraction(&k.objective) },
+		"public":    func(f strict.Field) error { return f.Bool(&k.public) },
 	})
 	if err != nil {
 		return Kind{}, err
--- a/manifest/manifest_test.go
+++ b/manifest/manifest_test.go
@@ -1,6 +1,7 @@
 package manifest_test
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"strings"
@@ -9,6 +10,7 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"amaranthsill/customer"
 	"amaranthsill/manifest"
 )
 
@@ -26,6 +28,10 @@
 	return `{"groups": [{"name": "g", "targets": ` + targets + `}], "kinds": ` + kinds + `}`
 }
 
+func withCustomers(customers string) string {
+	return `{"groups": [{"name": "g", "targets": ` + targets + `}], "customers": ` + customers + `}`
+}
+
 func withTargets(text string) string {
 	return `{"groups": [{"name": "g", "targets": ` + text + `}]}`
 }
@@ -37,7 +43,7 @@
 	"text that is no JSON":         {text: `{`, error: `m.json:1: document: write JSON with comments`},
 	"a list in place of an object": {text: `[]`, error: `m.json:1: document: write an object in braces`},
 	"an empty object":              {text: `{}`, error: `write at least one group under groups`},
-	"an unknown field":             {text: "{\n\"gruops\": []}", error: `m.json:2: gruops: unknown field; write one of groups, kinds`},
+	"an unknown field":             {text: "{\n\"gruops\": []}", error: `m.json:2: gruops: unknown field; write one of customers, groups, kinds`},
 	"a duplicate field":            {text: `{"groups": [], "groups": []}`, error: `groups: field stands twice`},
 	"a group of two targets":       {text: withTargets(`[{"name": "a", "zone": "x", "address": "10.0.0.1:1", "connections": 1}, {"name": "b", "zone": "x", "address": "10.0.0.1:2", "connections": 1}]`), error: `write an odd number of targets from 3 to 7, not 2`},
 	"a host name as address":       {text: withTargets(strings.Replace(targets, "10.0.0.2:5432", "db.example:5432", 1)), error: `groups[0].targets[1].address: "db.example:5432" is no address`},
@@ -55,6 +61,16 @@
 	"a duration without a unit":    {text: withKinds(`[{"name": "k", "access": "read", "age": "2"}]`), error: `write a duration in quotes from "1ms" to "24h0m0s"`},
 	"an objective of 1":            {text: withKinds(`[{"name": "k", "access": "read", "objective": 1}]`), error: `write a number above 0 and below 1`},
 	"a name with a space":          {text: withKinds(`[{"name": "a b", "access": "read"}]`), error: `write a name of letters, digits, - and _`},
+	"a customer without a name":    {text: withCustomers(`[{"keys": ["s3cret"]}]`), error: `write the customer's name`},
+	"a customer without keys":      {text: withCustomers("[{\"name\": \"a\", \"keys\": []},\n{\"name\": \"b\"}]"), error: `:5: customers[1]: write the customer's keys, or an empty list`},
+	"a duplicate customer":         {text: withCustomers(`[{"name": "a", "keys": []}, {"name": "a", "keys": []}]`), error: `customer "a" stands twice`},
+	"a key of two customers":       {text: withCustomers(`[{"name": "a", "keys": ["s3cret"]}, {"name": "b", "keys": ["s3cret"]}]`), error: `customers[1].keys[0]: key stands twice`},
+	"a duplicate key":              {text: withCustomers(`[{"name": "a", "keys": ["s3cret", "s3cret"]}]`), error: `customers[0].keys[1]: key stands twice`},
+	"an empty key":                 {text: withCustomers(`[{"name": "a", "keys": ["s3cret", ""]}]`), error: `write a text in quotes that is not empty`},
+	"a key with a space":           {text: withCustomers(`[{"name": "a", "keys": ["s3cret s3cret"]}]`), error: `write a key without spaces`},
+	"a negative rate":              {text: withCustomers(`[{"name": "a", "keys": ["s3cret"], "rate": -1}]`), error: `write a number from 0 to 1e+06`},
+	"a negative priority":          {text: withCustomers(`[{"name": "a", "keys": ["s3cret"], "priority": -1}]`), error: `write a whole number from 0 to 1000`},
+	"a public kind in words":       {text: withKinds(`[{"name": "k", "access": "read", "public": "yes"}]`), error: `write true or false`},
 	"too many bytes":               {text: strings.Repeat(" ", manifest.MaxBytes+1), error: fmt.Sprintf(`write at most %d bytes`, manifest.MaxBytes)},
 }
 
@@ -63,9 +79,39 @@
 		ginkgo.It("rejects "+name, func() {
 			_, err := manifest.Parse("m.json", []byte(c.text))
 			gomega.Expect(err).To(gomega.MatchError(gomega.ContainSubstring(c.error)))
+			// Errors are logged and printed.
+			gomega.Expect(err.Error()).NotTo(gomega.ContainSubstring("s3cret"))
 		})
 	}
 
+	ginkgo.It("accepts customers and public kinds", func() {
+		text := `{"groups": [{"name": "g", "targets": ` + targets + `}], "kinds": [{"name": "k", "access": "read", "public": true}],
+			"customers": [{"name": "miny420", "keys": ["3fgf", "iqrh"], "priority": 1, "rate": 246, "burst": 24.5}, {"name": "idle", "keys": []}]}`
+		m, err := manifest.Parse("m.json", []byte(text))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(m.Customers()).To(gomega.Equal([]customer.Entry{
+			{Customer: customer.Customer{Name: "miny420", Priority: 1, Rate: 246, Burst: 24.5}, Keys: []customer.Digest{customer.DigestOf("3fgf"), customer.DigestOf("iqrh")}},
+			{Customer: customer.Customer{Name: "idle"}},
+		}))
+		_, err = customer.NewSet(m.Customers())
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		k, _ := m.Kind("k")
+		gomega.Expect(k.Public()).To(gomega.BeTrue())
+	})
+
+	// VMs that do not check keys would serve everybody.
+	ginkgo.It("tells VMs without support for customers apart by whether there is a list", func() {
+		for customers, want := range map[string]bool{`[]`: true, `[{"name": "a", "keys": []}]`: true, "": false} {
+			text := withKinds(`[]`)
+			if customers != "" {
+				text = withCustomers(customers)
+			}
+			m, err := manifest.Parse("m.json", []byte(text))
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(errors.Is(m.RejectCustomers(), manifest.ErrCustomersUnsupported)).To(gomega.Equal(want))
+		}
+	})
+
 	ginkgo.It("accepts the example manifest", func() {
 		text, err := os.ReadFile("../examples/choir.json")
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
