--- a/edge/budget.go
+++ b/edge/budget.go
@@ -52,8 +52,14 @@
 // allocator returns the first of a group's allocators that has not left a claim
 // unanswered within unresponsiveBackoff; false if there is none.
 func (c *claimer) allocator(group string) (Peer, bool) {
+	return c.firstResponsive(c.holdersOf(group).allocators)
+}
+
+// firstResponsive returns the first VM of a list that has not left a claim unanswered
+// within unresponsiveBackoff; false if there is none.
+func (c *claimer) firstResponsive(list []Peer) (Peer, bool) {
 	now := c.Now()
-	for _, p := range c.holdersOf(group).allocators {
+	for _, p := range list {
 		if at, ok := c.unresponsive[p.Name]; !ok || now-at > unresponsiveBackoff {
 			return p, true
 		}
@@ -68,10 +74,15 @@
 	requests := map[Peer]*peerpb.DivideRequest{}
 	errs := []error{}
 	for name, g := range pools {
-		if !c.holdersOf(name).Self {
+		h := c.holdersOf(name)
+		if !h.Self {
 			continue
 		}
 		claims := g.Claims()
+		if h.targets != nil {
+			errs = append(errs, c.addTargetClaims(requests, name, h.targets, claims))
+			continue
+		}
 		if len(claims) == 0 {
 			continue
 		}
@@ -80,12 +91,8 @@
 			errs = append(errs, errNoAllocator)
 			continue
 		}
-		if requests[allocator] == nil {
-			requests[allocator] = &peerpb.DivideRequest{Vm: c.Settings.VM()}
-		}
-		q := requests[allocator]
 		for _, n := range claims {
-			q.Claims = append(q.Claims, &peerpb.Claim{Group: name, Target: n.Target, Open: uint32(n.Open), Wanted: uint32(n.Wanted)})
+			c.addClaim(requests, allocator, &peerpb.Claim{Group: name, Target: n.Target, Open: uint32(n.Open), Wanted: uint32(n.Wanted)})
 		}
 	}
 	failed := make(chan error, len(requests))
@@ -115,7 +122,8 @@
 	}
 	for i, b := range budgets {
 		if i < len(q.GetClaims()) {
-			pools[q.GetClaims()[i].GetGroup()].SetBudget(q.GetClaims()[i].GetTarget(), int(b))
+			n := q.GetClaims()[i]
+			c.setBudget(pools[n.GetGroup()], n.GetGroup(), n.GetTarget(), int(b))
 		}
 	}
 	return nil
@@ -150,7 +158,11 @@
 			connections = conf.Groups[c.GetGroup()].ConnectionLimit
 		}
 		claim := pool.Claim{Target: c.GetTarget(), Open: int(c.GetOpen()), Wanted: int(c.GetWanted())}
-		budgets = append(budgets, uint32(f.shares.Divide(now, q.GetVm(), claim, f.limits(c.GetGroup(), connections))))
+		l := f.limits(c.GetGroup(), connections)
+		if h := f.holdersOf(c.GetGroup()).targets[c.GetTarget()]; h != nil {
+			l = h.limits(connections)
+		}
+		budgets = append(budgets, uint32(f.shares.Divide(now, q.GetVm(), claim, l)))
 	}
 	return budgets
 }
--- a/edge/control.go
+++ b/edge/control.go
@@ -267,7 +267,9 @@
 }
 
 // checkReady lets the VM accept callers once it has the configuration, a record
-// that the store confirmed, and a leader for every route's group.
+// that the store confirmed, and a leader for every route's group. With customers it
+// waits until the holders have settled: if all VMs start together, nobody holds
+// connections before that, and each would open one of its own to each target.
 func (s *supervisor) checkReady() {
 	if s.startupComplete {
 		return
@@ -285,6 +287,9 @@
 			return
 		}
 	}
+	if s.Now() < s.holdersSettleAt {
+		return
+	}
 	for _, g := range s.pools() {
 		g.Warm()
 	}
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -18,7 +18,9 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"amaranthsill/catalog"
 	"amaranthsill/clock"
+	"amaranthsill/customer"
 	"amaranthsill/edge"
 	"amaranthsill/internal/site"
 	"amaranthsill/platform"
@@ -43,6 +45,8 @@
 	site  *site.Site
 	vms   []*vm
 	begun time.Time
+	// customers are added to the configuration that the VMs decode; nil for none.
+	customers *customer.Set
 }
 
 // vm is one running VM with its own connection to the store.
@@ -61,9 +65,14 @@
 
 // openFixture starts a platform and as many VMs, and waits until all are ready.
 func openFixture(options site.Options, vms int) *fixture {
+	return openFixtureWith(options, vms, nil)
+}
+
+// openFixtureWith is like openFixture for a deployment with customers.
+func openFixtureWith(options site.Options, vms int, customers *customer.Set) *fixture {
 	s, err := site.Open(options)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	f := &fixture{site: s, begun: time.Now()}
+	f := &fixture{site: s, begun: time.Now(), customers: customers}
 	ginkgo.DeferCleanup(f.close)
 	for i := range vms {
 		f.start(fmt.Sprintf("vm-%d", i), options.Zones[i%len(options.Zones)], true)
@@ -110,6 +119,14 @@
 	f.vms = append(f.vms, v)
 	adapter := platform.NewAdapter(settings, logr.Discard())
 	adapter.Dialer = partialDialer{Dialer: adapter.Dialer, vm: v}
+	decode := adapter.DecodeConfiguration
+	adapter.DecodeConfiguration = func(text []byte) (*catalog.Configuration, error) {
+		c, err := decode(text)
+		if err == nil && f.customers != nil {
+			c.Customers = f.customers
+		}
+		return c, err
+	}
 	e := &edge.VM{Settings: settings, Adapter: adapter, Now: clock.SinceBoot, Log: logr.FromSlogHandler(slog.NewTextHandler(ginkgo.GinkgoWriter, nil))}
 	go func() {
 		defer ginkgo.GinkgoRecover()
--- a/edge/holders.go
+++ b/edge/holders.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"amaranthsill/catalog"
+	"amaranthsill/customer"
 	"amaranthsill/pool"
 	"amaranthsill/relay"
 )
@@ -53,6 +54,11 @@
 	// allocatorSince is when this VM became the first of the allocators; zero if
 	// it is not.
 	allocatorSince time.Duration
+	// targets holds by ID the holders of the group's targets where these are placed
+	// by target, which is with customers. It is nil elsewhere. If it is not, Self is
+	// true where this VM holds any of them, and Addresses and the allocators are not
+	// used.
+	targets map[string]*targetHolders
 }
 
 // holdersOf returns which VMs hold a group's connections. Before the first
@@ -76,28 +82,44 @@
 // them. Only the supervisor calls it.
 func (s *supervisor) updateHolders() {
 	now := s.Now()
-	if s.holdersCheckedAt != 0 && now-s.holdersCheckedAt < holderCheckInterval {
+	c := s.catalog.Current()
+	changedTargets := s.targetsChanged(c)
+	if !changedTargets && s.holdersCheckedAt != 0 && now-s.holdersCheckedAt < holderCheckInterval {
 		return
 	}
 	s.holdersCheckedAt = now
-	c := s.catalog.Current()
 	members := s.directory.members()
 	in := holderInputs{configuration: c, members: members, vms: max(len(members.peers), s.VM.expectedVMs())}
-	if in == s.holderInputs && len(s.holderChangeSince) == 0 {
+	unchanged := in == s.holderInputs && !changedTargets
+	if unchanged && !s.targetHoldersChanging && len(s.holderChangeSince) == 0 {
 		return
 	}
 	s.holderInputs = in
+	before := *s.holders.Load()
 	next := map[string]groupHolders{}
+	s.targetHoldersChanging = false
+	others := (*membership)(nil)
+	if len(before) == 0 && c.Customers != nil && !s.Settings.FirstStart() {
+		others = members.without(s.Settings.VM())
+		s.holdersSettleAt = now + holderChangeDelay + holderCheckInterval
+	}
 	for name, n := range c.Groups {
-		next[name] = s.chooseHolders(name, n.ConnectionLimit-controlConnections, in.vms, members)
+		if unchanged && before[name].settled() && s.holderChangeSince[name] == 0 {
+			next[name] = before[name]
+			continue
+		}
+		h := s.chooseHolders(name, n.ConnectionLimit-controlConnections, in.vms, members)
+		if h.relayed && c.Customers != nil {
+			h = s.placeTargets(h, before[name].targets, name, n.ConnectionLimit-controlConnections, members, others)
+		}
+		next[name] = h
 	}
-	before := *s.holders.Load()
 	changed := []string{}
 	for name, h := range next {
 		old, ok := before[name]
 		h.allocatorSince = s.allocatorSince(h, old, now)
 		next[name] = h
-		if !ok || old.Self == h.Self {
+		if !ok || h.sameWay(old) {
 			delete(s.holderChangeSince, name)
 			continue
 		}
@@ -106,13 +128,90 @@
 			next[name] = old
 			continue
 		}
-		s.Log.Info("holders of a group's connections changed", "group", name, "self", h.Self, "holders", h.Addresses)
+		s.Log.Info("holders of a group's connections changed", "group", name, "self", h.Self, "holders", h.Addresses, "targets", len(h.targets))
 		changed = append(changed, name)
 	}
 	s.holders.Store(&next)
 	for _, name := range changed {
 		s.pool(name).ReplaceLinks()
 	}
+	for name, h := range next {
+		s.replaceChangedLinks(name, before[name].targets, h.targets)
+	}
+}
+
+// settled reports whether the group's targets are placed by target and no holder of
+// any changes unless something else does.
+func (h groupHolders) settled() bool {
+	for _, t := range h.targets {
+		if t.changing() {
+			return false
+		}
+	}
+	return h.targets != nil
+}
+
+// sameWay reports whether this VM reaches the group's targets in the same way as
+// before, except for single targets where these are placed by target.
+func (h groupHolders) sameWay(old groupHolders) bool {
+	if h.targets != nil || old.targets != nil {
+		return h.targets != nil && old.targets != nil
+	}
+	return h.Self == old.Self
+}
+
+// placeTargets returns a group's holders with those of each of its targets, given the
+// targets' holders before. At the VM's start, others are the VMs without this one.
+func (s *supervisor) placeTargets(h groupHolders, before map[string]*targetHolders, group string, connections int, members, others *membership) groupHolders {
+	h.targets = map[string]*targetHolders{}
+	h.Self = false
+	for _, t := range s.directory.Targets(group) {
+		old := before[t.ID]
+		if others != nil {
+			old = startingHolders(others, t, connections)
+		}
+		n := old.next(s.holdersCheckedAt, s.Settings.VM(), t, members.targetHolders(t, connections))
+		h.targets[t.ID] = n
+		h.Self = h.Self || n.self
+		s.targetHoldersChanging = s.targetHoldersChanging || n.changing()
+	}
+	return h
+}
+
+// targetsChanged reports whether a target of a group that is placed by target has
+// come, left, or moved to another zone since the holders were evaluated.
+func (s *supervisor) targetsChanged(c *catalog.Configuration) bool {
+	if c.Customers == nil {
+		return false
+	}
+	known := *s.holders.Load()
+	for name := range c.Groups {
+		placed := known[name].targets
+		if placed == nil {
+			continue
+		}
+		list := s.directory.Targets(name)
+		if len(list) != len(placed) {
+			return true
+		}
+		for _, t := range list {
+			if h := placed[t.ID]; h == nil || h.zone != t.Zone {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// replaceChangedLinks replaces the links to the targets of a group for which this VM
+// starts or stops to be a holder.
+func (s *supervisor) replaceChangedLinks(group string, before, after map[string]*targetHolders) {
+	for id, h := range after {
+		if old := before[id]; old != nil && old.self != h.self {
+			s.Log.Info("holders of a target's connections changed", "target", id, "self", h.self, "holders", len(h.holders))
+			s.pool(group).ReplaceLinksTo(id)
+		}
+	}
 }
 
 // allocatorSince returns since when this VM is the first of a group's allocators, given
@@ -172,11 +271,19 @@
 	return list
 }
 
-// holdersFirst moves the VMs that hold a group's connections to the front.
-func (m *membership) holdersFirst(group string, order []Peer) []Peer {
+// holdersFirst moves the VMs that hold a group's connections to the front, given the
+// holders of its targets if those are placed by target.
+func (m *membership) holdersFirst(group string, targets map[string]*targetHolders, order []Peer) []Peer {
 	isHolder := map[string]bool{}
-	for _, p := range m.holders(group) {
-		isHolder[p.Name] = true
+	if targets == nil {
+		for _, p := range m.holders(group) {
+			isHolder[p.Name] = true
+		}
+	}
+	for _, t := range targets {
+		for _, p := range t.holders {
+			isHolder[p.Name] = true
+		}
 	}
 	rank := func(p Peer) int {
 		if isHolder[p.Name] {
@@ -190,20 +297,66 @@
 
 // heldPool returns the pool of a group if this VM holds the connections to the
 // target; false if it does not.
-func (v *VM) heldPool(group, _ string) (*pool.Group, bool) {
-	if !v.holdersOf(group).Self {
+func (v *VM) heldPool(group, target string) (*pool.Group, bool) {
+	if !v.holds(group, target) {
 		return nil, false
 	}
 	return v.existingPool(group)
 }
 
+// holds reports whether this VM holds connections to a target.
+func (v *VM) holds(group, target string) bool {
+	h := v.holdersOf(group)
+	if h.targets == nil {
+		return h.Self
+	}
+	t := h.targets[target]
+	return t != nil && t.self
+}
+
+// wayTo returns how this VM reaches a target for a customer.
+func (v *VM) wayTo(t pool.Target, customer string) relay.Holders {
+	h := v.holdersOf(t.Group)
+	if h.targets == nil {
+		return h.Holders
+	}
+	return h.targets[t.ID].way(customer)
+}
+
+// customersVersion returns the version of the configuration in force; zero if it has
+// no customers.
+func (v *VM) customersVersion() uint64 {
+	c := v.catalog.Current()
+	if c == nil || c.Customers == nil {
+		return 0
+	}
+	return c.Version
+}
+
+// customerNamed returns the customer with the name that an order from another VM gives,
+// sent under a version of the configuration; nil if this VM's configuration is not older
+// and has no customers. It returns false if the customer does not exist any more. A
+// customer of a newer version is not known here yet; it is returned with its name alone.
+func (v *VM) customerNamed(name string, version uint64) (*customer.Customer, bool) {
+	c := v.catalog.Current()
+	if c != nil && c.Customers != nil {
+		if n, ok := c.Customers.Named(name); ok {
+			return n, true
+		}
+	}
+	if c == nil || c.Version < version {
+		return &customer.Customer{Name: name}, true
+	}
+	return nil, c.Customers == nil
+}
+
 // newDialer returns the dialer that opens links to targets: directly, or through a
-// holder, which is a VM of the same zone that holds the group's connections for
-// the VMs that have none.
+// holder, which is a VM that holds the connections for the VMs that have none.
 func (v *VM) newDialer() *relay.Dialer {
 	return &relay.Dialer{
 		Direct:  v.Adapter.Dialer,
-		Holders: func(t pool.Target, _ string) relay.Holders { return v.holdersOf(t.Group).Holders },
+		Holders: v.wayTo,
+		Version: v.customersVersion,
 		Now:     v.Now,
 		Log:     v.Log,
 	}
--- a/edge/membership.go
+++ b/edge/membership.go
@@ -18,6 +18,9 @@
 	zones map[string]*zoneMembership
 	// roots are the first VMs of the zones' orders, ranked among one another.
 	roots []Peer
+
+	everywhereOnce sync.Once
+	allZones       *zoneMembership
 }
 
 // zoneMembership is the part of a membership in one zone.
@@ -58,6 +61,17 @@
 	return &zoneMembership{}
 }
 
+// everywhere returns the VMs of all zones together as if they were in one.
+func (m *membership) everywhere() *zoneMembership {
+	m.everywhereOnce.Do(func() {
+		m.allZones = &zoneMembership{order: m.peers, byName: map[string]int{}}
+		for i, p := range m.peers {
+			m.allZones.byName[p.Name] = i
+		}
+	})
+	return m.allZones
+}
+
 // place returns up to count VMs of the zone for a key, in the order of preference.
 func (z *zoneMembership) place(key string, count int) []Peer {
 	z.placeOnce.Do(func() {
--- a/edge/supervisor.go
+++ b/edge/supervisor.go
@@ -61,6 +61,15 @@
 	// holdersCheckedAt is when the holders were last evaluated, with holderInputs.
 	holdersCheckedAt time.Duration
 	holderInputs     holderInputs
+	// targetHoldersChanging reports that the holders of a target change once a time
+	// has passed.
+	targetHoldersChanging bool
+	// holdersSettleAt is when this VM, and those that started together with it, hold
+	// the connections that they are due to hold.
+	holdersSettleAt time.Duration
+	// fallbacks holds the targets that this VM last reached only by a direct
+	// connection because no holder answered.
+	fallbacks map[string]bool
 	// startupComplete reports that the VM has all it needs to accept callers.
 	startupComplete bool
 	// startupCompletedAt is when startupComplete was set.
@@ -101,6 +110,7 @@
 func (s *supervisor) run(ctx context.Context) {
 	s.states = map[string]*groupState{}
 	s.holderChangeSince = map[string]time.Duration{}
+	s.fallbacks = map[string]bool{}
 	tick := time.NewTicker(superviseInterval)
 	defer tick.Stop()
 	for {
@@ -129,8 +139,7 @@
 			continue
 		}
 		g := s.pool(name)
-		g.SetIdleAllowance(s.idleBudget(name, n.ConnectionLimit))
-		g.Configure(targets, s.baseBudget(name, n.ConnectionLimit))
+		s.configurePool(name, n.ConnectionLimit, g, targets)
 		s.updateLeader(ctx, name, g)
 	}
 	s.settleRecord(ctx, c.Groups)
@@ -353,8 +362,8 @@
 func (v *VM) rank(group string) int {
 	members := v.directory.members()
 	order := ranked(members.peers, group)
-	if v.holdersOf(group).relayed {
-		order = members.holdersFirst(group, order)
+	if h := v.holdersOf(group); h.relayed {
+		order = members.holdersFirst(group, h.targets, order)
 	}
 	i := slices.IndexFunc(order, func(p Peer) bool { return p.Name == v.Settings.VM() })
 	if i < 0 {
--- a/edge/vm.go
+++ b/edge/vm.go
@@ -124,6 +124,8 @@
 	settledByOther atomic.Int64
 	// unallocated reports that the last claim on connections failed.
 	unallocated atomic.Bool
+	// budgets are the budgets of single targets, where holders are by target.
+	budgets targetBudgets
 
 	lock   sync.Mutex
 	groups map[string]*pool.Group
@@ -227,6 +229,7 @@
 	v.relays = &relay.Server{
 		Group:    v.heldPool,
 		IsLeader: v.grants.IsLeader,
+		Customer: v.customerNamed,
 		Refresh:  v.front.RefreshPosition,
 		Now:      v.Now,
 		Log:      v.Log,
--- a/edge/witness.go
+++ b/edge/witness.go
@@ -48,8 +48,8 @@
 	seen := map[string]bool{}
 	members := f.directory.members()
 	order := ranked(members.peers, key)
-	if f.holdersOf(group).relayed {
-		order = members.holdersFirst(group, order)
+	if h := f.holdersOf(group); h.relayed {
+		order = members.holdersFirst(group, h.targets, order)
 	}
 	for _, p := range order {
 		if p.Name == f.Settings.VM() {
--- a/relay/affinity.go
+++ b/relay/affinity.go
@@ -10,6 +10,11 @@
 // holder is still probed. VMs that have left are forgotten in this way.
 const wantedTimeout = 10 * time.Second
 
+// refusalBackoff is how long a holder that refused a link to a target is not asked for
+// another one by customers. It has begun or ceased to hold the target within that time,
+// or the views of the two VMs agree.
+const refusalBackoff = time.Second
+
 // Affinity implements pool.Dialer. It is empty for a direct connection, and where the
 // holders are the same for all customers. Otherwise it is the address of the holder
 // through which the customer's statements go, so that links are shared by the
@@ -23,7 +28,7 @@
 	defer d.lock.Unlock()
 	now := d.Now()
 	for _, address := range h.Addresses {
-		if !d.isDown(address, now) {
+		if !d.unavailable(address, t.ID, now) {
 			return address
 		}
 	}
@@ -31,7 +36,7 @@
 }
 
 // IsFallback reports whether this VM reaches a target only by a direct connection of
-// its own, of which it may have one, because no holder of the target answers.
+// its own, of which it may have one, because no holder of the target is available.
 func (d *Dialer) IsFallback(t pool.Target) bool {
 	h := d.Holders(t, "")
 	if h.Self || !h.ByCustomer {
@@ -39,23 +44,36 @@
 	}
 	d.lock.Lock()
 	defer d.lock.Unlock()
+	now := d.Now()
 	for _, address := range h.Addresses {
-		if p := d.holderStates[address]; p == nil || !p.down {
+		if !d.unavailable(address, t.ID, now) {
 			return false
 		}
 	}
 	return true
 }
 
-// isDown reports whether a holder of customers' statements is skipped, and records
-// that it is wanted. The lock must be held.
-func (d *Dialer) isDown(address string, now time.Duration) bool {
+// unavailable reports whether a holder is skipped for customers' statements on a target,
+// because it does not answer or refused a link to the target. It records that the holder
+// is wanted. The lock must be held.
+func (d *Dialer) unavailable(address, target string, now time.Duration) bool {
 	p := d.holderStates[address]
 	if p == nil {
 		return false
 	}
 	p.wantedAt = max(now, 1)
-	return p.down
+	return p.down || now < p.refusedUntil[target]
+}
+
+// recordRefusal records that a holder refused a link to a target.
+func (d *Dialer) recordRefusal(address, target string) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	p := d.holderState(address)
+	if p.refusedUntil == nil {
+		p.refusedUntil = map[string]time.Duration{}
+	}
+	p.refusedUntil[target] = d.Now() + refusalBackoff
 }
 
 // isDueForRetry reports whether an unreachable holder is to be probed again.
--- a/relay/customer_test.go
+++ b/relay/customer_test.go
@@ -105,6 +105,21 @@
 		gomega.Expect(h.orders()).To(gomega.Equal([][]string{{"q2 READ 1"}}))
 	})
 
+	// Positions belong to no customer. A holder of the leader answers for all VMs that
+	// come through it, also those whose customer it does not know.
+	ginkgo.It("answers for the leader's position without a connection of any customer", func() {
+		h, n := newCustomersHolder(1)
+		h.leads.Store(true)
+		l := dialFor(customersDialer(nil, h.address()), "bell").(pool.CustomerLink)
+		for _, name := range []string{"", "gone"} {
+			l.SetCustomer(name, 0)
+			gomega.Expect(exchange(l, pool.Locate{MaxAge: time.Minute}).Position.IsZero()).To(gomega.BeFalse())
+		}
+		gomega.Expect(h.refreshes.Load()).To(gomega.Equal(int32(1)))
+		gomega.Expect(h.orders()).To(gomega.BeEmpty())
+		gomega.Expect(n.orders()).To(gomega.BeEmpty())
+	})
+
 	ginkgo.It("orders statements at the holder by the priorities of their routes", func() {
 		h, _ := newCustomersHolder(1)
 		d := customersDialer(nil, h.address())
@@ -128,13 +143,27 @@
 		gomega.Expect(h.orders()).To(gomega.Equal([][]string{{"begin", "end COMMIT", "q0 READ 1", "q3 READ 1"}}))
 	})
 
-	ginkgo.It("is refused for a target whose connections other VMs hold", func() {
+	// Otherwise links through the next holder would count as links through the first,
+	// and a direct connection would stay after the holder has begun to hold the target.
+	ginkgo.It("is refused for a target whose connections other VMs hold, and not asked for again at once", func() {
 		h, _ := newCustomersHolder(1)
-		h.server.Group = func(_, target string) (*pool.Group, bool) { return h.pool, target == "b" }
+		held := atomic.Bool{}
+		h.server.Group = func(_, target string) (*pool.Group, bool) { return h.pool, target == "b" || held.Load() }
 		direct := &fakeTarget{}
-		exchange(dialFor(customersDialer(direct, h.address()), "bell"), read("q1"))
+		d := customersDialer(direct, h.address())
+		offset := atomic.Int64{}
+		d.Now = func() time.Duration { return clock.SinceBoot() + time.Duration(offset.Load()) }
+		exchange(dialFor(d, "bell"), read("q1"))
 		gomega.Expect(h.orders()).To(gomega.BeEmpty())
 		gomega.Expect(direct.orders()).To(gomega.Equal([][]string{{"q1 READ 1"}}))
+		gomega.Expect(d.IsFallback(commonTarget)).To(gomega.BeTrue())
+		gomega.Expect(d.Affinity(commonTarget, "bell")).To(gomega.BeEmpty())
+		held.Store(true)
+		offset.Store(int64(2 * time.Second))
+		gomega.Expect(d.IsFallback(commonTarget)).To(gomega.BeFalse())
+		gomega.Expect(d.Affinity(commonTarget, "bell")).To(gomega.Equal(h.address()))
+		exchange(dialFor(d, "bell"), read("q2"))
+		gomega.Expect(h.orders()).To(gomega.Equal([][]string{{"q2 READ 1"}}))
 	})
 })
 
--- a/relay/dialer.go
+++ b/relay/dialer.go
@@ -78,6 +78,9 @@
 	// since. wantedAt is when a statement of a customer last had it in its order.
 	down     bool
 	wantedAt time.Duration
+	// refusedUntil holds by target until when the holder is not asked again for links
+	// of customers, because it refused one.
+	refusedUntil map[string]time.Duration
 }
 
 // ParseStatus implements pool.Dialer.
@@ -175,7 +178,7 @@
 // dialHolder opens a link to a target through the holder at the address. A
 // holder that does not answer is marked as unreachable.
 func (d *Dialer) dialHolder(ctx context.Context, address string, t pool.Target, byCustomer bool) (pool.Link, query.Position, error) {
-	if d.isAvoided(address, byCustomer) {
+	if d.isAvoided(address, t.ID, byCustomer) {
 		return nil, query.Position{}, errAvoided
 	}
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
@@ -193,6 +196,7 @@
 	}
 	d.recordAnswer(l)
 	if r.Failure != nil {
+		d.recordRefusal(address, t.ID)
 		l.Close()
 		return nil, query.Position{}, fmt.Errorf("holder refused the link: %w", r.Failure)
 	}
@@ -230,12 +234,12 @@
 }
 
 // isAvoided reports whether a holder is skipped: for holderBackoff after it was not
-// reached or, where holders are ordered by customer, until a probe has reached it.
-func (d *Dialer) isAvoided(address string, byCustomer bool) bool {
+// reached or, where holders are ordered by customer, while it is unavailable.
+func (d *Dialer) isAvoided(address, target string, byCustomer bool) bool {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	if byCustomer {
-		return d.isDown(address, d.Now())
+		return d.unavailable(address, target, d.Now())
 	}
 	return d.Now() < d.holderState(address).avoidUntil
 }
