--- a/quota/account.go
+++ b/quota/account.go
@@ -134,7 +134,8 @@
 	minPause = 50 * time.Millisecond
 	maxPause = 250 * time.Millisecond
 	// gatherPause is the pause after a response that grants the waiting operations a
-	// token but not those expected. Those that come meanwhile share a request.
+	// token but not those expected. Those that come meanwhile share a request. It is also
+	// the longest time for which operations wait when a token is missing for once.
 	gatherPause = 100 * time.Millisecond
 )
 
@@ -149,6 +150,9 @@
 func (a *account) answered(now, sentAt time.Duration, asked Ask, r Allowance) {
 	a.put(now, r.Granted, sentAt+a.limit.tokenTime())
 	switch {
+	case r.Granted < asked.Waiting && a.shortfalls == 0 && r.Retry <= gatherPause:
+		a.askAfter = now + r.Retry
+		a.shortfalls++
 	case r.Granted < asked.Waiting:
 		a.refusedUntil = now + max(r.Retry, a.pause())
 		a.shortfalls++
--- a/quota/call.go
+++ b/quota/call.go
@@ -48,19 +48,21 @@
 			return Call{}, false
 		}
 		if delegates {
-			c.delegate(now, &call)
+			c.delegate(&call)
 		}
 	}
 	c.renewedAt = max(now, 1)
 	return call, true
 }
 
-// delegate makes a call delegate the share.
-func (c *Client) delegate(now time.Duration, call *Call) {
-	call.Echo = c.stamps[call.Limiter].value
+// delegate makes a call delegate the share. The limiter gave the stamp that it echoes
+// before the VM received it.
+func (c *Client) delegate(call *Call) {
+	s := c.stamps[call.Limiter]
+	call.Echo = s.value
 	c.delegatedTo = call.Limiter
-	c.delegatedUntil = now + DelegationTime
-	c.heldUntil = max(c.heldUntil, now+HoldTime)
+	c.delegatedUntil = s.receivedAt + DelegationTime
+	c.heldUntil = max(c.heldUntil, s.receivedAt+HoldTime)
 	c.ownSince = 0
 }
 
@@ -88,9 +90,10 @@
 // for yet.
 const minRetryTime = 10 * time.Millisecond
 
-// choose returns the first limiter that has not failed lately; empty if there is none.
+// choose returns the first limiter that has neither failed lately nor takes no
+// delegations any more; empty if there is none.
 func (c *Client) choose(now time.Duration, limiters []string) string {
-	i := slices.IndexFunc(limiters, func(l string) bool { return !c.failed(now, l) })
+	i := slices.IndexFunc(limiters, func(l string) bool { return !c.failed(now, l) && !c.retired(now, l) })
 	if i < 0 {
 		return ""
 	}
@@ -100,7 +103,7 @@
 // fresh reports whether a limiter's stamp is recent enough for a delegation.
 func (c *Client) fresh(now time.Duration, limiter string) bool {
 	s, ok := c.stamps[limiter]
-	return ok && now-s.at < DelegationTime
+	return ok && now-s.sentAt < DelegationTime
 }
 
 // useOwnShare begins to use the own share, once it is delegated to nobody.
@@ -127,12 +130,12 @@
 // the order of their arrival.
 func (c *Client) Answered(now time.Duration, call Call, r Response) {
 	delete(c.failedAt, call.Limiter)
-	if !c.fresh(now, call.Limiter) && c.renewedAt == call.SentAt {
-		// The call delegated nothing.
-		c.renewedAt = 0
+	if r.Stamp == 0 {
+		c.retire(now, call.Limiter)
+	} else {
+		c.stamped(now, call, r.Stamp)
 	}
-	c.stamps[call.Limiter] = stamp{value: r.Stamp, at: call.SentAt}
-	if now >= call.SentAt+AnswerTimeout {
+	if now >= call.SentAt+call.Timeout {
 		return
 	}
 	for i, ask := range call.Asks {
@@ -142,6 +145,25 @@
 	}
 }
 
+// retire records that a limiter takes no delegations any more.
+func (c *Client) retire(now time.Duration, limiter string) {
+	if !c.retired(now, limiter) {
+		// The next limiter's stamp is needed by the time at which the delegation expires.
+		c.renewedAt = 0
+	}
+	c.retiredAt[limiter] = now
+	delete(c.stamps, limiter)
+}
+
+// stamped records a limiter's stamp.
+func (c *Client) stamped(now time.Duration, call Call, value uint64) {
+	if !c.fresh(now, call.Limiter) && c.renewedAt == call.SentAt {
+		// The call delegated nothing.
+		c.renewedAt = 0
+	}
+	c.stamps[call.Limiter] = stamp{value: value, sentAt: call.SentAt, receivedAt: now}
+}
+
 // Failed records that a limiter did not respond to a call.
 func (c *Client) Failed(now time.Duration, call Call) {
 	c.failedAt[call.Limiter] = now
--- a/quota/client.go
+++ b/quota/client.go
@@ -32,7 +32,10 @@
 	stamps map[string]stamp
 	// failedAt holds when a limiter last failed to respond.
 	failedAt map[string]time.Duration
-	// renewedAt is when the last call was sent.
+	// retiredAt holds when a limiter last said that it takes no delegations any more.
+	retiredAt map[string]time.Duration
+	// renewedAt is when the last call was sent that was not only for tokens of an earlier
+	// limiter.
 	renewedAt time.Duration
 	// unreachable reports that no limiter can be asked; ownSince is since when the own
 	// share is used, zero if it is not.
@@ -45,16 +48,21 @@
 	accounts               map[string]*account
 }
 
-// stamp is a limiter's stamp and when it was received.
+// retirementTime is how long a limiter that takes no delegations any more is not asked for
+// a stamp. It is about to stop, and no longer counts as running by then.
+const retirementTime = 10 * time.Second
+
+// stamp is a limiter's stamp, which it gave between the sending of a request and the
+// receipt of the response.
 type stamp struct {
-	value uint64
-	at    time.Duration
+	value              uint64
+	sentAt, receivedAt time.Duration
 }
 
 // NewClient returns the client of a VM. Until heldUntil the VM's share may still be
 // delegated, as after a restart: HoldTime from the start of the process.
 func NewClient(vm string, heldUntil time.Duration) *Client {
-	return &Client{vm: vm, heldUntil: heldUntil, stamps: map[string]stamp{}, failedAt: map[string]time.Duration{}, accounts: map[string]*account{}}
+	return &Client{vm: vm, heldUntil: heldUntil, stamps: map[string]stamp{}, failedAt: map[string]time.Duration{}, retiredAt: map[string]time.Duration{}, accounts: map[string]*account{}}
 }
 
 // HeldUntil returns when the VM's share may be used or delegated elsewhere.
@@ -125,6 +133,15 @@
 	return ok && now-at < FailureBackoff
 }
 
+// retired reports whether a limiter said lately that it takes no delegations any more.
+func (c *Client) retired(now time.Duration, limiter string) bool {
+	at, ok := c.retiredAt[limiter]
+	return ok && now-at < retirementTime
+}
+
+// Limiter returns the limiter to which the share was delegated last.
+func (c *Client) Limiter() string { return c.delegatedTo }
+
 // Enqueue counts an operation of a customer that waits for a token.
 func (c *Client) Enqueue(customer string) { c.accounts[customer].waiting++ }
 
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -11,7 +11,9 @@
 	// offset distinguishes the stamps of this start of the limiter from earlier ones.
 	offset uint64
 	// opensAt is when delegations begin to count.
-	opensAt     time.Duration
+	opensAt time.Duration
+	// retired reports that no further delegations are taken.
+	retired     bool
 	delegations *delegations
 	customers   map[string]*pooled
 }
@@ -36,16 +38,23 @@
 // Allot counts the sender's delegation and grants tokens.
 func (p *Pool) Allot(now time.Duration, q Request, limits Limits) Response {
 	p.delegations.expire(now)
-	if at, ok := p.stampedAt(now, q.Echo); ok && q.VMs > 0 && now >= p.opensAt {
+	if at, ok := p.stampedAt(now, q.Echo); ok && q.VMs > 0 && now >= p.opensAt && !p.retired {
 		p.delegations.delegate(now, q.VM, 1/float64(q.VMs), at+DelegationTime)
 	}
 	r := Response{Stamp: p.offset + uint64(now), Allowances: make([]Allowance, 0, len(q.Asks))}
+	if p.retired {
+		r.Stamp = 0
+	}
 	for _, a := range q.Asks {
 		r.Allowances = append(r.Allowances, p.allow(now, q.VM, a, limits))
 	}
 	return r
 }
 
+// Retire makes the pool take no further delegations, so that the VMs change to another
+// limiter.
+func (p *Pool) Retire() { p.retired = true }
+
 // Share returns the part of all shares that is delegated to this pool.
 func (p *Pool) Share(now time.Duration) float64 {
 	p.delegations.expire(now)
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -47,8 +47,8 @@
 	singleTokenTime = 150 * time.Millisecond
 	// clockMargin covers the drift of two VMs' clocks over a delegation.
 	clockMargin = 20 * time.Millisecond
-	// HoldTime is how long a VM leaves its share alone from the sending of a request that
-	// delegates it. The tokens that the limiter granted last are then expired as well.
+	// HoldTime is how long a VM leaves its share alone from the receipt of the stamp that
+	// it echoed. The tokens that the limiter granted last are then expired as well.
 	HoldTime = DelegationTime + maxTokenTime + clockMargin
 	// AnswerTimeout is how long a VM waits for a limiter's response.
 	AnswerTimeout = 300 * time.Millisecond
@@ -144,7 +144,8 @@
 
 // Response is a limiter's message to a VM.
 type Response struct {
-	// Stamp is the limiter's time, to be echoed.
+	// Stamp is the limiter's time, to be echoed; zero if it is about to stop and takes no
+	// delegations any more. It still grants tokens from those that it has.
 	Stamp uint64
 	// Allowances are in the order of the request's asks.
 	Allowances []Allowance
