--- a/edge/directory.go
+++ b/edge/directory.go
@@ -546,6 +546,20 @@
 	return p != nil && p.absentSince == 0
 }
 
+// leavers returns the VMs that still count as running, but have written that they serve
+// nobody any more.
+func (d *Directory) leavers() map[string]bool {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	list := map[string]bool{}
+	for name, p := range d.peers {
+		if p.entry.Left {
+			list[name] = true
+		}
+	}
+	return list
+}
+
 // PeerCount returns how many VMs may be running.
 func (d *Directory) PeerCount() int {
 	d.lock.Lock()
--- a/edge/vm.go
+++ b/edge/vm.go
@@ -87,6 +87,7 @@
 	directory *Directory
 	mover     *succession.Mover
 	fleet     *fleet
+	admission *rateLimiter
 	control   *controlClient
 	dialer    *relay.Dialer
 	relays    *relay.Server
@@ -170,6 +171,7 @@
 		"claim connections":          (&claimer{fleet: v.fleet}).run,
 		"supervise groups":           (&supervisor{VM: v}).run,
 		"read the settings when new": (&reloader{VM: v}).run,
+		"divide customers' limits":   v.admission.run,
 	} {
 		go runDuty(ctx, v.Log, name, run)
 	}
@@ -199,6 +201,7 @@
 		Log:     v.Log,
 	}
 	v.fleet = newFleet(v)
+	v.admission = newLimits(v.fleet)
 	v.control = &controlClient{VM: v}
 	v.mover = &succession.Mover{
 		VM:          v.Settings.VM(),
@@ -220,6 +223,7 @@
 		Leaders:       v.grants,
 		Group:         v.existingPool,
 		NewCallerConn: v.Adapter.NewCallerConn,
+		Limits:        v.admission,
 		Now:           v.Now,
 		Metrics:       front.NewMetrics(v.registry, v.Log),
 		Log:           v.Log,
@@ -233,7 +237,7 @@
 
 		TransactionIdleTimeout: v.front.TransactionIdleTimeout,
 	}
-	v.registry.MustRegister(newCollector(v))
+	v.registry.MustRegister(newCollector(v), v.admission.metrics)
 }
 
 // moveEndedCapacity is how many ended attempts to move a leadership can be queued
--- a/peer/peerpb/peerpbconnect/fleet.connect.go
+++ b/peer/peerpb/peerpbconnect/fleet.connect.go
@@ -47,6 +47,8 @@
 	FleetOrderProcedure = "/amaranthsill.peer.Fleet/Order"
 	// FleetDivideProcedure is the fully-qualified name of the Fleet's Divide RPC.
 	FleetDivideProcedure = "/amaranthsill.peer.Fleet/Divide"
+	// FleetAllotProcedure is the fully-qualified name of the Fleet's Allot RPC.
+	FleetAllotProcedure = "/amaranthsill.peer.Fleet/Allot"
 )
 
 // FleetClient is a client for the amaranthsill.peer.Fleet service.
@@ -60,7 +62,7 @@
 	// Yield passes on a leader record. Once the VM has answered, it acts on no
 	// older record.
 	Yield(context.Context, *connect.Request[peerpb.YieldRequest]) (*connect.Response[peerpb.YieldResponse], error)
-	// Witness reports whether the VM reaches a target.
+	// Witness reports whether the VM reaches a target or another VM.
 	Witness(context.Context, *connect.Request[peerpb.WitnessRequest]) (*connect.Response[peerpb.WitnessResponse], error)
 	// Order runs a control order on a target that the calling VM does not reach.
 	// The VM uses a connection of its own and does not relay the order again.
@@ -69,6 +71,9 @@
 	// budget for each. It is called on the VM that divides the connections to
 	// the group's targets.
 	Divide(context.Context, *connect.Request[peerpb.DivideRequest]) (*connect.Response[peerpb.DivideResponse], error)
+	// Allot delegates the calling VM's share of the customers' limits and grants it
+	// tokens. It is called on the limiter of a hash bucket of customers.
+	Allot(context.Context, *connect.Request[peerpb.AllotRequest]) (*connect.Response[peerpb.AllotResponse], error)
 }
 
 // NewFleetClient constructs a client for the amaranthsill.peer.Fleet service. By default, it uses
@@ -118,6 +123,12 @@
 			connect.WithSchema(fleetMethods.ByName("Divide")),
 			connect.WithClientOptions(opts...),
 		),
+		allot: connect.NewClient[peerpb.AllotRequest, peerpb.AllotResponse](
+			httpClient,
+			baseURL+FleetAllotProcedure,
+			connect.WithSchema(fleetMethods.ByName("Allot")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -129,6 +140,7 @@
 	witness *connect.Client[peerpb.WitnessRequest, peerpb.WitnessResponse]
 	order   *connect.Client[peerpb.OrderRequest, peerpb.OrderResponse]
 	divide  *connect.Client[peerpb.DivideRequest, peerpb.DivideResponse]
+	allot   *connect.Client[peerpb.AllotRequest, peerpb.AllotResponse]
 }
 
 // Recall calls amaranthsill.peer.Fleet.Recall.
@@ -161,6 +173,11 @@
 	return c.divide.CallUnary(ctx, req)
 }
 
+// Allot calls amaranthsill.peer.Fleet.Allot.
+func (c *fleetClient) Allot(ctx context.Context, req *connect.Request[peerpb.AllotRequest]) (*connect.Response[peerpb.AllotResponse], error) {
+	return c.allot.CallUnary(ctx, req)
+}
+
 // FleetHandler is an implementation of the amaranthsill.peer.Fleet service.
 type FleetHandler interface {
 	// Recall returns what the VM knows of the platform's store. Other VMs call it
@@ -172,7 +189,7 @@
 	// Yield passes on a leader record. Once the VM has answered, it acts on no
 	// older record.
 	Yield(context.Context, *connect.Request[peerpb.YieldRequest]) (*connect.Response[peerpb.YieldResponse], error)
-	// Witness reports whether the VM reaches a target.
+	// Witness reports whether the VM reaches a target or another VM.
 	Witness(context.Context, *connect.Request[peerpb.WitnessRequest]) (*connect.Response[peerpb.WitnessResponse], error)
 	// Order runs a control order on a target that the calling VM does not reach.
 	// The VM uses a connection of its own and does not relay the order again.
@@ -181,6 +198,9 @@
 	// budget for each. It is called on the VM that divides the connections to
 	// the group's targets.
 	Divide(context.Context, *connect.Request[peerpb.DivideRequest]) (*connect.Response[peerpb.DivideResponse], error)
+	// Allot delegates the calling VM's share of the customers' limits and grants it
+	// tokens. It is called on the limiter of a hash bucket of customers.
+	Allot(context.Context, *connect.Request[peerpb.AllotRequest]) (*connect.Response[peerpb.AllotResponse], error)
 }
 
 // NewFleetHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -226,6 +246,12 @@
 		connect.WithSchema(fleetMethods.ByName("Divide")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetAllotHandler := connect.NewUnaryHandler(
+		FleetAllotProcedure,
+		svc.Allot,
+		connect.WithSchema(fleetMethods.ByName("Allot")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/amaranthsill.peer.Fleet/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case FleetRecallProcedure:
@@ -240,6 +266,8 @@
 			fleetOrderHandler.ServeHTTP(w, r)
 		case FleetDivideProcedure:
 			fleetDivideHandler.ServeHTTP(w, r)
+		case FleetAllotProcedure:
+			fleetAllotHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -272,3 +300,7 @@
 func (UnimplementedFleetHandler) Divide(context.Context, *connect.Request[peerpb.DivideRequest]) (*connect.Response[peerpb.DivideResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("amaranthsill.peer.Fleet.Divide is not implemented"))
 }
+
+func (UnimplementedFleetHandler) Allot(context.Context, *connect.Request[peerpb.AllotRequest]) (*connect.Response[peerpb.AllotResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("amaranthsill.peer.Fleet.Allot is not implemented"))
+}
