--- a/front/readindex.go
+++ b/front/readindex.go
@@ -97,7 +97,7 @@
 // records it in the group's pool once the target is confirmed as the leader.
 func (n *readIndex) queryLeader(ctx context.Context, from time.Duration) error {
 	until := n.server.Now() + readIndexTimeout
-	slot, err := n.group.Acquire(ctx, pool.Need{Leader: true, Until: until})
+	slot, err := n.group.Acquire(ctx, pool.Need{Leader: true, Locate: true, Until: until})
 	if err != nil {
 		return fmt.Errorf("ask for leader's position: %w", err)
 	}
--- a/relay/serverlink.go
+++ b/relay/serverlink.go
@@ -176,9 +176,7 @@
 		return query.Reply{}, nil
 	}
 	if q.Kind == kindLocate {
-		if answer, ok := r.locate(ctx, q.MaxAge); ok {
-			return answer, nil
-		}
+		return r.handleLocate(ctx, q, until)
 	}
 	if q.Kind < kindBegin || q.Kind > kindLocate {
 		return query.Reply{}, fmt.Errorf("relay order of kind %d: %w", q.Kind, ErrOrder)
@@ -216,6 +214,25 @@
 	}
 }
 
+// handleLocate answers with a position that the holder knows, or asks the target, on
+// any customer's connection.
+func (r *serverLink) handleLocate(ctx context.Context, q *request, until time.Duration) (query.Reply, error) {
+	if answer, ok := r.locate(ctx, q.MaxAge); ok {
+		return answer, nil
+	}
+	slot, err := r.acquire(ctx, pool.Need{Priority: relayPriority, Locate: true}, until)
+	if err != nil {
+		return busyReply(err.Error(), query.StateIdle), nil
+	}
+	a, err := slot.Run(q.order(), until)
+	slot.Release()
+	if err != nil {
+		return query.Reply{}, fmt.Errorf("relay order: %w", err)
+	}
+	r.recordPosition(slot, a)
+	return a.Reply, nil
+}
+
 // locate returns a position of the group's leader that may be maxAge old, from what
 // this holder knows. VMs that have few statements of their own rarely know one; here
 // those of the whole zone come together. If none is late enough, the leader is asked
