--- a/front/access_test.go
+++ b/front/access_test.go
@@ -428,6 +428,22 @@
 	}
 }
 
+// TestRevokedKeyDuringStart guards against a session that looked its key up in the older
+// version, and that ConfigurationChanged did not know yet.
+func TestRevokedKeyDuringStart(t *testing.T) {
+	run(t, configuration(1, both), func(b *bench) {
+		// The start asks for this after it has read the configuration.
+		b.Current = func() bool {
+			if b.Catalog.Update(configuration(2, withoutFirst)) {
+				b.ConfigurationChanged()
+			}
+			return true
+		}
+		c := b.session("STARTUP kept " + firstKey)
+		c.wantClosed(20 * time.Millisecond)
+	})
+}
+
 // TestQueryOnItsWayWhenTheKeyIsRevoked guards against a query that is neither served nor
 // answered, so that its caller cannot tell whether it was executed.
 func TestQueryOnItsWayWhenTheKeyIsRevoked(t *testing.T) {
@@ -553,6 +569,21 @@
 			}
 		})
 	})
+	t.Run("whose timer is late", func(t *testing.T) {
+		run(t, configuration(1, both), func(b *bench) {
+			suspended := time.Duration(0)
+			now := b.Now
+			b.Now = func() time.Duration { return now() + suspended }
+			c := begin(b)
+			time.Sleep(1500 * time.Millisecond)
+			suspended = 900 * time.Millisecond
+			c.want("READ bar", "ABORTED E")
+			// The timer must not cut the time in which the caller is answered.
+			time.Sleep(550 * time.Millisecond)
+			c.want("COMMIT", "ABORTED I")
+			c.wantClosed(20 * time.Millisecond)
+		})
+	})
 	t.Run("on a VM that was suspended meanwhile", func(t *testing.T) {
 		run(t, configuration(1, both), func(b *bench) {
 			suspended := time.Duration(0)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -44,5 +44,15 @@
 mutant fence-of-one group/promotion.go 'len\(p.fenced\) >= m.quorum\(\) && p.majorityAt' 'len(p.fenced) >= 1 \&\& p.majorityAt' $world
 mutant version-goes-down roster/exchange.go 'if e.Version < d.version \{\n\t\treturn\n\t\}\n\tnewer := e.Version > d.version' 'newer := e.Version != d.version' ./roster
 mutant no-push roster/exchange.go 'if newer \{\n\t\tm.announce\(""\)\n\t\}' '' ./roster
+mutant any-key front/access.go '!known \{' '!known \&\& false {' ./front
+mutant outdated-start front/access.go 'if keyed && !srv.isCurrent\(\)' 'if false' ./front
+mutant outdated-operation front/access.go 'if needsKey\(c, r\) && !s.server.isCurrent\(\)' 'if false' ./front
+mutant no-second-lookup front/access.go 'if !s.checkKey\(c\) \{' 'if false {' ./front
+mutant revoked-while-starting front/session.go 's.checkKey\(s.server.Catalog.Current\(\)\)' '' ./front
+mutant revoked-transaction-goes-on front/access.go 'case s.isExpired\(\):' 'case false:' ./front
+mutant older-configuration catalog/catalog.go 'next.Version <= current.Version' 'next.Version == current.Version' ./front
+mutant need-without-customer front/attempt.go 'Customer:      a.session.customer,' '' ./front
+mutant admitted-at-each-try front/attempt.go 'slot, need, err := a.acquireAligned\(ctx\)' 'a.session.admitOperation(ctx, a.route)\n\t\tslot, need, err := a.acquireAligned(ctx)' ./front
+mutant part-of-a-digest customer/customer.go 'k.digest\[:\], d\[:\]' 'k.digest[:4], d[:4]' ./customer
 echo "mutants: $caught passed, $missed failed"
 [ "$missed" -eq 0 ]
