--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -49,6 +49,11 @@
 	// StateHash is the hash of the session's values; a connection with the same
 	// hash already holds them.
 	StateHash uint64
+	// Route names the statement's route, for the average size of its statements.
+	Route string
+	// Remote reports that the statement comes from a VM of another zone. It is served
+	// after the others of its priority if Group.Traffic is set.
+	Remote bool
 }
 
 // waiter is a statement that waits in Acquire for a connection.
@@ -67,6 +72,7 @@
 	g.lock.Lock()
 	now := g.Now()
 	if g.queueTooLong(n, now) {
+		g.countRefused(&n)
 		g.lock.Unlock()
 		return nil, fmt.Errorf("group %s: %w", g.Name, ErrOverloaded)
 	}
@@ -169,7 +175,7 @@
 // enqueue inserts a waiter by priority, behind those of the same priority.
 func (g *Group) enqueue(w *waiter) {
 	i := len(g.waiting)
-	for i > 0 && g.waiting[i-1].need.Priority > w.need.Priority {
+	for i > 0 && g.servedBefore(&w.need, &g.waiting[i-1].need) {
 		i--
 	}
 	g.waiting = slices.Insert(g.waiting, i, w)
@@ -189,6 +195,7 @@
 	for _, s := range g.servers {
 		s.unserved = 0
 	}
+	g.beginCrossing(now)
 	remaining := g.waiting[:0]
 	for _, w := range g.waiting {
 		if !g.assign(w, now) {
@@ -215,7 +222,9 @@
 			s.lagProbedAt = now
 		}
 		g.throughput.countServed()
-		w.slot <- g.newSlot(s, c, now)
+		slot := g.newSlot(s, c, now)
+		g.countCrossing(&w.need, slot)
+		w.slot <- slot
 		return true
 	}
 	s.unserved++
@@ -266,6 +275,14 @@
 		}
 		return s
 	}
+	if g.Traffic != nil {
+		return g.chooseByCost(n, now)
+	}
+	return g.cheapest(n, now)
+}
+
+// cheapest returns the target with the lowest readCost; nil if none is suitable.
+func (g *Group) cheapest(n *Need, now time.Duration) *server {
 	var best *server
 	var lowest time.Duration
 	for _, s := range g.servers {
--- a/pool/group.go
+++ b/pool/group.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/go-logr/logr"
+
+	"amaranthsill/zones"
 )
 
 // Group shares the connections to the targets of one database group. Set the
@@ -16,6 +18,9 @@
 	// Zone is the availability zone of this VM.
 	Zone   string
 	Dialer Dialer
+	// Traffic prices the traffic between zones, and enables routing by it. If it is
+	// nil, targets are chosen by latency alone.
+	Traffic *zones.Traffic
 	// Now is a monotonic clock that includes the time for which the VM was
 	// suspended.
 	Now func() time.Duration
@@ -36,6 +41,7 @@
 	samples        Samples
 	throughput     throughput
 	pathLatencies  pathLatencies
+	crossing       crossing
 }
 
 // Configure sets the registered targets, and the number of connections to each
@@ -64,6 +70,7 @@
 		s.abandonLostAnswers(g.Now())
 	}
 	g.dispatch()
+	g.probeDistances()
 }
 
 func (g *Group) register(t Target) {
--- a/pool/observe.go
+++ b/pool/observe.go
@@ -173,6 +173,7 @@
 	v.countLaterAnswer(sent)
 	v.lastAnswer = now
 	v.markReachable()
+	g.observeCrossing(s, o, r, sent, now)
 	switch {
 	case r.Failure != nil && r.Failure.Code == query.CodeBusy:
 		v.recordFull(now)
--- a/pool/server.go
+++ b/pool/server.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"amaranthsill/query"
+	"amaranthsill/zones"
 )
 
 // The parameters of the latency and reachability estimates for a target.
@@ -86,6 +87,7 @@
 	// lagProbedAt is when a read was last sent to this replica although it
 	// probably lagged too far.
 	lagProbedAt time.Duration
+	distance    zones.Distance
 }
 
 func newServer(t Target, now time.Duration) *server {
@@ -153,6 +155,11 @@
 	if s.Zone != zone {
 		typical += crossZoneRoundTrip
 	}
+	return s.decayedLatency(now, typical)
+}
+
+// decayedLatency is expectedLatency with the given latency of a typical target.
+func (s *server) decayedLatency(now, typical time.Duration) time.Duration {
 	if s.latency == 0 {
 		return typical
 	}
--- a/pool/slot.go
+++ b/pool/slot.go
@@ -8,6 +8,7 @@
 
 	"amaranthsill/query"
 	"amaranthsill/session"
+	"amaranthsill/zones"
 )
 
 // connection is a link to a target with the session state that it holds.
@@ -37,6 +38,10 @@
 	// leader reports whether the target led the group when the slot was
 	// acquired.
 	leader bool
+	// route names the statement's route, and reason says why its target was chosen;
+	// both are set only if Group.Traffic is.
+	route  string
+	reason zones.Reason
 }
 
 // Target returns the ID of the slot's target.
