--- a/pool/crossing.go
+++ b/pool/crossing.go
@@ -73,12 +73,15 @@
 	zones.Estimate
 	// ready reports that the target may be sent another statement now.
 	ready bool
+	// rank is the cost by which targets inside, or outside, are compared with one
+	// another. It spares the leader, which alone takes writes.
+	rank time.Duration
 }
 
 // improve replaces the candidate by a better one. One that is ready is better than
 // one that is not.
 func (c *candidate) improve(o candidate) {
-	if c.server == nil || o.ready && !c.ready || o.ready == c.ready && o.Cost() < c.Cost() {
+	if c.server == nil || o.ready && !c.ready || o.ready == c.ready && o.rank < c.rank {
 		*c = o
 	}
 }
@@ -87,6 +90,7 @@
 // nil if it has to wait. The caller holds the lock.
 func (g *Group) chooseByCost(n *Need, now time.Duration) *server {
 	inZone, outside, unfit := g.candidates(n, now)
+	g.reopen(outside.server == nil && !inZone.ready, now)
 	if inZone.server == nil && outside.server == nil {
 		g.crossing.decision = zones.Decision{Reason: unfit}
 		return g.cheapest(n, now)
@@ -128,7 +132,6 @@
 	for _, s := range g.servers {
 		home := s.Zone == g.Zone
 		if s.removed || s.Draining || !s.answers(now) {
-			g.reopen(s, now)
 			continue
 		}
 		if slices.Contains(n.Tried, s.ID) || s.ID != g.leader && s.excludedByLag(n.Floor, n.FloorAge, now) {
@@ -137,7 +140,7 @@
 			}
 			continue
 		}
-		c := candidate{server: s, Estimate: g.estimate(s, n, now), ready: s.usable(now) && s.window.hasRoom()}
+		c := g.candidate(s, n, now)
 		switch {
 		case home:
 			inZone.improve(c)
@@ -148,24 +151,34 @@
 	return inZone, outside, unfit
 }
 
-// reopen dials a target of the zone that is unreachable once its backoff is over, so
-// that its return is noticed although statements are sent elsewhere.
-func (g *Group) reopen(s *server, now time.Duration) {
-	if s.Zone == g.Zone && s.unreachable() && s.usable(now) && s.dialing == 0 && s.open < g.budgetOf(s, now) {
-		g.dial(s)
+func (g *Group) candidate(s *server, n *Need, now time.Duration) candidate {
+	c := candidate{server: s, Estimate: g.estimate(s, n, now), ready: s.usable(now) && s.window.hasRoom()}
+	c.rank = c.Cost()
+	if s.ID == g.leader {
+		c.rank = time.Duration(leaderPenalty * float64(c.rank))
+	}
+	return c
+}
+
+// reopen dials unreachable targets whose backoff is over, so that their return is
+// noticed although no statement is sent to them: those of the zone, and the others if
+// they are needed.
+func (g *Group) reopen(needed bool, now time.Duration) {
+	for _, s := range g.servers {
+		if s.unreachable() && (needed || s.Zone == g.Zone) && s.usable(now) && s.dialing == 0 && s.open < g.budgetOf(s, now) {
+			g.dial(s)
+		}
 	}
 }
 
 // estimate returns the expected completion of a statement on a target.
 func (g *Group) estimate(s *server, n *Need, now time.Duration) zones.Estimate {
 	execution := float64(g.executionTime(s, now))
-	load := 1 + float64(s.window.active)/float64(max(s.Slots, 1))
+	// Statements that find a free slot do not slow one another; the rest wait in turn.
+	load := max(float64(s.window.active+1)/float64(max(s.Slots, 1)), 1)
 	e := zones.Estimate{Rest: g.distance(s, now) + time.Duration(execution*load)}
 	e.Wait = g.estimateWait(s, e.Rest, now)
-	switch {
-	case s.ID == g.leader:
-		e.Rest = time.Duration(leaderPenalty * float64(e.Rest))
-	case !s.probablyShows(n.Floor, n.FloorAge, now):
+	if s.ID != g.leader && !s.probablyShows(n.Floor, n.FloorAge, now) {
 		e.Rest += s.estimatedLag(now)
 	}
 	e.Price = g.Traffic.Price(g.Zone, s.Zone, g.crossing.size(n.Route))
@@ -255,6 +268,11 @@
 		g.crossing.router.ServedOutside()
 	}
 	if isStatement(o) && r.Failure == nil {
+		if v.latency != 0 {
+			// The average goes on from its decayed value. Otherwise the few samples of a
+			// target that is avoided would keep it slow long after it is well again.
+			v.latency = v.decayedLatency(now, initialLatency+g.distance(v, now))
+		}
 		v.distance.AddStatement(now, now-sent, v.Zone == g.Zone, &g.crossing.executions)
 	}
 }
