--- a/edge/reload.go
+++ b/edge/reload.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"os"
 	"runtime/debug"
 	"time"
@@ -98,10 +99,14 @@
 		{"first", s.first, n.first},
 		{"cores", s.cores, n.cores},
 		{"share", s.share, n.share},
+		{"traffic", s.traffic, n.traffic},
 	} {
 		if f.old != f.new {
 			needRestart = append(needRestart, f.name)
 		}
 	}
+	if !maps.Equal(s.regions, n.regions) {
+		needRestart = append(needRestart, "regions")
+	}
 	return next, needRestart
 }
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -36,6 +36,9 @@
 	share    float64
 	grace    time.Duration
 	first    bool
+	traffic  trafficSettings
+	// regions maps zones to regions; nil if the settings do not tell.
+	regions map[string]string
 }
 
 // VM returns the VM's name.
@@ -118,6 +121,8 @@
 		"cores":   func(f strict.Field) error { return f.Number(&s.cores, 0, maxCores) },
 		"share":   func(f strict.Field) error { return f.Number(&s.share, 0, 1) },
 		"grace":   func(f strict.Field) error { return f.Duration(&s.grace, minGrace, maxGrace) },
+		"traffic": s.traffic.read,
+		"regions": s.readRegions,
 		"seeds": func(f strict.Field) error {
 			return f.List(func(f strict.Field) error {
 				a := netip.AddrPort{}
--- a/edge/settings_test.go
+++ b/edge/settings_test.go
@@ -63,7 +63,29 @@
 		gomega.Expect(fixed).To(gomega.Equal([]string{"first", "cores", "share"}))
 	})
 
+	ginkgo.It("price traffic between zones only if they have traffic, and tell which zones form a region", func() {
+		s, err := edge.ParseSettings("vm.json", []byte(settings))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(s.Traffic()).To(gomega.BeNil())
+		priced, err := edge.ParseSettings("vm.json", []byte(strings.Replace(settings, `"first": true,`,
+			`"first": true, "traffic": {"zones": 1.5, "regions": 20}, "regions": {"xela-a": "xela", "xela-b": "xela"},`, 1)))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		t := priced.Traffic()
+		gomega.Expect(t.Zones).To(gomega.Equal(1500 * time.Microsecond))
+		gomega.Expect(t.Regions).To(gomega.Equal(20 * time.Millisecond))
+		gomega.Expect(t.RegionOf).To(gomega.Equal(map[string]string{"xela-a": "xela", "xela-b": "xela"}))
+		_, fixed := s.Reload(priced)
+		gomega.Expect(fixed).To(gomega.Equal([]string{"traffic", "regions"}))
+		free, err := edge.ParseSettings("vm.json", []byte(strings.Replace(settings, `"first": true,`, `"first": true, "traffic": {},`, 1)))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(free.Traffic()).To(gomega.HaveField("Zones", time.Duration(0)))
+	})
+
 	faults := map[string]struct{ old, replacement, message string }{
+		"a price below zero":          {`"first": true,`, `"first": true, "traffic": {"zones": -1},`, "write a number from 0 to"},
+		"a price of nothing known":    {`"first": true,`, `"first": true, "traffic": {"towns": 1},`, "write one of regions, zones"},
+		"a region that is no name":    {`"first": true,`, `"first": true, "regions": {"xela-a": 7},`, "write a text in quotes"},
+		"a zone with two regions":     {`"first": true,`, `"first": true, "regions": {"a": "x", "a": "y"},`, "field stands twice"},
 		"a share above one":           {`"first": true,`, `"first": true, "share": 1.5,`, "write a number from 0 to 1"},
 		"a field that is missing":     {`"vm": "front-xela-a-1",`, ``, "write the VM's name under vm"},
 		"an address that is missing":  {`"store": "10.200.1.7:8783",`, ``, "under store"},
--- a/edge/vm.go
+++ b/edge/vm.go
@@ -418,7 +418,7 @@
 	defer v.lock.Unlock()
 	g := v.groups[name]
 	if g == nil {
-		g = &pool.Group{Name: name, Zone: v.Settings.Zone(), Dialer: v.dialer, Now: v.Now, Log: v.Log}
+		g = &pool.Group{Name: name, Zone: v.Settings.Zone(), Dialer: v.dialer, Now: v.Now, Log: v.Log, Traffic: v.Settings.Traffic()}
 		v.groups[name] = g
 	}
 	return g
--- a/front/attempt.go
+++ b/front/attempt.go
@@ -114,6 +114,7 @@
 		QueueDeadline: a.queueDeadline,
 		Tried:         a.tried,
 		StateHash:     a.session.state.Hash(),
+		Route:         a.route.Name,
 	}
 	if n.Leader {
 		return n
--- a/internal/strict/strict.go
+++ b/internal/strict/strict.go
@@ -178,6 +178,30 @@
 	return nil
 }
 
+// Names reads an object whose names and values are texts as those of Name, into a map.
+func (f Field) Names(into map[string]string) error {
+	o, ok := f.value.Value.(*hujson.Object)
+	if !ok {
+		return f.Fail("write an object in braces")
+	}
+	for i := range o.Members {
+		m := &o.Members[i]
+		name, value := "", ""
+		if err := (Field{document: f.document, path: f.path, value: &m.Name}).Name(&name); err != nil {
+			return err
+		}
+		child := Field{document: f.document, path: f.childPath(name), value: &m.Value}
+		if _, seen := into[name]; seen {
+			return child.Fail("field stands twice; keep one")
+		}
+		if err := child.Name(&value); err != nil {
+			return err
+		}
+		into[name] = value
+	}
+	return nil
+}
+
 // Address reads an IP address and a port other than zero, such as "10.0.0.5:5432". Host
 // names are errors.
 func (f Field) Address(into *netip.AddrPort) error {
