--- a/edge/vm.go
+++ b/edge/vm.go
@@ -234,6 +234,9 @@
 		TransactionIdleTimeout: v.front.TransactionIdleTimeout,
 	}
 	v.registry.MustRegister(newCollector(v))
+	if v.Settings.Traffic() != nil {
+		v.registry.MustRegister(newTrafficCollector(v))
+	}
 }
 
 // moveEndedCapacity is how many ended attempts to move a leadership can be queued
