--- a/edge/vm.go
+++ b/edge/vm.go
@@ -246,6 +246,9 @@
 		TransactionIdleTimeout: v.front.TransactionIdleTimeout,
 	}
 	v.registry.MustRegister(newCollector(v), v.admission.metrics)
+	if v.Settings.Traffic() != nil {
+		v.registry.MustRegister(newTrafficCollector(v))
+	}
 }
 
 // moveEndedCapacity is how many ended attempts to move a leadership can be queued
@@ -430,7 +433,7 @@
 	defer v.lock.Unlock()
 	g := v.groups[name]
 	if g == nil {
-		g = &pool.Group{Name: name, Zone: v.Settings.Zone(), Dialer: v.dialer, Now: v.Now, Log: v.Log}
+		g = &pool.Group{Name: name, Zone: v.Settings.Zone(), Dialer: v.dialer, Now: v.Now, Log: v.Log, Traffic: v.Settings.Traffic()}
 		v.groups[name] = g
 	}
 	return g
--- a/front/attempt.go
+++ b/front/attempt.go
@@ -114,6 +114,7 @@
 		Tried:         a.tried,
 		Customer:      a.session.customer,
 		StateHash:     a.session.state.Hash(),
+		Route:         a.route.Name,
 	}
 	if n.Leader {
 		return n
--- a/pool/slot.go
+++ b/pool/slot.go
@@ -8,6 +8,7 @@
 
 	"amaranthsill/query"
 	"amaranthsill/session"
+	"amaranthsill/zones"
 )
 
 // connection is a link to a target with the session state that it holds.
@@ -43,6 +44,10 @@
 	// locateOnly reports that the connection may belong to another customer, so that
 	// only Locate orders may be sent.
 	locateOnly bool
+	// route names the statement's route, and reason says why its target was chosen;
+	// both are set only if Group.Traffic is.
+	route  string
+	reason zones.Reason
 }
 
 // Target returns the ID of the slot's target.
