--- a/internal/site/server.go
+++ b/internal/site/server.go
@@ -43,6 +43,10 @@
 	answersToDrop      int
 	replicationPaused  bool
 	executions         map[string]int
+	// startedBy holds the names that were given when connections were opened.
+	startedBy map[string]bool
+	// ranFor maps a request's ID to the customer of the connection on which it last ran.
+	ranFor map[string]string
 }
 
 // entry is one write in a log, or one that its transaction has not committed yet.
@@ -208,7 +212,9 @@
 // connection is the state of one accepted connection.
 type connection struct {
 	*Server
-	conn              net.Conn
+	conn net.Conn
+	// customer is the name that was given when the connection was opened.
+	customer          string
 	out               *bufio.Writer
 	inTransaction     bool
 	transactionFailed bool
@@ -275,6 +281,10 @@
 		_ = c.out.Flush()
 		return false
 	}
+	c.customer = fields[2]
+	c.lock.Lock()
+	c.startedBy[c.customer] = true
+	c.lock.Unlock()
 	c.sendReady()
 	return true
 }
@@ -343,6 +353,7 @@
 	defer c.lock.Unlock()
 	if id != "-" {
 		c.executions[id]++
+		c.ranFor[id] = c.customer
 		c.logAtRun[id] = c.log
 	}
 	switch f[0] {
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -45,6 +45,7 @@
 	listener             net.Listener
 	lock                 sync.Mutex
 	configurationVersion int
+	customers            []Customer
 	fencingTokens        []uint64
 	closed               chan struct{}
 }
@@ -103,7 +104,7 @@
 		}
 		v := &Server{
 			ID: fmt.Sprintf("%s-%d", name, i), Group: g, Zone: zone, listener: l,
-			primary: i == 0, term: 1, connections: map[net.Conn]bool{}, executions: map[string]int{}, logAtRun: map[string][]entry{},
+			primary: i == 0, term: 1, connections: map[net.Conn]bool{}, startedBy: map[string]bool{}, ranFor: map[string]string{}, executions: map[string]int{}, logAtRun: map[string][]entry{},
 		}
 		if s.options.ProxyAddress != nil {
 			v.proxyAddress = s.options.ProxyAddress(v.Address())
@@ -161,6 +162,7 @@
 	s.lock.Lock()
 	s.configurationVersion += 3
 	version := s.configurationVersion
+	customers := s.customerBodies()
 	s.lock.Unlock()
 	routes := append([]Route{}, extra...)
 	services := []map[string]any{}
@@ -173,10 +175,14 @@
 			})
 		}
 	}
-	s.Store.Put("op/config", map[string]any{
+	body := map[string]any{
 		"version": version, "routes": routes, "services": services,
 		"limits": map[string]any{"tx_idle_ms": 1000},
-	})
+	}
+	if len(customers) > 0 {
+		body["tenants"] = customers
+	}
+	s.Store.Put("op/config", body)
 	return version
 }
 
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -42,6 +43,9 @@
 	serverID string
 	// sessionID is the caller's name and the number of its session.
 	sessionID string
+	// customer is the customer for which the session was opened, and customerKey the
+	// key that the caller gave; empty without customers.
+	customer, customerKey string
 }
 
 // lostAnswer is the code of a request without a complete answer.
@@ -50,11 +54,19 @@
 // errWrongAnswer reports an answer that is wrong whichever faults were injected.
 var errWrongAnswer = errors.New("wrong answer")
 
+// errSessionRefused reports a key that is not valid, or not any more.
+var errSessionRefused = errors.New("key refused")
+
 // caller writes increasing numbers to a key of its own, and reads the keys of all callers
 // of its group, over sessions with random VMs.
 type caller struct {
 	name  string
 	group string
+	// credentials returns the caller's customer and the key to give; both are empty
+	// without customers.
+	credentials func() (customer, key string)
+	// customer and customerKey are those of the open session.
+	customer, customerKey string
 	// keys are the keys of all callers of the group.
 	keys    []string
 	vms     []*VM
@@ -112,7 +124,7 @@
 	}
 	c.conn, c.reader = conn, bufio.NewReader(conn)
 	c.sessionCount++
-	if c.send("STARTUP "+c.route+" "+c.name) != nil {
+	if c.sendStartup() != nil {
 		return false
 	}
 	if _, _, _, err := c.readAnswer(); err != nil {
@@ -123,6 +135,12 @@
 	return err == nil && code == ""
 }
 
+// sendStartup sends the startup message, with the customer's key if there is one.
+func (c *caller) sendStartup() error {
+	c.customer, c.customerKey = c.credentials()
+	return c.send("STARTUP " + c.route + " " + cmp.Or(c.customerKey, c.name))
+}
+
 func (c *caller) id() string { return fmt.Sprintf("%s-%d", c.name, c.requestCount) }
 
 func (c *caller) send(text string) error {
@@ -154,6 +172,11 @@
 			proof = rest
 		case "ERROR":
 			code, _, _ = strings.Cut(rest, " ")
+			if code == "AUTHFAIL" {
+				// The VM closes the session and sends no READY.
+				c.close()
+				return code, "", "", errSessionRefused
+			}
 		case "READY":
 			return code, row, proof, nil
 		}
@@ -227,7 +250,7 @@
 	if begun.IsZero() {
 		begun = time.Now()
 	}
-	return request{id: c.id(), key: key, route: c.route, vmName: c.vm.Name, begun: begun, transaction: !c.transactionBegun.IsZero(), sessionID: fmt.Sprintf("%s/%d", c.name, c.sessionCount)}
+	return request{id: c.id(), key: key, route: c.route, vmName: c.vm.Name, begun: begun, transaction: !c.transactionBegun.IsZero(), sessionID: fmt.Sprintf("%s/%d", c.name, c.sessionCount), customer: c.customer, customerKey: c.customerKey}
 }
 
 // queryAndRecord runs a query and records its outcome. It returns an error that wraps
@@ -261,7 +284,7 @@
 // empty after a success.
 func (c *caller) probe(conn net.Conn) string {
 	c.conn, c.reader = conn, bufio.NewReader(conn)
-	if c.send("STARTUP "+c.route+" "+c.name) != nil {
+	if c.sendStartup() != nil {
 		return lostAnswer
 	}
 	// A startup for an unknown database is answered with ERROR and without
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -24,6 +24,7 @@
 		}
 		k.checkReads(requests)
 	}
+	r.checkCustomers(requests)
 	succeeded := 0
 	for _, q := range requests {
 		if q.code == "" {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -16,6 +16,9 @@
 	if r.Losses {
 		kinds = slices.Concat(faults, lossFaults)
 	}
+	if r.Customers {
+		kinds = slices.Concat(kinds, customerFaults)
+	}
 	for time.Since(start) < r.Length {
 		f := kinds[r.random.IntN(len(kinds))]
 		duration := time.Duration(r.random.Int64N(int64(maxFaultDuration)))
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -56,6 +56,9 @@
 	// Losses adds faults in which the store comes back from an older copy. Without
 	// it, a seed selects among the other kinds only.
 	Losses bool
+	// Customers gives callers customers with keys and limits, and adds faults in which
+	// keys are replaced.
+	Customers bool
 	// Logf logs the faults and the results, as testing.T.Logf does.
 	Logf func(format string, args ...any)
 
@@ -68,6 +71,7 @@
 	stopped chan struct{}
 	// extraRoutes are the routes that faults have added to configurations.
 	extraRoutes []site.Route
+	customers   customers
 
 	lock       sync.Mutex
 	requests   []request
@@ -110,6 +114,7 @@
 	if err != nil {
 		return fmt.Errorf("start simulated platform: %w", err)
 	}
+	r.setCustomers()
 	for i, zone := range vmZones {
 		v, err := newVM(fmt.Sprintf("vm-%d", i), zone, r.Program, r.Folder, r.site.Address)
 		if err != nil {
@@ -157,9 +162,10 @@
 		for i := range callersPerGroup {
 			keys = append(keys, fmt.Sprintf("%s%d", g, i))
 		}
-		for _, name := range keys {
+		for i, name := range keys {
 			c := &caller{
-				name: name, group: g, keys: keys, vms: r.vms, record: r.record, stopped: r.stopped,
+				credentials: func() (string, string) { return r.customerOf(i) },
+				name:        name, group: g, keys: keys, vms: r.vms, record: r.record, stopped: r.stopped,
 				random: rand.New(rand.NewPCG(r.Seed, uint64(len(name))<<32+r.random.Uint64())),
 			}
 			wait.Go(func() {
@@ -241,7 +247,7 @@
 
 // servesRoute reports whether a VM answers a read over a route.
 func (r *Run) servesRoute(v *VM, route string) bool {
-	c := &caller{name: "probe", vms: []*VM{v}, vm: v, route: route, record: func(request) {}}
+	c := &caller{name: "probe", credentials: func() (string, string) { return r.customerOf(0) }, vms: []*VM{v}, vm: v, route: route, record: func(request) {}}
 	conn, err := net.DialTimeout("tcp4", v.CallersAddress, time.Second)
 	if err != nil {
 		return false
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -16,6 +16,7 @@
 	firstSeed     = flag.Uint64("first", 1, "the first of these seeds")
 	faultDuration = flag.Duration("length", 8*time.Second, "for how long faults are injected with each seed")
 	losses        = flag.Bool("losses", false, "with these seeds, let the store come back from older copies too")
+	customers     = flag.Bool("customers", false, "with these seeds, give callers customers with keys and limits")
 	logFolder     = flag.String("keep", "", "folder for the logs of seeds that fail; the system's temporary one by default")
 )
 
@@ -30,6 +31,9 @@
 // ciSeeds are run by default, before the regressions.
 var ciSeeds = []uint64{1, 2, 3}
 
+// customerSeeds are run by default with customers.
+var customerSeeds = []uint64{1, 2}
+
 // lossSeeds are run by default with losses of the store.
 var lossSeeds = []uint64{1, 2}
 
@@ -60,12 +64,21 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			execute(t, &soak.Run{Seed: seed, Program: program, Folder: folder, Length: *faultDuration, Losses: *losses, Logf: t.Logf})
+			execute(t, &soak.Run{Seed: seed, Program: program, Folder: folder, Length: *faultDuration, Losses: *losses, Customers: *customers, Logf: t.Logf})
 		})
 	}
 	if *seedCount > 0 {
 		return
 	}
+	for _, seed := range customerSeeds {
+		t.Run(fmt.Sprintf("customers/%d", seed), func(t *testing.T) {
+			folder, err := os.MkdirTemp(*logFolder, fmt.Sprintf("soak-customers-%d-", seed))
+			if err != nil {
+				t.Fatal(err)
+			}
+			execute(t, &soak.Run{Seed: seed, Program: program, Folder: folder, Length: *faultDuration, Customers: true, Logf: t.Logf})
+		})
+	}
 	for _, seed := range lossSeeds {
 		t.Run(fmt.Sprintf("losses/%d", seed), func(t *testing.T) {
 			folder, err := os.MkdirTemp(*logFolder, fmt.Sprintf("soak-losses-%d-", seed))
