--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -104,7 +104,7 @@
 		}
 		v := &Server{
 			ID: fmt.Sprintf("%s-%d", name, i), Group: g, Zone: zone, listener: l,
-			primary: i == 0, term: 1, connections: map[net.Conn]bool{}, executions: map[string]int{}, logAtRun: map[string][]entry{},
+			primary: i == 0, term: 1, connections: map[net.Conn]bool{}, startedBy: map[string]bool{}, ranFor: map[string]string{}, executions: map[string]int{}, logAtRun: map[string][]entry{},
 		}
 		if s.options.ProxyAddress != nil {
 			v.proxyAddress = s.options.ProxyAddress(v.Address())
