--- a/pool/budget.go
+++ b/pool/budget.go
@@ -60,10 +60,9 @@
 }
 
 // idleTimeoutOf returns the idle timeout that applies to an idle connection to a
-// target. A direct connection of a VM that else reaches the target through another
-// one is no customer's own: it is reserved for the other VM.
+// target.
 func (g *Group) idleTimeoutOf(s *server, c *connection) time.Duration {
-	if c.customer != "" && !c.isShared() && !s.relayed[c.affinity] && s.open <= 2*g.idleAllowance {
+	if c.isKept(s) && s.open <= 2*g.idleAllowance {
 		return customerIdleTimeout
 	}
 	if s.open <= g.idleAllowance {
@@ -99,6 +98,26 @@
 	g.dispatch()
 }
 
+// wanted returns how many connections to a target this VM needs now: those in use,
+// those that statements wait for, and the customers' idle ones that are to be kept
+// within an equal share. The caller holds the lock.
+func (g *Group) wanted(s *server) int {
+	used, kept := s.open-len(s.idle), 0
+	for _, c := range s.idle {
+		if c.isKept(s) {
+			kept++
+		}
+	}
+	return used + s.unserved + min(kept, max(2*g.idleAllowance-used, 0))
+}
+
+// isKept reports whether a connection to a target belongs to a customer and is kept for
+// it. A direct connection of a VM that else reaches the target through another one is
+// not: it is reserved for the other VM.
+func (c *connection) isKept(s *server) bool {
+	return c.customer != "" && !c.isShared() && !s.relayed[c.affinity]
+}
+
 // Claims returns, for each target where the budget of Configure is not enough,
 // how many connections this VM holds and needs.
 func (g *Group) Claims() []Claim {
--- a/pool/dial.go
+++ b/pool/dial.go
@@ -26,7 +26,7 @@
 
 // dial opens a connection in the background. The caller holds the lock.
 func (g *Group) dial(s *server, i identity) {
-	o := s.beginOpening(i)
+	o := s.beginOpening(i, g.Now())
 	t, generation := s.Target, g.linkGeneration
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
@@ -39,8 +39,8 @@
 func (g *Group) finishDial(s *server, o opening, c *connection, p query.Position, err error) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
-	s.endOpening(o)
 	now := g.Now()
+	s.endOpening(o, now, err)
 	if err != nil && g.evictReserved(s, o.identity, err, now) {
 		g.dispatch()
 		return
--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -33,7 +33,9 @@
 	Floor query.Position
 	// FloorAge is the time since the leader reached Floor.
 	FloorAge time.Duration
-	// Priority orders waiting statements; lower values are served first.
+	// Priority orders waiting statements; lower values are served first. Those of equal
+	// priority are ordered by the priority of their customers, then in turn by customer
+	// in proportion to the customers' rates.
 	Priority int
 	// Until is the deadline for waiting, on the clock of Group.Now.
 	Until time.Duration
@@ -55,30 +57,23 @@
 	StateHash uint64
 }
 
-// waiter is a statement that waits in Acquire for a connection.
-type waiter struct {
-	need Need
-	slot chan *Slot
-	// enqueuedAt is when Acquire was called.
-	enqueuedAt time.Duration
-	// served reports that the statement got a connection in this dispatch run.
-	served bool
-}
-
 // Acquire waits for a connection to a suitable target. Its error wraps
 // ErrNoTarget after Need.Until or if the context ends. It wraps ErrOverloaded
 // after Need.QueueDeadline, or at once if the queue is too long for the statement
-// to be served in time.
+// to be served in time. A customer's statement is also refused with ErrOverloaded
+// while it waits, once statements that come before it leave too little time, and at
+// once if its customer has more than its share of the queue.
 func (g *Group) Acquire(ctx context.Context, n Need) (*Slot, error) {
 	g.lock.Lock()
 	now := g.Now()
-	if g.queueTooLong(n, now) {
+	if n.Customer == nil && g.queueTooLong(n, now) {
 		g.lock.Unlock()
 		return nil, fmt.Errorf("group %s: %w", g.Name, ErrOverloaded)
 	}
-	w := &waiter{need: n, slot: make(chan *Slot, 1), enqueuedAt: now}
+	w := newWaiter(n, now)
 	g.enqueue(w)
 	g.dispatch()
+	g.boundShare(w, now)
 	g.lock.Unlock()
 	select {
 	case s := <-w.slot:
@@ -100,8 +95,7 @@
 			ahead++
 		}
 	}
-	until := cmp.Or(n.QueueDeadline, n.Until)
-	return ahead >= minEstimateQueue && g.throughput.estimateWait(now, ahead) > max(until-now, 0)
+	return ahead >= minEstimateQueue && g.throughput.estimateWait(now, ahead) > max(n.deadline()-now, 0)
 }
 
 // minEstimateQueue is the queue length below which the estimated wait is too
@@ -123,6 +117,8 @@
 				waiting, reason = false, ErrOverloaded
 			}
 			queueDeadline = time.After(reachabilityRecheckInterval)
+		case <-w.refused:
+			waiting, reason = false, ErrOverloaded
 		case <-ctx.Done():
 			waiting = false
 		case <-timer.C:
@@ -131,7 +127,7 @@
 	}
 	g.lock.Lock()
 	defer g.lock.Unlock()
-	g.waiting = slices.DeleteFunc(g.waiting, func(o *waiter) bool { return o == w })
+	g.withdraw(w)
 	select {
 	case s := <-w.slot:
 		return s, nil
@@ -172,15 +168,6 @@
 	return s != nil && !s.removed && !s.unreachable() && !s.Draining
 }
 
-// enqueue inserts a waiter by priority, behind those of the same priority.
-func (g *Group) enqueue(w *waiter) {
-	i := len(g.waiting)
-	for i > 0 && g.waiting[i-1].need.Priority > w.need.Priority {
-		i--
-	}
-	g.waiting = slices.Insert(g.waiting, i, w)
-}
-
 // Waiting returns the number of statements that wait for a target.
 func (g *Group) Waiting() int {
 	g.lock.Lock()
@@ -195,14 +182,19 @@
 	for _, s := range g.servers {
 		s.unserved = 0
 		clear(s.unservedBy)
+		s.triedSince = never
 	}
 	for _, w := range g.waiting {
 		w.served = g.assign(w, now)
+		if w.served {
+			g.fair.serve(w.ticket)
+		}
 	}
 	g.waiting = slices.DeleteFunc(g.waiting, func(w *waiter) bool { return w.served })
+	g.displace(now)
 	g.throughput.setQueued(now, len(g.waiting) > 0 && g.reachable(g.leader))
 	for _, s := range g.servers {
-		s.demand.add(now, s.open-len(s.idle)+s.unserved)
+		s.demand.add(now, g.wanted(s))
 	}
 }
 
--- a/pool/eviction.go
+++ b/pool/eviction.go
@@ -57,9 +57,9 @@
 type idleConnection struct {
 	// nextUse is the expected time until the connection is needed.
 	nextUse time.Duration
-	// yields reports that the connection's customer has had its turn: the customer has
-	// had the connection for evictionTurn, and the statement that needs one has waited
-	// as long and comes before all that wait for this one.
+	// yields reports that the connection's customer has more than its part, or has had
+	// its turn: the customer has had the connection for evictionTurn, and the statement
+	// that needs one has waited as long and comes before all that wait for this one.
 	yields bool
 	// fixed reports that the connection must stay for another reason.
 	fixed bool
--- a/pool/group.go
+++ b/pool/group.go
@@ -24,6 +24,7 @@
 	lock    sync.Mutex
 	servers map[string]*server
 	waiting []*waiter
+	fair    fairQueue
 	leader  string
 	// leaderlessSince is when the group's last leader ceased to be known; zero while it
 	// has one, and if it had none yet.
--- a/pool/ownership.go
+++ b/pool/ownership.go
@@ -82,47 +82,78 @@
 	key := i.openKey()
 	s.unserved++
 	s.unservedBy[key]++
-	if s.opening[key] >= s.unservedBy[key] || now < s.retryAt || !s.mayOpen(i) {
+	if s.openings.by[key] >= s.unservedBy[key] || now < s.retryAt || !s.mayOpen(i) {
 		return
 	}
-	if s.open+s.dialing >= g.budgetOf(s, now) && !g.evict(s, w, now, func(*connection) bool { return true }) {
+	if s.open+s.dialing >= g.budgetOf(s, now) && !g.makeRoom(s, w, i, now) {
 		return
 	}
 	g.dial(s, i)
 }
 
+// makeRoom evicts a connection for a waiter that needs one of its own. It does not if
+// the waiter's customer has its part already, or if none could be evicted for a waiter
+// that came before this one in the queue and has waited longer.
+func (g *Group) makeRoom(s *server, w *waiter, i identity, now time.Duration) bool {
+	if len(s.idle) == 0 || w.enqueuedAt >= s.triedSince {
+		return false
+	}
+	u := user{identity: identity{customer: i.customer}}
+	if s.held(u)+s.openings.by[i.openKey()] >= g.partOf(s, now) {
+		return false
+	}
+	if g.evict(s, w, now, func(*connection) bool { return true }) {
+		return true
+	}
+	s.triedSince = w.enqueuedAt
+	return false
+}
+
+// partOf returns how many connections to a target a user may have while others need
+// them: as many as the target has slots, since with more of them its statements only
+// wait at the target instead of here, and no more than half of the budget. The caller
+// holds the lock.
+func (g *Group) partOf(s *server, now time.Duration) int {
+	return max(min(s.Slots, g.budgetOf(s, now)/2), 1)
+}
+
+// held returns the number of connections that a user has, without those on which a
+// transaction is open but no statement runs.
+func (s *server) held(u user) int {
+	n := 0
+	for _, c := range s.idle {
+		if c.user() == u {
+			n++
+		}
+	}
+	for slot := range s.pending {
+		if slot.inWindow && slot.conn.user() == u {
+			n++
+		}
+	}
+	return n
+}
+
 // mayOpen reports whether the target has a slot to spare for opening a connection.
 // One through another VM needs none. Without customers the number is not bounded.
 func (s *server) mayOpen(i identity) bool {
-	return i.customer == "" || s.relayed[i.affinity] || s.openingInSlots < max(s.Slots/2, 1)
-}
-
-// opening is a connection that is being opened.
-type opening struct {
-	identity
-	// inSlot reports whether it counts as occupying one of the target's slots.
-	inSlot bool
+	return i.customer == "" || s.relayed[i.affinity] || s.openings.inSlots < s.openings.pace.limit(s.Slots)
 }
 
-func (s *server) beginOpening(i identity) opening {
-	o := opening{identity: i, inSlot: !s.relayed[i.affinity]}
+// beginOpening counts a connection that is being opened.
+func (s *server) beginOpening(i identity, now time.Duration) opening {
+	o := opening{identity: i, inSlot: !s.relayed[i.affinity], begun: now}
 	s.dialing++
-	s.opening[i.openKey()]++
-	if o.inSlot {
-		s.openingInSlots++
-	}
+	s.openings.begin(o)
 	return o
 }
 
-func (s *server) endOpening(o opening) {
-	key := o.openKey()
+// endOpening ends what beginOpening began.
+func (s *server) endOpening(o opening, now time.Duration, err error) {
 	s.dialing--
-	s.opening[key]--
-	if s.opening[key] == 0 {
-		delete(s.opening, key)
-	}
-	if o.inSlot {
-		s.openingInSlots--
+	s.openings.end(o)
+	if o.inSlot && err == nil {
+		s.openings.pace.record(now-o.begun, s.Slots)
 	}
 }
 
@@ -140,6 +171,9 @@
 // can be closed for the waiter, which is nil if none waits. The caller holds the
 // lock.
 func (g *Group) evict(s *server, w *waiter, now time.Duration, candidate func(*connection) bool) bool {
+	if len(s.idle) == 0 {
+		return false
+	}
 	v := chooseVictim(g.idleConnections(s, w, now, candidate))
 	if v < 0 {
 		g.awaitTurn(s, w, now, candidate)
@@ -167,15 +201,19 @@
 func (g *Group) idleConnections(s *server, w *waiter, now time.Duration, candidate func(*connection) bool) []idleConnection {
 	waiting := g.waitingUsers(s, w)
 	list := make([]idleConnection, len(s.idle))
-	position := map[user]int{}
+	position, held := map[user]int{}, map[user]int{}
+	part := g.partOf(s, now)
 	// The connection that was used last is the one that is used next (takeIdle).
 	for i := len(s.idle) - 1; i >= 0; i-- {
 		c := s.idle[i]
 		u := c.user()
 		position[u]++
+		if position[u] == 1 {
+			held[u] = s.held(u)
+		}
 		list[i] = idleConnection{
 			nextUse: expectedNextUse(s.usageOf(u, now), position[u], waiting[u].count),
-			yields:  w != nil && now-max(w.enqueuedAt, c.openedAt) >= evictionTurn && !waiting[u].first,
+			yields:  held[u] > part || w != nil && now-max(w.enqueuedAt, c.openedAt) >= evictionTurn && !waiting[u].first,
 			fixed:   !candidate(c),
 		}
 		if !u.shared && u.customer != "" && c.affinity != g.Dialer.Affinity(s.Target, u.customer) {
--- a/pool/server.go
+++ b/pool/server.go
@@ -42,15 +42,12 @@
 // server is a target with this VM's connections to it and their statistics.
 type server struct {
 	Target
-	window  window
-	removed bool
-	idle    []*connection
-	open    int
-	dialing int
-	// opening counts the dials in progress by whom they are for; openingInSlots is
-	// the number among them that occupy one of the target's slots.
-	opening        map[identity]int
-	openingInSlots int
+	window   window
+	removed  bool
+	idle     []*connection
+	open     int
+	dialing  int
+	openings openings
 	// relayed holds the affinities of which the last link led through another VM.
 	relayed map[string]bool
 	usage   map[user]*usageRate
@@ -69,6 +66,9 @@
 	unserved int
 	// unservedBy counts the same waiters by whom a connection would be opened for.
 	unservedBy map[identity]int
+	// triedSince is the least enqueuedAt of the waiters for which no connection could
+	// be evicted in one dispatch run; never if there was none.
+	triedSince time.Duration
 	// pending holds the time at which each statement in flight was sent.
 	pending    map[*Slot]time.Duration
 	lastAnswer time.Duration
@@ -105,7 +105,7 @@
 func newServer(t Target, now time.Duration) *server {
 	return &server{
 		Target: t, window: newWindow(), pending: map[*Slot]time.Duration{}, lastAnswer: now,
-		opening: map[identity]int{}, unservedBy: map[identity]int{}, relayed: map[string]bool{}, usage: map[user]*usageRate{},
+		openings: openings{by: map[identity]int{}}, unservedBy: map[identity]int{}, relayed: map[string]bool{}, usage: map[user]*usageRate{},
 	}
 }
 
--- a/pool/standin_test.go
+++ b/pool/standin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -25,6 +26,8 @@
 	// route returns the affinity of a customer, and whether it leads through another
 	// VM; nil if all connections are direct.
 	route func(customer string) (string, bool)
+	// down reports that the target has failed.
+	down bool
 	// dialError is returned by Dial unless it is nil.
 	dialError func(customer string) error
 
@@ -40,6 +43,14 @@
 	return &standIn{slots: make(chan struct{}, slots), limit: limit, opened: map[string]int{}}
 }
 
+var errDown = errors.New("target is down")
+
+func (d *standIn) isDown() bool {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	return d.down
+}
+
 func (d *standIn) path(name string) (string, bool) {
 	if d.route == nil {
 		return "direct", false
@@ -53,6 +64,9 @@
 }
 
 func (d *standIn) Dial(_ context.Context, _ pool.Target, name string) (pool.Link, query.Position, error) {
+	if d.isDown() {
+		return nil, query.Position{}, errDown
+	}
 	if d.dialError != nil {
 		if err := d.dialError(name); err != nil {
 			return nil, query.Position{}, err
@@ -140,6 +154,9 @@
 		return query.Reply{}, fmt.Errorf("parse the time of a statement: %w", err)
 	}
 	l.target.run(work)
+	if l.target.isDown() {
+		return query.Reply{}, errDown
+	}
 	return query.Reply{Receipt: "mac"}, nil
 }
 
--- a/pool/throughput.go
+++ b/pool/throughput.go
@@ -60,6 +60,18 @@
 	return time.Duration(float64(ahead) / served * float64(duration))
 }
 
+// servable returns how many statements of the queue will probably be served within a
+// time; false if too little is known.
+func (t *throughput) servable(now, within time.Duration) (int, bool) {
+	t.setQueued(now, t.queued)
+	duration := t.current.duration + t.previous.duration
+	if duration < minQueuedTime {
+		return 0, false
+	}
+	served := float64(t.current.served+t.previous.served) + 0.5
+	return int(served * float64(max(within, 0)) / float64(duration)), true
+}
+
 // rotate starts a new window once the current one is over.
 func (t *throughput) rotate(now time.Duration) {
 	switch {
