--- a/edge/collector.go
+++ b/edge/collector.go
@@ -2,8 +2,14 @@
 
 import (
 	"github.com/prometheus/client_golang/prometheus"
+
+	"amaranthsill/pool"
 )
 
+// customerLabels is the number of customers that one metric names; with thousands of
+// customers, one time series for each would cost more than the metric is worth.
+const customerLabels = 20
+
 // collector reports a VM's state as Prometheus metrics, read at each scrape.
 type collector struct {
 	*VM
@@ -12,6 +18,7 @@
 	waitingStatements, targetConnections, activeStatements    *prometheus.Desc
 	unreachableTargets, replicaLag, recordAge, movesUnderWay  *prometheus.Desc
 	storeEra, storeLosses                                     *prometheus.Desc
+	connectionOpens, connectionEvictions, customerWaiting     *prometheus.Desc
 }
 
 var _ prometheus.Collector = (*collector)(nil)
@@ -37,6 +44,9 @@
 		activeStatements:     describe("active_statements", "Statements that are under way on targets.", "group"),
 		unreachableTargets:   describe("unreachable_targets", "Targets that this VM does not reach.", "group"),
 		replicaLag:           describe("replica_lag_seconds", "How far the last replica is behind, as far as known.", "group"),
+		connectionOpens:      describe("connection_opens_total", "Connections to targets that were opened, through holders or not.", "group"),
+		connectionEvictions:  describe("connection_evictions_total", "Idle connections that were closed to open one for another customer.", "group"),
+		customerWaiting:      describe("customer_waiting_statements", "Statements that wait for a target, of the customers with the most.", "customer"),
 		movesUnderWay:        describe("moves_under_way", "Whether this VM moves a leadership: 1 or 0."),
 	}
 }
@@ -49,6 +59,9 @@
 	gauge := func(d *prometheus.Desc, value float64, labels ...string) {
 		m <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, value, labels...)
 	}
+	count := func(d *prometheus.Desc, value int, labels ...string) {
+		m <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(value), labels...)
+	}
 	if c.DroppedLogLines != nil {
 		m <- prometheus.MustNewConstMetric(c.droppedLines, prometheus.CounterValue, float64(c.DroppedLogLines()))
 	}
@@ -71,12 +84,17 @@
 		moving = 0
 	}
 	gauge(c.movesUnderWay, moving)
-	held := 0
+	held, waiting := 0, map[string]int{}
 	for name, g := range c.pools() {
 		if c.holdersOf(name).Self {
 			held++
 		}
 		l := g.Load()
+		count(c.connectionOpens, g.Opens(), name)
+		count(c.connectionEvictions, g.Evictions(), name)
+		for customer, n := range g.WaitingByCustomer() {
+			waiting[customer] += n
+		}
 		gauge(c.waitingStatements, float64(l.Waiting), name)
 		gauge(c.targetConnections, float64(l.Open-l.Idle), name, "busy")
 		gauge(c.targetConnections, float64(l.Idle), name, "idle")
@@ -85,4 +103,7 @@
 		gauge(c.replicaLag, l.Lag.Seconds(), name)
 	}
 	gauge(c.heldGroups, float64(held))
+	for customer, n := range pool.Busiest(waiting, customerLabels) {
+		gauge(c.customerWaiting, float64(n), customer)
+	}
 }
--- a/pool/dial.go
+++ b/pool/dial.go
@@ -62,7 +62,7 @@
 		s.position = p
 	}
 	s.open++
-	s.opens++
+	g.opens++
 	s.recordPath(c)
 	c.openedAt, c.lastUsed = now, now
 	s.idle = append(s.idle, c)
--- a/pool/group.go
+++ b/pool/group.go
@@ -36,9 +36,12 @@
 	linkGeneration int
 	// redispatchPending reports that a timer will run dispatch (redispatchAfter).
 	redispatchPending bool
-	samples           Samples
-	throughput        throughput
-	pathLatencies     pathLatencies
+	// opens and evictions count the connections that were opened, and those that
+	// were closed to open another.
+	opens, evictions int
+	samples          Samples
+	throughput       throughput
+	pathLatencies    pathLatencies
 }
 
 // Configure sets the registered targets, and the number of connections to each
--- a/pool/ownership.go
+++ b/pool/ownership.go
@@ -180,7 +180,7 @@
 		return false
 	}
 	s.closeIdle(v)
-	s.evictions++
+	g.evictions++
 	return true
 }
 
@@ -331,21 +331,3 @@
 		g.dispatch()
 	})
 }
-
-// Opens returns the number of connections to the registered targets that this VM has
-// opened.
-func (g *Group) Opens() int { return g.sum(func(s *server) int { return s.opens }) }
-
-// Evictions returns the number of idle connections to the registered targets that
-// were closed to open another.
-func (g *Group) Evictions() int { return g.sum(func(s *server) int { return s.evictions }) }
-
-func (g *Group) sum(count func(*server) int) int {
-	g.lock.Lock()
-	defer g.lock.Unlock()
-	n := 0
-	for _, s := range g.servers {
-		n += count(s)
-	}
-	return n
-}
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -107,17 +107,3 @@
 		g.refuse(w)
 	}
 }
-
-// WaitingByCustomer returns the number of statements that wait for a target, by the
-// name of their customer.
-func (g *Group) WaitingByCustomer() map[string]int {
-	g.lock.Lock()
-	defer g.lock.Unlock()
-	counts := map[string]int{}
-	for _, w := range g.waiting {
-		if w.need.Customer != nil {
-			counts[w.need.Customer.Name]++
-		}
-	}
-	return counts
-}
--- a/pool/server.go
+++ b/pool/server.go
@@ -53,9 +53,6 @@
 	usage   map[user]*usageRate
 	// usageCheckedAt is when forgetUsage last looked for rates to drop.
 	usageCheckedAt time.Duration
-	// opens and evictions count the connections that were opened, and those that
-	// were closed to open another.
-	opens, evictions int
 	// budget was set by SetBudget at budgetSetAt; that time is zero if no
 	// budget was set yet.
 	budget      int
--- a/pool/standin_test.go
+++ b/pool/standin_test.go
@@ -201,11 +201,15 @@
 // acquire acquires a connection for a statement of a customer, whose name is empty for
 // a statement without one.
 func (v *customerVM) acquire(name string, wait time.Duration) (*pool.Slot, error) {
+	return v.Acquire(context.Background(), v.need(name, wait))
+}
+
+func (v *customerVM) need(name string, wait time.Duration) pool.Need {
 	n := pool.Need{Leader: true, Until: v.now() + wait}
 	if name != "" {
 		n.Customer = &customer.Customer{Name: name}
 	}
-	return v.Acquire(context.Background(), n)
+	return n
 }
 
 // serve runs a statement of a customer and fails the test if it is not served.
