--- a/pool/crossing.go
+++ b/pool/crossing.go
@@ -285,16 +285,6 @@
 	}
 }
 
-// servedBefore reports whether a new waiter is served before one that waits already:
-// by priority, and while prices are set, before one of the same priority that comes
-// from another zone.
-func (g *Group) servedBefore(n, o *Need) bool {
-	if n.Priority != o.Priority {
-		return n.Priority < o.Priority
-	}
-	return g.Traffic != nil && o.Remote && !n.Remote
-}
-
 // probeDistances measures the distances that are due, each on the connection that has
 // been idle for longest. The caller holds the lock.
 func (g *Group) probeDistances() {
--- a/pool/group.go
+++ b/pool/group.go
@@ -29,6 +29,7 @@
 	lock    sync.Mutex
 	servers map[string]*server
 	waiting []*waiter
+	fair    fairQueue
 	leader  string
 	// leaderlessSince is when the group's last leader ceased to be known; zero while it
 	// has one, and if it had none yet.
@@ -40,10 +41,13 @@
 	linkGeneration int
 	// redispatchPending reports that a timer will run dispatch (redispatchAfter).
 	redispatchPending bool
-	samples           Samples
-	throughput        throughput
-	pathLatencies     pathLatencies
-	crossing          crossing
+	// opens and evictions count the connections that were opened, and those that
+	// were closed to open another.
+	opens, evictions int
+	samples          Samples
+	throughput       throughput
+	pathLatencies    pathLatencies
+	crossing         crossing
 }
 
 // Configure sets the registered targets, and the number of connections to each
--- a/pool/server.go
+++ b/pool/server.go
@@ -43,23 +43,17 @@
 // server is a target with this VM's connections to it and their statistics.
 type server struct {
 	Target
-	window  window
-	removed bool
-	idle    []*connection
-	open    int
-	dialing int
-	// opening counts the dials in progress by whom they are for; openingInSlots is
-	// the number among them that occupy one of the target's slots.
-	opening        map[identity]int
-	openingInSlots int
+	window   window
+	removed  bool
+	idle     []*connection
+	open     int
+	dialing  int
+	openings openings
 	// relayed holds the affinities of which the last link led through another VM.
 	relayed map[string]bool
 	usage   map[user]*usageRate
 	// usageCheckedAt is when forgetUsage last looked for rates to drop.
 	usageCheckedAt time.Duration
-	// opens and evictions count the connections that were opened, and those that
-	// were closed to open another.
-	opens, evictions int
 	// budget was set by SetBudget at budgetSetAt; that time is zero if no
 	// budget was set yet.
 	budget      int
@@ -70,6 +64,9 @@
 	unserved int
 	// unservedBy counts the same waiters by whom a connection would be opened for.
 	unservedBy map[identity]int
+	// triedSince is the least enqueuedAt of the waiters for which no connection could
+	// be evicted in one dispatch run; never if there was none.
+	triedSince time.Duration
 	// pending holds the time at which each statement in flight was sent.
 	pending    map[*Slot]time.Duration
 	lastAnswer time.Duration
@@ -107,7 +104,7 @@
 func newServer(t Target, now time.Duration) *server {
 	return &server{
 		Target: t, window: newWindow(), pending: map[*Slot]time.Duration{}, lastAnswer: now,
-		opening: map[identity]int{}, unservedBy: map[identity]int{}, relayed: map[string]bool{}, usage: map[user]*usageRate{},
+		openings: openings{by: map[identity]int{}}, unservedBy: map[identity]int{}, relayed: map[string]bool{}, usage: map[user]*usageRate{},
 	}
 }
 
