--- a/edge/holders.go
+++ b/edge/holders.go
@@ -314,6 +314,21 @@
 	return t != nil && t.self
 }
 
+// releaseGrace is for how long a VM that ceased to hold a target still serves the links
+// to it that are open. Other VMs learn of the change within it, and do not use the links
+// any more.
+const releaseGrace = 2 * time.Second
+
+// released reports whether this VM ceased to hold a target within releaseGrace.
+func (v *VM) released(group, target string) bool {
+	t := v.holdersOf(group).targets[target]
+	if t == nil {
+		return false
+	}
+	at, ok := t.former[v.Settings.VM()]
+	return ok && v.Now()-at < releaseGrace
+}
+
 // wayTo returns how this VM reaches a target for a customer.
 func (v *VM) wayTo(t pool.Target, customer string) relay.Holders {
 	h := v.holdersOf(t.Group)
--- a/edge/vm.go
+++ b/edge/vm.go
@@ -230,6 +230,7 @@
 		Group:    v.heldPool,
 		IsLeader: v.grants.IsLeader,
 		Customer: v.customerNamed,
+		Released: v.released,
 		Refresh:  v.front.RefreshPosition,
 		Now:      v.Now,
 		Log:      v.Log,
@@ -373,6 +374,7 @@
 func (v *VM) stop(ctx context.Context, r *registrar) {
 	startedAt := v.Now()
 	v.stopping.Store(true)
+	v.relays.Leave()
 	v.Log.Info("VM is stopping", "sessions", v.front.Sessions())
 	sleep(ctx, min(balancerDelay, v.settings().Grace()*2/5))
 	if v.callers != nil {
--- a/relay/affinity.go
+++ b/relay/affinity.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"time"
 
 	"amaranthsill/pool"
@@ -27,12 +28,17 @@
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	now := d.Now()
+	leaving := ""
 	for _, address := range h.Addresses {
-		if !d.unavailable(address, t.ID, now) {
+		if d.unavailable(address, t.ID, now) {
+			continue
+		}
+		if !d.isLeaving(address, now) {
 			return address
 		}
+		leaving = cmp.Or(leaving, address)
 	}
-	return ""
+	return leaving
 }
 
 // IsFallback reports whether this VM reaches a target only by a direct connection of
@@ -65,6 +71,37 @@
 	return p.down || now < p.refusedUntil[target]
 }
 
+// leavingTimeout is how long a holder that is about to stop comes last. It has stopped,
+// and its entry has gone, within that time.
+const leavingTimeout = 10 * time.Second
+
+// isLeaving reports whether a holder is about to stop. The lock must be held.
+func (d *Dialer) isLeaving(address string, now time.Duration) bool {
+	p := d.holderStates[address]
+	return p != nil && now < p.leavingUntil
+}
+
+// leavingLast returns the addresses of holders in the order in which they are tried.
+// Where the order depends on the customer, those about to stop come last: an order that
+// arrives once they have closed the link would be answered by nobody.
+func (d *Dialer) leavingLast(h Holders) []string {
+	if !h.ByCustomer {
+		return h.Addresses
+	}
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	now := d.Now()
+	order, leaving := make([]string, 0, len(h.Addresses)), []string{}
+	for _, address := range h.Addresses {
+		if d.isLeaving(address, now) {
+			leaving = append(leaving, address)
+			continue
+		}
+		order = append(order, address)
+	}
+	return append(order, leaving...)
+}
+
 // recordRefusal records that a holder refused a link to a target.
 func (d *Dialer) recordRefusal(address, target string) {
 	d.lock.Lock()
--- a/relay/customer_test.go
+++ b/relay/customer_test.go
@@ -265,6 +265,44 @@
 	})
 })
 
+var _ = ginkgo.Describe("A holder of customers' connections", func() {
+	// An order that is on its way while a holder closes the link is answered by nobody,
+	// so that its caller does not learn whether it ran. Between regions it takes 20 ms.
+	ginkgo.It("comes last once it has announced that it is about to stop", func() {
+		h, _ := newCustomersHolder(1)
+		second, _ := newCustomersHolder(1)
+		d := customersDialer(nil, h.address(), second.address())
+		l := dialFor(d, "bell")
+		exchange(l, read("q1"))
+		h.server.Leave()
+		exchange(l, read("q2"))
+		gomega.Expect(d.Affinity(commonTarget, "bell")).To(gomega.Equal(second.address()))
+		exchange(dialFor(d, "bell"), read("q3"))
+		gomega.Expect(second.listener.Close()).To(gomega.Succeed())
+		exchange(dialFor(d, "bell"), read("q4"))
+		gomega.Expect(d.Affinity(commonTarget, "bell")).To(gomega.Equal(h.address()))
+		gomega.Expect(h.orders()).To(gomega.Equal([][]string{{"q1 READ 1", "q2 READ 1", "q4 READ 1"}}))
+		gomega.Expect(second.orders()).To(gomega.Equal([][]string{{"q3 READ 1"}}))
+	})
+
+	// VMs learn of a change of holders at different times. A link that ends is found to
+	// be lost only by the order after the refused one.
+	ginkgo.It("still serves open links for a moment after it ceased to hold the target, and opens none", func() {
+		h, _ := newCustomersHolder(1)
+		released := atomic.Bool{}
+		released.Store(true)
+		h.server.Released = func(string, string) bool { return released.Load() }
+		d := customersDialer(&fakeTarget{}, h.address())
+		l := dialFor(d, "bell")
+		h.retired.Store(true)
+		exchange(l, read("q1"))
+		exchange(dialFor(d, "bell"), read("q2"))
+		gomega.Expect(h.orders()).To(gomega.Equal([][]string{{"q1 READ 1"}}))
+		released.Store(false)
+		gomega.Expect(exchange(l, read("q3")).Failure.Code).To(gomega.Equal(query.CodeBusy))
+	})
+})
+
 var _ = ginkgo.Describe("The direct connection of a VM that reaches no holder", func() {
 	// Otherwise a statement would run on a connection that was opened for another
 	// customer.
--- a/relay/dialer.go
+++ b/relay/dialer.go
@@ -18,8 +18,9 @@
 
 // Timeouts and intervals for reaching holders.
 const (
-	// connectTimeout limits the opening of a connection to a holder, which is in
-	// the same zone, including its first reply.
+	// connectTimeout limits the opening of a connection to a holder, including its
+	// first reply. The holder is in the same zone or, with customers, in the target's,
+	// at most 40 ms of round trip away.
 	connectTimeout = 250 * time.Millisecond
 	// holderBackoff is how long an unreachable holder is skipped.
 	holderBackoff = 2 * time.Second
@@ -81,6 +82,9 @@
 	// refusedUntil holds by target until when the holder is not asked again for links
 	// of customers, because it refused one.
 	refusedUntil map[string]time.Duration
+	// leavingUntil is until when the holder comes last for customers, because it is
+	// about to stop; zero if it is not.
+	leavingUntil time.Duration
 }
 
 // ParseStatus implements pool.Dialer.
@@ -100,7 +104,7 @@
 func (d *Dialer) Dial(ctx context.Context, t pool.Target, customer string) (pool.Link, query.Position, error) {
 	h := d.Holders(t, customer)
 	if !h.Self {
-		for _, address := range h.Addresses {
+		for _, address := range d.leavingLast(h) {
 			l, p, err := d.dialHolder(ctx, address, t, h.ByCustomer)
 			if err == nil {
 				return l, p, nil
@@ -267,6 +271,10 @@
 	p := d.holderState(l.address)
 	p.lastAnswer = d.Now()
 	p.down = false
+	p.leavingUntil = 0
+	if l.leaving {
+		p.leavingUntil = d.Now() + leavingTimeout
+	}
 }
 
 // setPending records whether a reply is pending on a link.
--- a/relay/doc.go
+++ b/relay/doc.go
@@ -1,7 +1,8 @@
 // Package relay forwards orders to targets through another VM. If a target
 // allows fewer connections than there are VMs, a few VMs hold the connections, of
 // each availability zone or, with customers, of the target's zone. The other VMs
-// reach the target through these holders, over at most one hop.
+// reach the target through these holders, over one hop. Only while VMs learn at
+// different times that a holder with customers has changed, there may be two.
 //
 // With customers, each order names its customer, and the holders are tried in an
 // order that depends on the customer. A link is shared by customers; a connection
--- a/relay/link.go
+++ b/relay/link.go
@@ -29,6 +29,8 @@
 	customer string
 	priority int
 	version  uint64
+	// leaving is that of the last response.
+	leaving bool
 	// pendingSince is when orders were last sent, if no reply has been received
 	// since; zero otherwise. It is guarded by the dialer's lock.
 	pendingSince time.Duration
@@ -93,6 +95,7 @@
 	if err := l.decoder.Decode(&r); err != nil {
 		return query.Reply{}, fmt.Errorf("receive reply from holder: %w", err)
 	}
+	l.leaving = r.Leaving
 	return r.reply(), nil
 }
 
--- a/relay/message.go
+++ b/relay/message.go
@@ -88,6 +88,8 @@
 	Term, Offset uint64
 	// Age is how old the position is.
 	Age time.Duration
+	// Leaving reports that the holder is about to stop.
+	Leaving bool
 }
 
 // newRequest returns the request for an order; timeout is the time that
--- a/relay/server.go
+++ b/relay/server.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -45,6 +46,10 @@
 	// customers, and false if the customer does not exist any more. Nil means that
 	// there are never any customers.
 	Customer func(name string, version uint64) (*customer.Customer, bool)
+	// Released reports whether this VM ceased to hold the connections to a target so
+	// recently that other VMs may not know. Links that are open are still served
+	// then, over a second hop. Nil means that it never did.
+	Released func(group, target string) bool
 	// IsLeader reports whether a target is confirmed as its group's leader now.
 	IsLeader func(group, target string) bool
 	// Refresh returns once the group's pool knows a position that the leader had
@@ -58,6 +63,8 @@
 	Log logr.Logger
 
 	socket.Acceptor
+	// leaving reports that Leave was called.
+	leaving  atomic.Bool
 	lock     sync.Mutex
 	links    map[*serverLink]bool
 	stopping bool
@@ -71,6 +78,10 @@
 	return nil
 }
 
+// Leave announces with each reply that follows that the server is about to stop, so that
+// other VMs turn to the other holders before Drain ends their links.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
 // Drain stops the server: it refuses new links, ends each link once no order
 // and no transaction is open on it, and returns once all have ended or ctx is
 // done.
--- a/relay/serverlink.go
+++ b/relay/serverlink.go
@@ -84,11 +84,13 @@
 	return nil
 }
 
-// isHolder reports whether this VM still holds the target's connections. If
-// not, it would relay orders over a second hop.
+// isHolder reports whether this VM still holds the target's connections, or did
+// until a moment ago. Otherwise it would relay orders over a second hop.
 func (r *serverLink) isHolder() bool {
-	_, ok := r.server.Group(r.hello.Group, r.hello.Target)
-	return ok
+	if _, ok := r.server.Group(r.hello.Group, r.hello.Target); ok {
+		return true
+	}
+	return r.server.Released != nil && r.server.Released(r.hello.Group, r.hello.Target)
 }
 
 // prepareRead sets the read timeout for the next order. It returns false if
@@ -321,7 +323,9 @@
 	if err := r.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return fmt.Errorf("set deadline: %w", err)
 	}
-	if err := r.encoder.Encode(newResponse(n)); err != nil {
+	answer := newResponse(n)
+	answer.Leaving = r.server.leaving.Load()
+	if err := r.encoder.Encode(answer); err != nil {
 		return fmt.Errorf("send reply: %w", err)
 	}
 	if err := r.writer.Flush(); err != nil {
