--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -44,17 +44,19 @@
 
 type fakeConn struct {
 	target *fakeTarget
-	orders []string
-	closed bool
-	open   bool
+	// customer is the one for which the connection was opened.
+	customer string
+	orders   []string
+	closed   bool
+	open     bool
 }
 
 func (t *fakeTarget) Affinity(pool.Target, string) string { return "" }
 
-func (t *fakeTarget) Dial(context.Context, pool.Target, string) (pool.Link, query.Position, error) {
+func (t *fakeTarget) Dial(_ context.Context, _ pool.Target, customer string) (pool.Link, query.Position, error) {
 	t.lock.Lock()
 	defer t.lock.Unlock()
-	c := &fakeConn{target: t}
+	c := &fakeConn{target: t, customer: customer}
 	t.conns = append(t.conns, c)
 	return c, group.At(1, 4), nil
 }
