--- a/scripts/spec.sh
+++ b/scripts/spec.sh
@@ -56,5 +56,12 @@
 for mutant in CONFIRM_LOST VOUCH_LOST SETTLE_EARLY SETTLE_BLIND; do
   check "loss-$mutant" leaders.pml violated -DLOSS -D$mutant
 done
+check limits limits.pml holds
+check limits-burst limits.pml holds -DBURST=3 -DVALID=1
+for mutant in OWN_EARLY TWICE SWITCH_EARLY NO_REST NO_FLIGHT; do
+  check "limits-$mutant" limits.pml violated -D$mutant
+done
+check limits-ARRIVAL limits.pml violated -DARRIVAL -DBURST=1 -DVALID=2
+check limits-FULL limits.pml violated -DFULL -DBURST=3 -DVALID=1
 echo "spec: $passed passed, $failed failed"
 [ "$failed" -eq 0 ]
