--- a/edge/limitbucket.go
+++ b/edge/limitbucket.go
@@ -209,7 +209,7 @@
 	}
 	now := b.Now()
 	if err != nil {
-		b.Log.Info("limiter did not respond", "bucket", b.index, "limiter", call.Limiter, "reason", err.Error())
+		b.Log.V(1).Info("limiter did not respond", "bucket", b.index, "limiter", call.Limiter, "reason", err.Error())
 		b.client.Failed(now, call)
 	} else {
 		b.client.Answered(now, call, r)
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -17,6 +17,10 @@
 // the division of the customers' limits depends.
 const limitsInterval = 250 * time.Millisecond
 
+// joinDelay is how long a VM is registered before it delegates its share. The others have
+// learned of it by then, and what they delegated as a part of fewer VMs has expired.
+const joinDelay = 2500 * time.Millisecond
+
 // rateLimiter admits operations under the customers' limits, which all VMs together keep. It
 // does nothing where no customer has a limit.
 type rateLimiter struct {
@@ -30,6 +34,8 @@
 	counter vmCounter
 	metrics *limitMetrics
 
+	// memberSince is when this VM learned that it is registered; zero if it is not.
+	memberSince time.Duration
 	// heldUntil is until when the share may be delegated from an earlier layout.
 	heldUntil time.Duration
 
@@ -154,7 +160,7 @@
 		layout = l.newLayout(ctx, quota.Buckets(vms))
 	}
 	_, isMember := members.zone(l.Settings.Zone()).byName[l.Settings.VM()]
-	mayDelegate := isMember && l.registered.Load() && !l.stopping.Load()
+	mayDelegate := l.counted(isMember) && l.registered.Load() && !l.stopping.Load()
 	mayUseOwn := isMember && l.established()
 	for _, b := range layout.buckets {
 		b.update(l.placesOf(members, vms, b.index), mayDelegate, mayUseOwn)
@@ -162,6 +168,23 @@
 	l.retirePools()
 }
 
+// counted reports whether the other VMs count this one among those that own a share, given
+// whether it is registered as far as it knows. When the whole system starts for the first
+// time, it need not wait: all token buckets are empty, which makes up for what VMs that
+// know few others delegate at first.
+func (l *rateLimiter) counted(isMember bool) bool {
+	now := l.Now()
+	switch {
+	case !isMember:
+		l.memberSince = 0
+		return false
+	case l.memberSince == 0:
+		l.memberSince = now
+	}
+	atFirstStart := l.Settings.FirstStart() && l.memberSince-l.startedAt < establishedAfter
+	return atFirstStart || now-l.memberSince >= joinDelay
+}
+
 // newLayout starts as many hash buckets in place of those before.
 func (l *rateLimiter) newLayout(ctx context.Context, buckets int) *limitLayout {
 	ctx, cancel := context.WithCancel(ctx)
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -362,3 +362,61 @@
 		}
 	}
 }
+
+// TestVMsOwnTheirSharesAfterTheyVanish guards against a share that is divided among the
+// other VMs while a VM that is cut off still uses it.
+func TestVMsOwnTheirSharesAfterTheyVanish(t *testing.T) {
+	cases := map[string]struct {
+		left  bool
+		after time.Duration
+		want  int
+	}{
+		"vanished":          {false, shareRetention, 2},
+		"vanished long ago": {false, shareRetention + time.Second, 1},
+		"left":              {true, time.Second, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			n := vmCounter{seen: map[string]time.Duration{}, left: map[string]bool{}}
+			both := newMembership([]Peer{{Name: "vm-0"}, {Name: "vm-1"}})
+			if got := n.count(time.Hour, both, map[string]bool{"vm-1": c.left}); got != 2 {
+				t.Errorf("%d VMs, want 2", got)
+			}
+			one := newMembership([]Peer{{Name: "vm-0"}})
+			if got := n.count(time.Hour+c.after, one, nil); got != c.want || n.last() != got {
+				t.Errorf("%d VMs, want %d", got, c.want)
+			}
+		})
+	}
+}
+
+// TestVMDelegatesOnceOthersCountIt guards against a new VM that delegates a share while
+// the others still divide the limits among themselves.
+func TestVMDelegatesOnceOthersCountIt(t *testing.T) {
+	cases := map[string]struct {
+		first       bool
+		registered  time.Duration
+		after       time.Duration
+		wantCounted bool
+	}{
+		"has just joined":            {false, time.Second, joinDelay - 1, false},
+		"joined":                     {false, time.Second, joinDelay, true},
+		"first start of the system":  {true, time.Second, 0, true},
+		"long after the first start": {true, time.Minute, joinDelay - 1, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			now := time.Hour
+			l := newLimits(newFleet(&VM{Settings: Settings{first: c.first}, startedAt: now, Now: func() time.Duration { return now }}))
+			now += c.registered
+			if l.counted(false) {
+				t.Error("counted before it is registered")
+			}
+			l.counted(true)
+			now += c.after
+			if got := l.counted(true); got != c.wantCounted {
+				t.Errorf("counted %v, want %v", got, c.wantCounted)
+			}
+		})
+	}
+}
--- a/quota/harness_test.go
+++ b/quota/harness_test.go
@@ -38,13 +38,15 @@
 	// pausedUntil is until when the VM does nothing.
 	pausedUntil time.Duration
 	side        int
+	// limit is the version that the VM has; vms is how many VMs it counts.
+	limit quota.Limit
+	vms   int
 }
 
 // fleet simulates VMs in virtual time.
 type fleet struct {
 	random  *rand.Rand
 	now     time.Duration
-	limit   quota.Limit
 	vms     []*vm
 	order   []string
 	latency time.Duration
@@ -57,9 +59,9 @@
 }
 
 func newFleet(seed uint64, vms int, limit quota.Limit) *fleet {
-	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), limit: limit, latency: 5 * time.Millisecond, now: time.Second}
+	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), latency: 5 * time.Millisecond, now: time.Second}
 	for i := range vms {
-		v := &vm{name: fmt.Sprintf("vm-%d", i)}
+		v := &vm{name: fmt.Sprintf("vm-%d", i), limit: limit, vms: vms}
 		f.order = append(f.order, v.name)
 		f.vms = append(f.vms, v)
 		f.restart(v, 0)
@@ -79,7 +81,7 @@
 	return f.vms[slices.IndexFunc(f.vms, func(v *vm) bool { return v.name == name })]
 }
 
-func (f *fleet) limits(string) (quota.Limit, bool) { return f.limit, true }
+func (v *vm) limits(string) (quota.Limit, bool) { return v.limit, true }
 
 // send runs something at another VM after the latency, unless the message is lost.
 func (f *fleet) send(from, to *vm, run func()) {
@@ -98,7 +100,7 @@
 
 // offer makes an operation arrive at a VM.
 func (f *fleet) offer(v *vm) {
-	outcome, _ := v.client.Admit(f.now, choir, f.limit)
+	outcome, _ := v.client.Admit(f.now, choir, v.limit)
 	if outcome == quota.Undecided {
 		v.client.Enqueue(choir)
 		v.waiting = append(v.waiting, f.now)
@@ -119,7 +121,7 @@
 func (f *fleet) settle(v *vm) {
 	left := []time.Duration{}
 	for _, at := range v.waiting {
-		outcome, _ := v.client.Retry(f.now, choir, f.limit)
+		outcome, _ := v.client.Retry(f.now, choir, v.limit)
 		if outcome == quota.Undecided && f.now-at < quota.AnswerTimeout {
 			left = append(left, at)
 			continue
@@ -136,7 +138,7 @@
 	if v.calling {
 		return
 	}
-	call, ok := v.client.Next(f.now, f.order[:min(limiters, len(f.order))], len(f.vms))
+	call, ok := v.client.Next(f.now, f.order[:min(limiters, len(f.order))], v.vms)
 	if !ok {
 		return
 	}
@@ -154,12 +156,12 @@
 	}
 	answer := func() {
 		pool := limiter.pool
-		r := pool.Allot(f.now, call.Request, f.limits)
+		r := pool.Allot(f.now, call.Request, limiter.limits)
 		back := func() { end(func() { client.Answered(f.now, call, r) }) }
 		f.send(limiter, v, back)
 	}
 	if limiter == v {
-		r := v.pool.Allot(f.now, call.Request, f.limits)
+		r := v.pool.Allot(f.now, call.Request, v.limits)
 		end(func() { client.Answered(f.now, call, r) })
 		return
 	}
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -24,7 +24,7 @@
 		f.twice = rapid.Float64Range(0, 0.3).Draw(t, "twice")
 		load := rapid.Float64Range(0.5, 4).Draw(t, "load")
 		for range rapid.IntRange(1, 12).Draw(t, "phases") {
-			f.disturb(rapid.IntRange(0, 6).Draw(t, "disturbance"))
+			f.disturb(rapid.IntRange(0, 8).Draw(t, "disturbance"), limit)
 			busy := f.anyVM()
 			f.run(time.Duration(rapid.IntRange(100, 4000).Draw(t, "length"))*time.Millisecond, func() {
 				f.poisson(load*limit.Rate, func() *vm {
@@ -42,7 +42,7 @@
 }
 
 // disturb makes one of the failures that the design allows for.
-func (f *fleet) disturb(kind int) {
+func (f *fleet) disturb(kind int, limit quota.Limit) {
 	v := f.anyVM()
 	switch kind {
 	case 0:
@@ -61,6 +61,13 @@
 		f.restart(v, f.now+quota.HoldTime)
 	case 5:
 		f.loss, f.late, f.twice = 0, 0, 0
+	case 6:
+		// A version with a lower limit, or that from before, reaches one VM.
+		factor := 0.5 + 0.5*float64(f.random.IntN(2))
+		v.limit = quota.Limit{Rate: factor * limit.Rate, Burst: factor * limit.Burst}
+	case 7:
+		// The VM has learned of others that do not use a share yet.
+		v.vms = len(f.vms) + f.random.IntN(3)
 	default:
 		v.side = 2
 	}
@@ -283,3 +290,30 @@
 		})
 	}
 }
+
+// TestLimitOfANewVersion guards against tokens of an earlier limit that are still
+// admitted, and against a raised limit that takes effect only once the old one is used up.
+func TestLimitOfANewVersion(t *testing.T) {
+	cases := map[string]struct{ before, after quota.Limit }{
+		"lowered": {quota.Limit{Rate: 240, Burst: 240}, quota.Limit{Rate: 60, Burst: 60}},
+		"raised":  {quota.Limit{Rate: 60, Burst: 60}, quota.Limit{Rate: 240, Burst: 240}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(11, 5, c.before)
+			load := func() { f.poisson(600, f.anyVM) }
+			f.run(10*time.Second, load)
+			for _, v := range f.vms {
+				v.limit = c.after
+			}
+			f.admitted = nil
+			f.run(10*time.Second, load)
+			if e := f.excess(c.after); e > 0.01 {
+				t.Errorf("operations exceed the new limit in a window by %.2f", e)
+			}
+			if got, want := float64(len(f.admitted)), 0.95*c.after.Rate*10; got < want {
+				t.Errorf("%.0f operations admitted in 10 s, want %.0f", got, want)
+			}
+		})
+	}
+}
