--- a/pool/crossing.go
+++ b/pool/crossing.go
@@ -98,6 +98,7 @@
 	choice := zones.Choice{Unfit: unfit, Left: n.waitUntil() - now}
 	if inZone.server != nil {
 		choice.InZone = &inZone.Estimate
+		choice.Lagging = inZone.ID != g.leader && !inZone.probablyShows(n.Floor, n.FloorAge, now)
 	}
 	if outside.server != nil {
 		choice.Outside = &outside.Estimate
@@ -179,12 +180,32 @@
 	e := zones.Estimate{Rest: g.distance(s, now) + time.Duration(execution*load)}
 	e.Wait = g.estimateWait(s, e.Rest, now)
 	if s.ID != g.leader && !s.probablyShows(n.Floor, n.FloorAge, now) {
-		e.Rest += s.estimatedLag(now)
+		e.Rest += max(s.estimatedLag(now)-n.FloorAge, 0)
 	}
 	e.Price = g.Traffic.Price(g.Zone, s.Zone, g.crossing.size(n.Route))
 	return e
 }
 
+// catchUpByCost returns the estimated time until the replica reaches a position of the
+// given age that is then the best by distance and price; zero if none is usable.
+func (g *Group) catchUpByCost(p query.Position, age, now time.Duration) time.Duration {
+	lowest, catchUp := time.Duration(-1), time.Duration(0)
+	for _, s := range g.servers {
+		if s.ID == g.leader || !s.usable(now) {
+			continue
+		}
+		wait := time.Duration(0)
+		if !s.probablyShows(p, age, now) {
+			wait = s.estimatedLag(now) - age
+		}
+		cost := wait + g.distance(s, now) + g.Traffic.Price(g.Zone, s.Zone, initialSize)
+		if lowest < 0 || cost < lowest {
+			lowest, catchUp = cost, wait
+		}
+	}
+	return catchUp
+}
+
 // estimateWait returns the expected wait for room in a target's window and for a
 // connection to it; took is the time of one statement.
 func (g *Group) estimateWait(s *server, took, now time.Duration) time.Duration {
--- a/pool/crossing_test.go
+++ b/pool/crossing_test.go
@@ -7,6 +7,7 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"amaranthsill/group"
 	"amaranthsill/pool"
 	"amaranthsill/query"
 	"amaranthsill/zones"
@@ -94,6 +95,16 @@
 		gomega.Expect(c.TrafficTotals()).To(gomega.ConsistOf(gomega.HaveField("Reason", zones.ReasonFreshness)))
 	})
 
+	ginkgo.It("waits for a lagging replica of the zone only if that is cheaper than the next one outside", func() {
+		lag, age := 100*time.Millisecond, 40*time.Millisecond
+		for price, waits := range map[time.Duration]bool{0: false, time.Second: true} {
+			c := newPricedGroup(zones.Traffic{Zones: price, Regions: price})
+			c.RecordLag("b", lag)
+			wait := c.CatchUpTime(group.At(1, 9), age)
+			gomega.Expect(wait > 0).To(gomega.Equal(waits), "price %v, wait %v", price, wait)
+		}
+	})
+
 	ginkgo.It("sends what needs the leader to the leader, and counts it by zone and reason", func() {
 		c := newPricedGroup(zones.Traffic{Zones: 10 * time.Second, Regions: 10 * time.Second})
 		s := c.acquire(c.need(true))
--- a/pool/observe.go
+++ b/pool/observe.go
@@ -98,11 +98,15 @@
 // CatchUpTime returns the estimated time until the first replica reaches a
 // position of the given age. It is zero if one has probably reached it already,
 // or if no replica is usable. If replicas of this VM's zone are usable, the
-// others are ignored.
+// others are ignored, unless Traffic is set: then the time is that of the replica
+// with the lowest sum of the time, the distance and the price.
 func (g *Group) CatchUpTime(p query.Position, age time.Duration) time.Duration {
 	g.lock.Lock()
 	defer g.lock.Unlock()
 	now := g.Now()
+	if g.Traffic != nil {
+		return g.catchUpByCost(p, age, now)
+	}
 	shortest, found, inZone := time.Duration(0), false, false
 	for _, s := range g.servers {
 		if s.ID == g.leader || !s.usable(now) || inZone && s.Zone != g.Zone {
--- a/zones/router.go
+++ b/zones/router.go
@@ -56,6 +56,9 @@
 	InZone, Outside *Estimate
 	// Unfit is the reason why InZone is nil.
 	Unfit Reason
+	// Lagging reports that the target of the zone has probably not reached the
+	// position that the statement needs.
+	Lagging bool
 	// Left is how long the statement may still wait to be sent.
 	Left time.Duration
 }
@@ -91,6 +94,10 @@
 	case c.Outside.Cost() < c.InZone.Cost():
 		d.Preferred, d.Reason = true, ReasonCost
 	}
+	if d.Preferred && c.Lagging {
+		// Freshness has precedence over the share: the zone would refuse the statement.
+		return Decision{Leave: true, Preferred: true, Reason: ReasonFreshness}
+	}
 	d.Leave = d.Preferred && r.admits()
 	if !d.Leave {
 		d.Reason = ReasonInZone
--- a/zones/zones_test.go
+++ b/zones/zones_test.go
@@ -249,6 +249,16 @@
 		})
 	}
 
+	ginkgo.It("leaves a lagging target for a better one also while the share is zero", func() {
+		r := &zones.Router{}
+		lagging := zones.Choice{InZone: near(0, 50*ms), Outside: far(12*ms, 0), Left: time.Second, Lagging: true}
+		d := r.Decide(lagging)
+		gomega.Expect(d.Leave).To(gomega.BeTrue())
+		gomega.Expect(d.Reason).To(gomega.Equal(zones.ReasonFreshness))
+		lagging.Outside = far(12*ms, time.Second)
+		gomega.Expect(r.Decide(lagging).Leave).To(gomega.BeFalse())
+	})
+
 	ginkgo.It("leaves a zone without targets also while the share is zero, and no other", func() {
 		r := &zones.Router{}
 		gomega.Expect(r.Decide(zones.Choice{Outside: far(ms, 0), Unfit: zones.ReasonNoTarget}).Leave).To(gomega.BeTrue())
