--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -20,10 +20,12 @@
 	ConnectionLimit: 4, StatementDelay: 2 * time.Millisecond,
 }
 
-// oneCustomer is the customers of a deployment with one. Callers need no key here: that
-// is decided by package front.
+// onlyKey is the key of the only customer of a deployment.
+const onlyKey = "bell-key"
+
+// oneCustomer is the customers of a deployment with one.
 func oneCustomer() *customer.Set {
-	set, err := customer.NewSet([]customer.Entry{{Customer: customer.Customer{Name: "bell"}}})
+	set, err := customer.NewSet([]customer.Entry{{Customer: customer.Customer{Name: "bell"}, Keys: []customer.Digest{customer.DigestOf(onlyKey)}}})
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	return set
 }
@@ -56,7 +58,7 @@
 		for _, v := range f.vms {
 			wait.Go(func() {
 				defer ginkgo.GinkgoRecover()
-				own, current := v.session("choir-own"), v.session("choir-current")
+				own, current := v.sessionAs("choir-own", onlyKey), v.sessionAs("choir-current", onlyKey)
 				for range 10 {
 					last := own.retry("WRITE bar " + own.name)
 					gomega.Expect(f.site.Leader("choir").HasEntry(last.id)).To(gomega.BeTrue())
@@ -69,15 +71,15 @@
 		// The holders of the leader answer for its position to VMs of all zones.
 		for i, v := range f.vms {
 			value := fmt.Sprint("last", i)
-			f.vms[0].session("choir-own").retry("WRITE bar " + value)
-			gomega.Expect(v.session("choir-current").retry("READ bar").rows).To(gomega.Equal([]string{value}))
+			f.vms[0].sessionAs("choir-own", onlyKey).retry("WRITE bar " + value)
+			gomega.Expect(v.sessionAs("choir-current", onlyKey).retry("READ bar").rows).To(gomega.Equal([]string{value}))
 		}
 	})
 
 	ginkgo.It("move to other VMs when a holder stops, and no query runs twice", func() {
 		f := openFixtureWith(fewConnections, 5, oneCustomer())
 		time.Sleep(2 * time.Second)
-		c := f.vms[4].session("choir-own")
+		c := f.vms[4].sessionAs("choir-own", onlyKey)
 		for i, v := range f.vms[:3] {
 			v.stop()
 			for range 20 {
