--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -1,6 +1,8 @@
 package quota_test
 
 import (
+	"flag"
+	"os"
 	"testing"
 	"time"
 
@@ -9,6 +11,20 @@
 	"amaranthsill/quota"
 )
 
+// TestMain fixes the seed of the properties, unless one is given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if f := flag.Lookup(name); f.Value.String() != f.DefValue {
+			continue
+		}
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
 // TestSumStaysWithinTheLimit guards against a share that is used at two places at once, or
 // tokens that are used later than they are counted.
 func TestSumStaysWithinTheLimit(t *testing.T) {
@@ -317,3 +333,107 @@
 		})
 	}
 }
+
+// TestShareRestsAfterADelegation guards against a VM that uses its share, or delegates it to
+// another limiter, while the earlier one still counts it or has granted tokens from it.
+func TestShareRestsAfterADelegation(t *testing.T) {
+	cases := map[string]struct {
+		after time.Duration
+		free  bool
+	}{
+		"still delegated":      {quota.DelegationTime - time.Millisecond, false},
+		"tokens not expired":   {quota.HoldTime - time.Millisecond, false},
+		"after the hold":       {quota.HoldTime, true},
+		"long after the hold":  {time.Minute, true},
+		"right after the echo": {50 * time.Millisecond, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			const stamped = time.Second
+			delegated := func() *quota.Client {
+				client := quota.NewClient("vm-0", 0)
+				client.SetStanding(true, true)
+				for range 2 {
+					call, _ := client.Next(stamped, []string{"vm-1"}, 2)
+					client.Answered(stamped, call, quota.Response{Stamp: 7})
+				}
+				if client.HeldUntil() != stamped+quota.HoldTime {
+					t.Fatalf("held until %v", client.HeldUntil())
+				}
+				return client
+			}
+			own := delegated()
+			own.Next(stamped+c.after, nil, 2)
+			if got := own.UsesOwnShare(); got != c.free {
+				t.Errorf("uses its own share: %v, want %v", got, c.free)
+			}
+			other := delegated()
+			at := stamped + c.after - 10*time.Millisecond
+			if call, ok := other.Next(at, []string{"vm-2"}, 2); ok {
+				other.Answered(at, call, quota.Response{Stamp: 8})
+			}
+			if call, ok := other.Next(stamped+c.after, []string{"vm-2"}, 2); (ok && call.Echo != 0) != c.free {
+				t.Errorf("delegates to another limiter: %v, want %v", !c.free, c.free)
+			}
+		})
+	}
+}
+
+// TestBurstRefillsOnceTokensExpired guards against tokens that are used after others have
+// accrued in their place.
+func TestBurstRefillsOnceTokensExpired(t *testing.T) {
+	limit := func(string) (quota.Limit, bool) { return quota.Limit{Rate: 2, Burst: 2}, true }
+	cases := map[string]struct {
+		after time.Duration
+		want  int
+	}{
+		"at once":                         {0, 0},
+		"had they been debited at once":   {600 * time.Millisecond, 0},
+		"half a second after they expire": {700 * time.Millisecond, 1},
+		"long after":                      {time.Minute, 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := quota.NewPool(0, 0, 0)
+			q := quota.Request{VM: "vm-0", VMs: 1, Asks: []quota.Ask{{Customer: choir, Waiting: 5}}}
+			now := time.Second
+			for ; now < 4*time.Second; now += time.Second {
+				p.Allot(now, quota.Request{VM: "vm-0", VMs: 1, Echo: uint64(now)}, limit)
+			}
+			if r := p.Allot(now, q, limit); r.Allowances[0].Granted != 2 {
+				t.Fatalf("%d tokens granted, want the burst of 2", r.Allowances[0].Granted)
+			}
+			for at := now; at < now+c.after; at += 500 * time.Millisecond {
+				p.Allot(at, quota.Request{VM: "vm-0", VMs: 1, Echo: uint64(at)}, limit)
+			}
+			r := p.Allot(now+c.after, q, limit).Allowances[0]
+			if r.Granted != c.want || r.Retry <= 0 {
+				t.Errorf("%d tokens granted with retry %v, want %d and a time to retry", r.Granted, r.Retry, c.want)
+			}
+		})
+	}
+}
+
+// TestShareRestsAfterARestart guards against a VM that delegates a share which it
+// delegated to another limiter before it restarted, or uses it itself.
+func TestShareRestsAfterARestart(t *testing.T) {
+	const restarted = time.Minute
+	client := quota.NewClient("vm-0", restarted+quota.HoldTime)
+	client.SetStanding(true, true)
+	for now := restarted; now < restarted+2*quota.HoldTime; now += 100 * time.Millisecond {
+		call, ok := client.Next(now, []string{"vm-1"}, 2)
+		if !ok {
+			continue
+		}
+		if call.Echo != 0 && now < restarted+quota.HoldTime {
+			t.Errorf("delegates %v after the restart", now-restarted)
+		}
+		client.Answered(now, call, quota.Response{Stamp: 7})
+	}
+	if client.Limiter() != "vm-1" {
+		t.Error("delegates to nobody after the hold")
+	}
+	if client.Next(restarted, nil, 2); client.UsesOwnShare() {
+		t.Error("uses its own share during the hold")
+	}
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -44,5 +44,11 @@
 mutant fence-of-one group/promotion.go 'len\(p.fenced\) >= m.quorum\(\) && p.majorityAt' 'len(p.fenced) >= 1 \&\& p.majorityAt' $world
 mutant version-goes-down roster/exchange.go 'if e.Version < d.version \{\n\t\treturn\n\t\}\n\tnewer := e.Version > d.version' 'newer := e.Version != d.version' ./roster
 mutant no-push roster/exchange.go 'if newer \{\n\t\tm.announce\(""\)\n\t\}' '' ./roster
+mutant own-share-early quota/call.go 'c.mayUseOwn && now >= c.heldUntil' 'c.mayUseOwn' ./quota
+mutant delegates-after-restart quota/call.go 'limiter == c.delegatedTo \|\| now >= c.heldUntil' 'true' ./quota
+mutant delegated-from-arrival quota/pool.go 'at\+DelegationTime' 'max(at, now)+DelegationTime' ./quota
+mutant debit-at-grant quota/bucket.go 'at := \(now\+.*?\+ 1\n' 'at := now + 0*slot\n' ./quota
+mutant own-share-full quota/account.go '= 0, since, since' '= a.limit.burst(), since, since' ./quota
+mutant capacity-not-cut quota/bucket.go 'b.level = min\(b.level, capacity\)' '_ = capacity' ./quota
 echo "mutants: $caught passed, $missed failed"
 [ "$missed" -eq 0 ]
