--- a/spec/limits.pml
+++ b/spec/limits.pml
@@ -207,39 +207,43 @@
 #define switchAllowed free
 #endif
 
-active proctype vm() {
-  byte l;
-  do
-  /* A request, once the earlier one and its response have arrived or are lost. */
-  :: atomic { now < HORIZON && to == NONE && from == NONE ->
-    if
-    :: l = 0
-    :: l = 1
-    fi;
-    to = l;
-    sent = now;
-    if
-    :: stamp[l] != NONE && now < received[l] + DELEGATION && (holder == l || switchAllowed) ->
-      echo = stamp[l];
-      holder = l;
-      if
-      :: received[l] + HOLD > heldUntil -> heldUntil = received[l] + HOLD
-      :: else
-      fi;
-      own = 0;
-      ownLevel = 0
-    :: true
-    fi;
-    l = 0 }
-  /* A response. Tokens are taken only if the earlier ones are used up. */
-  :: atomic { now < HORIZON && from != NONE ->
-    stamp[from] = given;
-    received[from] = now;
+/* The VM takes in a response; its tokens only if the earlier ones are used up. */
+inline receive(l) {
+  stamp[l] = given;
+  received[l] = now;
+  if
+  :: granted > 0 && tokens == 0 && now < asked + VALID -> tokens = granted; expiry = asked + VALID
+  :: else
+  fi;
+  from = NONE; given = 0; asked = 0; granted = 0
+}
+
+/* The VM sends a request, which delegates if the rules allow it. */
+inline request(l) {
+  to = l;
+  sent = now;
+  if
+  :: stamp[l] != NONE && now < received[l] + DELEGATION && (holder == l || switchAllowed) ->
+    echo = stamp[l];
+    holder = l;
     if
-    :: granted > 0 && tokens == 0 && now < asked + VALID -> tokens = granted; expiry = asked + VALID
+    :: received[l] + HOLD > heldUntil -> heldUntil = received[l] + HOLD
     :: else
     fi;
-    from = NONE; given = 0; asked = 0; granted = 0 }
+    own = 0;
+    ownLevel = 0
+  :: true
+  fi
+}
+
+active proctype vm() {
+  do
+  /* A request, once the earlier one and its response have arrived or are lost. */
+  :: atomic { now < HORIZON && to == NONE && from == NONE -> request(0) }
+  :: atomic { now < HORIZON && to == NONE && from == NONE -> request(1) }
+  /* A response. */
+  :: atomic { now < HORIZON && from == 0 -> receive(0) }
+  :: atomic { now < HORIZON && from == 1 -> receive(1) }
   /* An operation. */
   :: atomic { now < HORIZON && tokens > 0 -> tokens--; use() }
   :: atomic { now < HORIZON && own && ownLevel > 0 -> ownLevel--; use() }
