--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -54,5 +54,11 @@
 mutant need-without-customer front/attempt.go 'Customer:      a.session.customer,' '' ./front
 mutant admitted-at-each-try front/attempt.go 'slot, need, err := a.acquireAligned\(ctx\)' 'a.session.admitOperation(ctx, a.route)\n\t\tslot, need, err := a.acquireAligned(ctx)' ./front
 mutant part-of-a-digest customer/customer.go 'k.digest\[:\], d\[:\]' 'k.digest[:4], d[:4]' ./customer
+mutant own-share-early quota/call.go 'c.mayUseOwn && now >= c.heldUntil' 'c.mayUseOwn' ./quota
+mutant delegates-after-restart quota/call.go 'limiter == c.delegatedTo \|\| now >= c.heldUntil' 'true' ./quota
+mutant delegated-from-arrival quota/pool.go 'at\+DelegationTime' 'max(at, now)+DelegationTime' ./quota
+mutant debit-at-grant quota/bucket.go 'at := \(now\+.*?\+ 1\n' 'at := now + 0*slot\n' ./quota
+mutant own-share-full quota/account.go '= 0, since, since' '= a.limit.burst(), since, since' ./quota
+mutant capacity-not-cut quota/bucket.go 'b.level = min\(b.level, capacity\)' '_ = capacity' ./quota
 echo "mutants: $caught passed, $missed failed"
 [ "$missed" -eq 0 ]
