--- a/edge/directory.go
+++ b/edge/directory.go
@@ -102,8 +102,8 @@
 	Changed func()
 	// Grants gets each leader record.
 	Grants *succession.Grants
-	// Self is this VM's name.
-	Self string
+	// Self is this VM's name, and Incarnation identifies its present start.
+	Self, Incarnation string
 	// Now is a monotonic clock that includes the time for which the VM was
 	// suspended.
 	Now func() time.Duration
@@ -132,6 +132,9 @@
 	// selfRemoved is the revision at which this VM's entry was last removed or last
 	// began to say Silent, and selfSilenced the one at which it did the latter.
 	selfRemoved, selfSilenced store.Revision
+	// selfSeen reports that this VM's own entry was read, and selfReturned that the
+	// entry of an earlier start was still there before.
+	selfSeen, selfReturned bool
 	// quiet suppresses the log lines of single targets and VMs while everything is
 	// read, since they would grow with the fleet.
 	quiet bool
@@ -338,6 +341,10 @@
 		d.Log.Info("VM's entry cannot be decoded; ignoring it", "key", i.Key, "reason", err.Error())
 		return
 	}
+	if name == d.Self && !d.selfSeen {
+		d.selfSeen = true
+		d.selfReturned = !p.Left && (i.Replaced || p.Incarnation != d.Incarnation)
+	}
 	old := d.peers[name]
 	if p.Left || p.Silent {
 		d.peerDiscounted(p, i)
@@ -595,6 +602,14 @@
 	return d.selfRemoved
 }
 
+// Returned reports whether this VM started while the entry of its earlier start was still
+// in the store, so that the other VMs count it all the while.
+func (d *Directory) Returned() bool {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	return d.selfReturned
+}
+
 // selfSilencedRevision returns the store's revision at which this VM's entry last began
 // to say Silent; zero if it never did.
 func (d *Directory) selfSilencedRevision() store.Revision {
--- a/edge/holders.go
+++ b/edge/holders.go
@@ -99,7 +99,7 @@
 	next := map[string]groupHolders{}
 	s.targetHoldersChanging = false
 	others := (*membership)(nil)
-	if len(before) == 0 && c.Customers != nil && !s.Settings.FirstStart() {
+	if len(before) == 0 && c.Customers != nil && !s.Settings.FirstStart() && !s.directory.Returned() {
 		others = members.without(s.Settings.VM())
 		s.holdersSettleAt = now + holderChangeDelay + holderCheckInterval
 	}
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -57,10 +57,6 @@
 		pools:   map[poolKey]*limitPool{},
 		offset:  rand.Uint64(),
 	}
-	if !f.Settings.FirstStart() {
-		// The VM may have delegated its share before a restart.
-		l.heldUntil = f.startedAt + quota.HoldTime
-	}
 	return l
 }
 
@@ -171,7 +167,8 @@
 // counted reports whether the other VMs count this one among those that own a share, given
 // whether it is registered as far as it knows. When the whole system starts for the first
 // time, it need not wait: all token buckets are empty, which makes up for what VMs that
-// know few others delegate at first.
+// know few others delegate at first. Nor need a VM that returns while the entry of its
+// earlier start is there, since the others counted that.
 func (l *rateLimiter) counted(isMember bool) bool {
 	now := l.Now()
 	switch {
@@ -182,7 +179,7 @@
 		l.memberSince = now
 	}
 	atFirstStart := l.Settings.FirstStart() && l.memberSince-l.startedAt < establishedAfter
-	return atFirstStart || now-l.memberSince >= joinDelay
+	return atFirstStart || l.directory.Returned() || now-l.memberSince >= joinDelay
 }
 
 // newLayout starts as many hash buckets in place of those before.
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -391,23 +391,26 @@
 }
 
 // TestVMDelegatesOnceOthersCountIt guards against a new VM that delegates a share while
-// the others still divide the limits among themselves.
+// the others still divide the limits among themselves, and against a pause of the whole
+// system after all VMs were lost: those that return were counted all the while.
 func TestVMDelegatesOnceOthersCountIt(t *testing.T) {
 	cases := map[string]struct {
 		first       bool
+		returned    bool
 		registered  time.Duration
 		after       time.Duration
 		wantCounted bool
 	}{
-		"has just joined":            {false, time.Second, joinDelay - 1, false},
-		"joined":                     {false, time.Second, joinDelay, true},
-		"first start of the system":  {true, time.Second, 0, true},
-		"long after the first start": {true, time.Minute, joinDelay - 1, false},
+		"has just joined":            {false, false, time.Second, joinDelay - 1, false},
+		"joined":                     {false, false, time.Second, joinDelay, true},
+		"returned":                   {false, true, time.Second, 0, true},
+		"first start of the system":  {true, false, time.Second, 0, true},
+		"long after the first start": {true, false, time.Minute, joinDelay - 1, false},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			now := time.Hour
-			l := newLimits(newFleet(&VM{Settings: Settings{first: c.first}, startedAt: now, Now: func() time.Duration { return now }}))
+			l := newLimits(newFleet(&VM{Settings: Settings{first: c.first}, startedAt: now, Now: func() time.Duration { return now }, directory: &Directory{selfReturned: c.returned}}))
 			now += c.registered
 			if l.counted(false) {
 				t.Error("counted before it is registered")
--- a/edge/vm.go
+++ b/edge/vm.go
@@ -198,12 +198,13 @@
 	v.catalog = &catalog.Catalog{}
 	v.grants = &succession.Grants{Length: succession.GrantLength, Now: v.Now, Begun: v.startedAt}
 	v.directory = &Directory{
-		Adapter: v.Adapter,
-		Catalog: v.catalog,
-		Grants:  v.grants,
-		Self:    v.Settings.VM(),
-		Now:     v.Now,
-		Log:     v.Log,
+		Adapter:     v.Adapter,
+		Catalog:     v.catalog,
+		Grants:      v.grants,
+		Self:        v.Settings.VM(),
+		Incarnation: v.incarnation,
+		Now:         v.Now,
+		Log:         v.Log,
 	}
 	v.fleet = newFleet(v)
 	v.admission = newLimits(v.fleet)
--- a/store/transactional.go
+++ b/store/transactional.go
@@ -33,6 +33,9 @@
 	Lease LeaseID
 	// Deleted reports that the change at Revision deleted the key.
 	Deleted bool
+	// Replaced reports that the key had another value before the change at Revision. It
+	// is false if the source of the item does not tell.
+	Replaced bool
 }
 
 // Condition requires that a key still has the given revision. Zero requires
