--- a/edge/currency.go
+++ b/edge/configuration.go
@@ -1,6 +1,10 @@
 package edge
 
-import "time"
+import (
+	"time"
+
+	"amaranthsill/store"
+)
 
 // Limits on the age of the last confirmation that the configuration in force is the
 // newest.
@@ -48,3 +52,32 @@
 	_, _, confirmed := v.grants.StoreConfirmation()
 	return confirmed && v.grants.ExpiredFor() == 0
 }
+
+// applyConfiguration puts a configuration in force if it is newer.
+func (d *Directory) applyConfiguration(i store.Item) {
+	c, err := d.Adapter.DecodeConfiguration(i.Value)
+	if err != nil {
+		d.Log.Error(err, "configuration cannot be decoded; the one in force stays", "revision", i.Revision.String())
+		return
+	}
+	if !d.Catalog.Update(c) {
+		return
+	}
+	customers := 0
+	if c.Customers != nil {
+		customers = c.Customers.Len()
+	}
+	d.Log.Info("configuration in force", "version", c.Version, "routes", len(c.Routes), "customers", customers, "revision", i.Revision.String())
+	if d.Changed != nil {
+		// It takes time in proportion to the sessions, and the lock is held here.
+		go d.Changed()
+	}
+}
+
+// withoutKeys returns an item as it may be passed to other VMs.
+func (d *Directory) withoutKeys(i store.Item) store.Item {
+	if i.Key == d.Adapter.ConfigurationKey && !i.Deleted && d.Adapter.WithoutKeys != nil {
+		i.Value = d.Adapter.WithoutKeys(i.Value)
+	}
+	return i
+}
--- a/edge/directory.go
+++ b/edge/directory.go
@@ -234,14 +234,6 @@
 	}
 }
 
-// withoutKeys returns an item as it may be passed to other VMs.
-func (d *Directory) withoutKeys(i store.Item) store.Item {
-	if i.Key == d.Adapter.ConfigurationKey && !i.Deleted && d.Adapter.WithoutKeys != nil {
-		i.Value = d.Adapter.WithoutKeys(i.Value)
-	}
-	return i
-}
-
 // MarkComplete records that every change up to a revision was applied.
 func (d *Directory) MarkComplete(revision store.Revision) {
 	d.lock.Lock()
@@ -387,27 +379,6 @@
 	}
 }
 
-// applyConfiguration puts a configuration in force if it is newer.
-func (d *Directory) applyConfiguration(i store.Item) {
-	c, err := d.Adapter.DecodeConfiguration(i.Value)
-	if err != nil {
-		d.Log.Error(err, "configuration cannot be decoded; the one in force stays", "revision", i.Revision.String())
-		return
-	}
-	if !d.Catalog.Update(c) {
-		return
-	}
-	customers := 0
-	if c.Customers != nil {
-		customers = c.Customers.Len()
-	}
-	d.Log.Info("configuration in force", "version", c.Version, "routes", len(c.Routes), "customers", customers, "revision", i.Revision.String())
-	if d.Changed != nil {
-		// It takes time in proportion to the sessions, and the lock is held here.
-		go d.Changed()
-	}
-}
-
 // applyRecord passes a leader record to Grants.
 func (d *Directory) applyRecord(i store.Item) {
 	r, err := succession.DecodeRecord(i)
