--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -182,6 +182,7 @@
 	for _, s := range g.servers {
 		s.unserved = 0
 		clear(s.unservedBy)
+		clear(s.atPart)
 		s.triedSince = never
 	}
 	for _, w := range g.waiting {
--- a/pool/load_test.go
+++ b/pool/load_test.go
@@ -58,6 +58,8 @@
 
 	lock     sync.Mutex
 	services []service
+	// opensBefore is the number of connections that were opened in the first half.
+	opensBefore int
 }
 
 // service is what one customer got.
@@ -118,6 +120,10 @@
 		c := &customer.Customer{Name: fmt.Sprintf("c-%d", i), Rate: 1.25 * usual * 8 / 1.44}
 		s.wait.Go(func() { s.send(c, i, usual) })
 	}
+	s.wait.Go(func() {
+		time.Sleep(siteTime / 2)
+		s.opensBefore = s.opens()
+	})
 	if events != nil {
 		events(s)
 	}
@@ -140,6 +146,22 @@
 	}
 }
 
+// opens returns the number of connections that were opened to the targets.
+func (s *site) opens() int {
+	n := 0
+	for _, d := range s.targets {
+		d.lock.Lock()
+		n += d.opens
+		d.lock.Unlock()
+	}
+	return n
+}
+
+// opensPerSecond returns how many were opened in a second of the second half, on average.
+func (s *site) opensPerSecond() float64 {
+	return float64(s.opens()-s.opensBefore) / float64(len(s.targets)) / (siteTime / 2).Seconds()
+}
+
 // maxFactor is the largest factor of any pattern.
 const maxFactor = 7.5
 
@@ -204,9 +226,8 @@
 // served tenth, and of all; then the connections.
 func (s *site) report() string {
 	l := s.sorted(nil)
-	opens, evictions, foreign, maxOpening, maxOpen := 0, 0, 0, 0, 0
+	evictions, foreign, maxOpening, maxOpen := 0, 0, 0, 0
 	for _, d := range s.targets {
-		opens += d.opens
 		foreign += d.foreign
 		maxOpening, maxOpen = max(maxOpening, d.maxOpening), max(maxOpen, d.maxOpen)
 	}
@@ -218,8 +239,8 @@
 		sent, served = sent+v.sent, served+v.served
 		slowest = max(slowest, v.latency())
 	}
-	return fmt.Sprintf("least %.3f, least tenth %.3f, all %.4f of %d; slowest mean %s, first rank %.3f in %s; %d opens, %d evictions, %d foreign, %d opening and %d open at once",
-		l[0].fraction(), meanFraction(l[:len(l)/10]), float64(served)/float64(sent), sent, slowest, s.services[0].fraction(), s.services[0].latency(), opens, evictions, foreign, maxOpening, maxOpen)
+	return fmt.Sprintf("least %.3f, least tenth %.3f, all %.4f of %d; slowest mean %s, first rank %.3f in %s; %d opens, in the end %.1f a second and target, %d evictions, %d foreign, %d opening and %d open at once",
+		l[0].fraction(), meanFraction(l[:len(l)/10]), float64(served)/float64(sent), sent, slowest, s.services[0].fraction(), s.services[0].latency(), s.opens(), s.opensPerSecond(), evictions, foreign, maxOpening, maxOpen)
 }
 
 // latency returns the mean time that the customer's served statements took.
@@ -264,6 +285,9 @@
 	// least is which part of the statements of each other customer must be served in time,
 	// rounded down to whole statements, and tenth the mean of the least served tenth.
 	least, tenth float64
+	// opens is how many connections may be opened to a target in a second, in the second
+	// half of the load; zero means any number.
+	opens float64
 	// slowest is the longest mean time of a customer's served statements.
 	slowest time.Duration
 }
@@ -290,7 +314,7 @@
 }
 
 var patterns = map[string]pattern{
-	"customers on fewer connections": {least: 1, tenth: 1, slowest: 40 * time.Millisecond},
+	"customers on fewer connections": {least: 1, tenth: 1, slowest: 40 * time.Millisecond, opens: 4},
 	"one customer at seven times":    {prepare: burst(0), bursting: []int{0}, fraction: 0.9, least: 1, tenth: 1, slowest: 60 * time.Millisecond},
 	"two customers at seven times":   {prepare: burst(0, 1), bursting: []int{0, 1}, fraction: 0.8, least: 0.75, tenth: 0.9, slowest: 250 * time.Millisecond},
 	"one route at two and a half times": {
@@ -367,6 +391,9 @@
 			t.Errorf("target %s ran %d statements on another customer's connection and had %d connections", id, d.foreign, d.maxOpen)
 		}
 	}
+	if got, most := s.opensPerSecond(), p.opens*float64(len(s.vms)/siteHolders); p.opens > 0 && got > most {
+		t.Errorf("%.1f connections were opened in a second to each target, want %.1f", got, most)
+	}
 	for _, i := range p.bursting {
 		if got := s.services[i].fraction(); got < p.fraction {
 			t.Errorf("of the bursting customer %d %.3f was served, want %.3f", i, got, p.fraction)
--- a/pool/ownership.go
+++ b/pool/ownership.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"cmp"
 	"errors"
 	"maps"
 	"slices"
@@ -71,8 +70,11 @@
 	if len(s.idle) == 0 {
 		return false
 	}
+	if n.Locate {
+		return true
+	}
 	i := g.identity(s, n.customerName())
-	return n.Locate || slices.ContainsFunc(s.idle, func(c *connection) bool { return c.serves(i) })
+	return slices.ContainsFunc(s.idle, func(c *connection) bool { return c.serves(i) })
 }
 
 // openFor opens a connection for a waiter that found no idle one, if the budget, the
@@ -95,11 +97,12 @@
 // the waiter's customer has its part already, or if none could be evicted for a waiter
 // that came before this one in the queue and has waited longer.
 func (g *Group) makeRoom(s *server, w *waiter, i identity, now time.Duration) bool {
-	if len(s.idle) == 0 || w.enqueuedAt >= s.triedSince {
+	key := i.openKey()
+	if len(s.idle) == 0 || w.enqueuedAt >= s.triedSince || s.atPart[key] {
 		return false
 	}
-	u := user{identity: identity{customer: i.customer}}
-	if s.held(u)+s.openings.by[i.openKey()] >= g.partOf(s, now) {
+	if s.held(user{identity: identity{customer: i.customer}})+s.openings.by[key] >= g.partOf(s, now) {
+		s.atPart[key] = true
 		return false
 	}
 	if g.evict(s, w, now, func(*connection) bool { return true }) {
@@ -247,7 +250,7 @@
 			passed = true
 			continue
 		}
-		if w.served || cmp.Or(g.requiredTarget(&w.need), s.ID) != s.ID {
+		if w.served || !g.mayRunOn(&w.need, s) {
 			continue
 		}
 		name := w.need.customerName()
@@ -300,21 +303,28 @@
 	s.open--
 }
 
+// mayRunOn reports whether a need allows a target by its role or ID.
+func (g *Group) mayRunOn(n *Need, s *server) bool {
+	id := g.requiredTarget(n)
+	return id == s.ID || id == "" && !n.Leader
+}
+
 // evictReserved closes an idle connection of another customer after a dial was not
 // attempted because this VM has its only direct connection to the target already.
-// It returns false if no connection can be closed. The caller holds the lock.
+// It returns false if no statement of the customer waits any more, or no connection can
+// be closed. The caller holds the lock.
 func (g *Group) evictReserved(s *server, i identity, err error, now time.Duration) bool {
 	if !errors.Is(err, ErrReserved) {
 		return false
 	}
 	var first *waiter
 	for _, w := range g.waiting {
-		if w.need.customerName() == i.customer && cmp.Or(g.requiredTarget(&w.need), s.ID) == s.ID {
+		if w.need.customerName() == i.customer && g.mayRunOn(&w.need, s) {
 			first = w
 			break
 		}
 	}
-	return g.evict(s, first, now, func(c *connection) bool { return !c.isShared() && c.customer != i.customer })
+	return first != nil && g.evict(s, first, now, func(c *connection) bool { return !c.isShared() && c.customer != i.customer })
 }
 
 // redispatchAfter runs dispatch after a time, unless it is to run anyway. The caller
--- a/pool/ownership_test.go
+++ b/pool/ownership_test.go
@@ -71,14 +71,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		d := newStandIn(4, 3)
 		v := newCustomerVM(d, 3)
-		v.serve(t, "rare", time.Millisecond)
-		v.serve(t, "seldom", time.Millisecond)
 		for range 40 {
 			v.serve(t, "busy", 3*time.Millisecond)
 			time.Sleep(20 * time.Millisecond)
 			v.configure(3)
 		}
+		// The connection of the busy customer has been idle for longest.
 		v.serve(t, "rare", time.Millisecond)
+		v.serve(t, "seldom", time.Millisecond)
 		time.Sleep(30 * time.Millisecond)
 		v.serve(t, "new", time.Millisecond)
 		v.serve(t, "busy", time.Millisecond)
--- a/pool/server.go
+++ b/pool/server.go
@@ -66,6 +66,9 @@
 	// triedSince is the least enqueuedAt of the waiters for which no connection could
 	// be evicted in one dispatch run; never if there was none.
 	triedSince time.Duration
+	// atPart holds for whom no connection is evicted in the dispatch run, because they
+	// have their part.
+	atPart map[identity]bool
 	// pending holds the time at which each statement in flight was sent.
 	pending    map[*Slot]time.Duration
 	lastAnswer time.Duration
@@ -103,6 +106,7 @@
 	return &server{
 		Target: t, window: newWindow(), pending: map[*Slot]time.Duration{}, lastAnswer: now,
 		openings: openings{by: map[identity]int{}}, unservedBy: map[identity]int{}, relayed: map[string]bool{}, usage: map[user]*usageRate{},
+		atPart: map[identity]bool{},
 	}
 }
 
