--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -188,6 +188,7 @@
 	for _, s := range g.servers {
 		s.unserved = 0
 		clear(s.unservedBy)
+		clear(s.atPart)
 		s.triedSince = never
 	}
 	g.beginCrossing(now)
