--- a/pool/slot.go
+++ b/pool/slot.go
@@ -48,6 +48,8 @@
 	// both are set only if Group.Traffic is.
 	route  string
 	reason zones.Reason
+	// customer is the name of the customer whose statement the slot is for.
+	customer string
 }
 
 // Target returns the ID of the slot's target.
