--- a/edge/placement.go
+++ b/edge/placement.go
@@ -18,9 +18,9 @@
 // design is described in docs/design/placement.md.
 const (
 	// connectionsPerHolder is for how many connections of a target there is one
-	// holder. With fewer for each, a holder cannot keep one for most of its
-	// customers; with more, one VM's processor would carry more statements.
-	connectionsPerHolder = 16
+	// holder. With fewer for each, a holder cannot keep one for most of its customers,
+	// and each VM has links to more holders, which it uses more seldom.
+	connectionsPerHolder = 32
 	// minHolders is the least number of a target's holders. The second replaces the
 	// first when it fails.
 	minHolders = 2
--- a/edge/targetbudget.go
+++ b/edge/targetbudget.go
@@ -96,7 +96,7 @@
 	}
 	// The pool falls back to the budget of Configure for a target that it has just
 	// got to know. The lowest of all is safe for each.
-	g.SetIdleAllowance(allowance)
+	g.SetIdleAllowance(max(allowance/keptShare, 1))
 	g.Configure(targets, lowest)
 	for i, t := range targets {
 		s.budgets.renew(g, t.ID, h.targets[t.ID].self, budgets[i], s.Now())
@@ -104,6 +104,11 @@
 	}
 }
 
+// keptShare divides the idle allowance of a holder. The pool keeps customers' idle
+// connections up to twice its allowance, half of an equal share: after a loss of power the
+// target counts what was open for 3 s more, and the VMs that start need the other half.
+const keptShare = 2
+
 // usualTargets is a number of targets that few groups exceed.
 const usualTargets = 8
 
--- a/front/attempt.go
+++ b/front/attempt.go
@@ -257,8 +257,8 @@
 		a.group.RecordLag(slot.Target(), n.FloorAge)
 		a.tried = append(a.tried, slot.Target())
 	case query.CodeBusy:
-		// The pool leaves the target alone for a moment.
-		return a.allowRetry("target is full")
+		// The pool leaves the target alone for a moment, except for a single customer.
+		return a.allowRetry("target is full") && (a.session.customer == nil || a.pauseBusy(ctx))
 	case query.CodeReadOnly:
 		return a.allowRetry("target does not lead") && a.pauseBusy(ctx)
 	default:
--- a/pool/budget.go
+++ b/pool/budget.go
@@ -21,6 +21,11 @@
 // allowance. Most customers use a target less than once in keptIdleTimeout.
 const customerIdleTimeout = 30 * time.Second
 
+// customerLinkIdleTimeout replaces idleTimeout for links that customers share. To open
+// one takes two round trips, up to 80 ms between regions. It is shorter than the time
+// after which the other VM closes an unused link.
+const customerLinkIdleTimeout = 12 * time.Second
+
 // SetIdleAllowance sets the idle allowance: the number of connections to each
 // target up to which idle ones are kept for keptIdleTimeout instead of
 // idleTimeout.
@@ -65,6 +70,9 @@
 	if c.isKept(s) && s.open <= 2*g.idleAllowance {
 		return customerIdleTimeout
 	}
+	if c.customer != "" && c.isShared() {
+		return customerLinkIdleTimeout
+	}
 	if s.open <= g.idleAllowance {
 		return keptIdleTimeout
 	}
--- a/pool/observe.go
+++ b/pool/observe.go
@@ -179,6 +179,8 @@
 	v.markReachable()
 	g.observeCrossing(s, o, r, sent, now)
 	switch {
+	case r.Failure != nil && r.Failure.Code == query.CodeBusy && s.customer != "" && s.conn.isShared():
+		// The holder had no connection for this customer. Others may have one.
 	case r.Failure != nil && r.Failure.Code == query.CodeBusy:
 		v.recordFull(now)
 		time.AfterFunc(v.fullUntil-now, g.redispatch)
--- a/pool/ownership.go
+++ b/pool/ownership.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"amaranthsill/query"
 )
 
 // identity states for whom a connection is opened and how it reaches its target.
@@ -310,11 +312,14 @@
 }
 
 // evictReserved closes an idle connection of another customer after a dial was not
-// attempted because this VM has its only direct connection to the target already.
+// attempted because this VM has its only direct connection to the target already, or was
+// refused because the target has too many connections.
 // It returns false if no statement of the customer waits any more, or no connection can
 // be closed. The caller holds the lock.
 func (g *Group) evictReserved(s *server, i identity, err error, now time.Duration) bool {
-	if !errors.Is(err, ErrReserved) {
+	f := (*query.Failure)(nil)
+	full := errors.As(err, &f) && f.Code == query.CodeTooManyConnections
+	if !errors.Is(err, ErrReserved) && (!full || i.customer == "") {
 		return false
 	}
 	var first *waiter
