--- a/edge/limitbucket.go
+++ b/edge/limitbucket.go
@@ -26,7 +26,9 @@
 	client  *quota.Client
 	waiting []*limitWaiter
 	places  limitPlaces
-	closed  bool
+	// mayDelegate is what update was told last.
+	mayDelegate bool
+	closed      bool
 	// ownShare is the last state that was logged.
 	ownShare bool
 }
@@ -104,8 +106,8 @@
 // update tells which VMs are the limiters, and what the VM may do with its share.
 func (b *limitBucket) update(p limitPlaces, mayDelegate, mayUseOwn bool) {
 	b.lock.Lock()
-	changed := b.places.vms == 0
-	b.places = p
+	changed := b.places.vms == 0 || mayDelegate != b.mayDelegate
+	b.places, b.mayDelegate = p, mayDelegate
 	b.client.SetStanding(mayDelegate, mayUseOwn)
 	b.lock.Unlock()
 	if changed {
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -17,6 +17,10 @@
 // the division of the customers' limits depends.
 const limitsInterval = 250 * time.Millisecond
 
+// startupLimitsInterval replaces limitsInterval during startupPeriod. After a loss of all
+// VMs nothing is admitted before they have delegated their shares.
+const startupLimitsInterval = 50 * time.Millisecond
+
 // joinDelay is how long a VM is registered before it delegates its share. The others have
 // learned of it by then, and what they delegated as a part of fewer VMs has expired.
 const joinDelay = 2500 * time.Millisecond
@@ -127,12 +131,20 @@
 		}
 		select {
 		case <-l.wake:
-		case <-time.After(limitsInterval):
+		case <-time.After(l.interval()):
 		case <-ctx.Done():
 		}
 	}
 }
 
+// interval returns the time until the next look.
+func (l *rateLimiter) interval() time.Duration {
+	if l.Now()-l.startedAt < startupPeriod {
+		return startupLimitsInterval
+	}
+	return limitsInterval
+}
+
 // hasLimits reports whether any customer of a configuration has a limit.
 func hasLimits(c *catalog.Configuration) bool {
 	if c == nil || c.Customers == nil {
