--- a/edge/directory.go
+++ b/edge/directory.go
@@ -335,7 +335,7 @@
 	}
 	if name == d.Self && !d.selfSeen {
 		d.selfSeen = true
-		d.selfReturned = !p.Left && (i.Replaced || p.Incarnation != d.Incarnation)
+		d.selfReturned = !p.Left && !p.Silent && (i.Replaced || p.Incarnation != d.Incarnation)
 	}
 	old := d.peers[name]
 	if p.Left || p.Silent {
--- a/edge/limitplaces.go
+++ b/edge/limitplaces.go
@@ -34,7 +34,8 @@
 // first of this VM's zone, so that the VMs of a zone that is cut off pool their shares.
 func (l *rateLimiter) placesOf(m *membership, vms, bucket int) limitPlaces {
 	key := limitKey + strconv.Itoa(bucket)
-	p := limitPlaces{vms: vms, order: l.places.ring(m).Pick(key, limitersPerBucket), addresses: l.places.addresses}
+	r := l.places.ring(m)
+	p := limitPlaces{vms: vms, order: r.Pick(key, limitersPerBucket), addresses: l.places.addresses}
 	for _, near := range m.zone(l.Settings.Zone()).place(key, 1) {
 		if !slices.Contains(p.order, near.Name) {
 			p.order = append(p.order, near.Name)
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -190,8 +190,8 @@
 	case l.memberSince == 0:
 		l.memberSince = now
 	}
-	atFirstStart := l.Settings.FirstStart() && l.memberSince-l.startedAt < establishedAfter
-	return atFirstStart || l.directory.Returned() || now-l.memberSince >= joinDelay
+	atStart := l.memberSince-l.startedAt < establishedAfter
+	return atStart && (l.Settings.FirstStart() || l.directory.Returned()) || now-l.memberSince >= joinDelay
 }
 
 // newLayout starts as many hash buckets in place of those before.
--- a/edge/placement.go
+++ b/edge/placement.go
@@ -91,7 +91,10 @@
 			return now-at > formerHolderRetention || containsVM(due, name)
 		})
 		if !slices.EqualFunc(t.holders, due, func(a, b Peer) bool { return a.Name == b.Name }) {
-			n.dueSince = cmp.Or(t.dueSince, max(now, 1))
+			n.dueSince = max(now, 1)
+			if t.dueSince != 0 && slices.EqualFunc(t.due, due, func(a, b Peer) bool { return a.Name == b.Name }) {
+				n.dueSince = t.dueSince
+			}
 		}
 	}
 	switch {
--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -214,7 +214,7 @@
 		return false
 	}
 	i := g.identity(s, w.need.customerName())
-	if !s.relayed[i.affinity] && !s.window.hasRoomFor(i.customer, s.Slots) {
+	if !g.hasRoomFor(s, &w.need) {
 		return false
 	}
 	if c := s.takeIdle(i, &w.need); c != nil {
@@ -231,6 +231,13 @@
 	return false
 }
 
+// hasRoomFor reports whether a target that this VM connects to itself may run another
+// statement of the need's customer.
+func (g *Group) hasRoomFor(s *server, n *Need) bool {
+	i := g.identity(s, n.customerName())
+	return s.relayed[i.affinity] || s.window.hasRoomFor(i.customer, s.Slots)
+}
+
 func (g *Group) newSlot(s *server, c *connection, need *Need, now time.Duration) *Slot {
 	if l, ok := c.link.(CustomerLink); ok {
 		l.SetCustomer(need.customerName(), need.Priority)
@@ -313,7 +320,7 @@
 // readCost returns the expected latency of a read on a target, with penalties,
 // and whether the target may run the read at all.
 func (g *Group) readCost(s *server, n *Need, now time.Duration) (time.Duration, bool) {
-	if !s.usable(now) || !s.window.hasRoom() || slices.Contains(n.Tried, s.ID) {
+	if !s.usable(now) || !s.window.hasRoom() || slices.Contains(n.Tried, s.ID) || !g.hasRoomFor(s, n) {
 		return 0, false
 	}
 	c := s.cost(now, g.Zone)
--- a/pool/fairqueue.go
+++ b/pool/fairqueue.go
@@ -130,7 +130,7 @@
 	v := q.classes[t.class]
 	f := v.flows[t.name]
 	q.leave(v, t)
-	if f == nil || t.length == 0 {
+	if f == nil || t.length == 0 || t.name == "" && len(v.flows) <= 1 {
 		return false
 	}
 	f.finish = f.served
--- a/pool/ownership.go
+++ b/pool/ownership.go
@@ -89,7 +89,7 @@
 	if s.openings.by[key] >= s.unservedBy[key] || now < s.retryAt || !s.mayOpen(i) {
 		return
 	}
-	if s.open+s.dialing >= g.budgetOf(s, now) && !g.makeRoom(s, w, i, now) {
+	if s.open+s.dialing >= g.budgetOf(s, now) && (!g.makeRoom(s, w, i, now) || s.open+s.dialing >= g.budgetOf(s, now)) {
 		return
 	}
 	g.dial(s, i)
@@ -329,7 +329,15 @@
 			break
 		}
 	}
-	return first != nil && g.evict(s, first, now, func(c *connection) bool { return !c.isShared() && c.customer != i.customer })
+	if first == nil || !g.evict(s, first, now, func(c *connection) bool { return !c.isShared() && c.customer != i.customer }) {
+		return false
+	}
+	if full {
+		// Other VMs may have taken the place that was freed.
+		s.retryAt = now + firstBackoff
+		g.redispatchAfter(firstBackoff)
+	}
+	return true
 }
 
 // redispatchAfter runs dispatch after a time, unless it is to run anyway. The caller
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -71,7 +71,7 @@
 	}
 	queue := make([]queued, len(g.waiting))
 	for i, w := range g.waiting {
-		queue[i] = queued{left: w.need.deadline() - now, kept: w.refused == nil || !g.reachable(cmp.Or(w.need.Target, g.leader))}
+		queue[i] = queued{left: w.need.deadline() - now, kept: w.refused == nil || !g.occupied(&w.need, now)}
 	}
 	refused := []*waiter{}
 	for _, i := range displaced(queue, func(ahead int) time.Duration { return g.throughput.estimateWait(now, ahead) }) {
@@ -82,10 +82,18 @@
 	}
 }
 
+// occupied reports whether a statement's target, or else the leader, is reached and
+// answers, so that the queue's throughput tells when the statement will be served. The
+// caller holds the lock.
+func (g *Group) occupied(n *Need, now time.Duration) bool {
+	id := cmp.Or(n.Target, g.leader)
+	return g.reachable(id) && !g.servers[id].silent(now)
+}
+
 // boundShare refuses a statement that has just arrived if its customer has more than
 // its share of the queue. The caller holds the lock.
 func (g *Group) boundShare(w *waiter, now time.Duration) {
-	if w.refused == nil || w.served || !g.reachable(cmp.Or(w.need.Target, g.leader)) {
+	if w.refused == nil || w.served || !g.occupied(&w.need, now) {
 		return
 	}
 	servable, known := g.throughput.servable(now, w.need.deadline()-now)
--- a/quota/client.go
+++ b/quota/client.go
@@ -49,8 +49,9 @@
 }
 
 // retirementTime is how long a limiter that takes no delegations any more is not asked for
-// a stamp. It is about to stop, and no longer counts as running by then.
-const retirementTime = 10 * time.Second
+// a stamp. It may have started again by then: a longer time would leave it with its own
+// share alone.
+const retirementTime = FailureBackoff
 
 // stamp is a limiter's stamp, which it gave between the sending of a request and the
 // receipt of the response.
--- a/quota/delegations.go
+++ b/quota/delegations.go
@@ -94,8 +94,9 @@
 		sum += s
 	}
 	d.changes = append(d.changes, change{at: at, share: min(sum, 1)})
-	if drop, _ := slices.BinarySearchFunc(d.changes, at-historyTime, compareTime); drop > len(d.changes)/2 {
-		d.changes = slices.Delete(d.changes, 0, drop)
+	// The last change before that time is in force at it, and is kept.
+	if drop, _ := slices.BinarySearchFunc(d.changes, at-historyTime, compareTime); drop-1 > len(d.changes)/2 {
+		d.changes = slices.Delete(d.changes, 0, drop-1)
 	}
 }
 
