Carry all links between two VMs on one connection

Cause: each link to a target through a holder had a connection, with two buffers and gob encoders at both ends.

Change: a hello may ask for streams. Requests and responses name their stream; orders of a stream run in turn, those of different streams beside one another, without a goroutine while a stream is idle. A holder that stops tells the other VM, which ends the idle streams and closes the connection after the open transactions: an order on its way is answered. A holder that does not know streams refuses the hello, and gets a connection for each link.

Tests: a lost holder of the fixture now loses its connections too, since closing its listener alone no longer ends links; the holder of a former build replies to a hello without target as the real one does. New: links share a connection and do not wait for one another, end with it, and survive the deadline of one.

--- a/internal/socket/accept.go
+++ b/internal/socket/accept.go
@@ -43,7 +43,7 @@
 			a.begin()
 			go func() {
 				defer a.end()
-				defer closeAfterPanic(conn, log)
+				defer CloseAfterPanic(conn, log)
 				serve(conn)
 			}()
 			continue
@@ -57,9 +57,9 @@
 	}
 }
 
-// closeAfterPanic closes the connection if the function that defers this call panics, and
+// CloseAfterPanic closes the connection if the function that defers this call panics, and
 // ends the panic.
-func closeAfterPanic(c net.Conn, log logr.Logger) {
+func CloseAfterPanic(c net.Conn, log logr.Logger) {
 	reason := recover()
 	if reason == nil {
 		return
--- a/relay/customer_test.go
+++ b/relay/customer_test.go
@@ -210,11 +210,7 @@
 		received := make(chan oldRequest, 1)
 		go func() {
 			defer ginkgo.GinkgoRecover()
-			conn, err := l.Accept()
-			gomega.Expect(err).NotTo(gomega.HaveOccurred())
-			encoder, decoder := gob.NewEncoder(conn), gob.NewDecoder(conn)
-			gomega.Expect(decoder.Decode(&oldHello{})).To(gomega.Succeed())
-			gomega.Expect(encoder.Encode(oldResponse{})).To(gomega.Succeed())
+			encoder, decoder := oldHandshake(l)
 			q := oldRequest{}
 			gomega.Expect(decoder.Decode(&q)).To(gomega.Succeed())
 			gomega.Expect(encoder.Encode(oldResponse{})).To(gomega.Succeed())
@@ -228,6 +224,23 @@
 	})
 })
 
+// oldHandshake accepts connections as a holder without customers and streams does, until
+// one names a target: it replies to a hello without one, and closes the connection.
+func oldHandshake(l net.Listener) (*gob.Encoder, *gob.Decoder) {
+	for {
+		conn, err := l.Accept()
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		encoder, decoder := gob.NewEncoder(conn), gob.NewDecoder(conn)
+		h := oldHello{}
+		gomega.Expect(decoder.Decode(&h)).To(gomega.Succeed())
+		gomega.Expect(encoder.Encode(oldResponse{})).To(gomega.Succeed())
+		if h.Target != "" {
+			return encoder, decoder
+		}
+		gomega.Expect(conn.Close()).To(gomega.Succeed())
+	}
+}
+
 var _ = ginkgo.Describe("The affinity of a customer", func() {
 	ginkgo.It("is empty for direct connections and where customers do not change the holders", func() {
 		for _, h := range []relay.Holders{{Self: true, ByCustomer: true, Addresses: []string{"x"}}, {Addresses: []string{"x"}}, {ByCustomer: true}} {
@@ -247,7 +260,7 @@
 		d.Now = func() time.Duration { return clock.SinceBoot() + time.Duration(offset.Load()) }
 		exchange(dialFor(d, "bell"), read("q1"))
 		gomega.Expect(d.Affinity(commonTarget, "bell")).To(gomega.Equal(h.address()))
-		gomega.Expect(h.listener.Close()).To(gomega.Succeed())
+		h.lose()
 		exchange(dialFor(d, "bell"), read("q2"))
 		gomega.Expect(d.Affinity(commonTarget, "bell")).To(gomega.Equal(second.address()))
 		offset.Store(int64(3 * time.Second))
@@ -278,7 +291,7 @@
 		exchange(l, read("q2"))
 		gomega.Expect(d.Affinity(commonTarget, "bell")).To(gomega.Equal(second.address()))
 		exchange(dialFor(d, "bell"), read("q3"))
-		gomega.Expect(second.listener.Close()).To(gomega.Succeed())
+		second.lose()
 		exchange(dialFor(d, "bell"), read("q4"))
 		gomega.Expect(d.Affinity(commonTarget, "bell")).To(gomega.Equal(h.address()))
 		gomega.Expect(h.orders()).To(gomega.Equal([][]string{{"q1 READ 1", "q2 READ 1", "q4 READ 1"}}))
--- a/relay/dialer.go
+++ b/relay/dialer.go
@@ -1,9 +1,7 @@
 package relay
 
 import (
-	"bufio"
 	"context"
-	"encoding/gob"
 	"errors"
 	"fmt"
 	"net"
@@ -71,6 +69,7 @@
 // holderState is what the dialer knows about one holder.
 type holderState struct {
 	links map[*link]bool
+	trunkState
 	// lastAnswer is when the holder last replied. The holder is skipped until
 	// avoidUntil.
 	lastAnswer, avoidUntil time.Duration
@@ -187,40 +186,76 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	l, err := d.connect(ctx, address)
-	if err != nil {
-		d.markUnreachable(address)
+	c, r, err := d.openChannel(ctx, address, t)
+	var refusal *query.Failure
+	if errors.As(err, &refusal) {
+		d.recordRefusal(address, t.ID)
 		return nil, query.Position{}, err
 	}
-	r, err := l.handshake(t)
 	if err != nil {
-		l.Close()
 		d.markUnreachable(address)
 		return nil, query.Position{}, err
 	}
+	l := &link{dialer: d, address: address, channel: c, leaving: r.Leaving}
+	d.addLink(l)
 	d.recordAnswer(l)
-	if r.Failure != nil {
+	n := r.reply()
+	if n.Failure != nil {
 		d.recordRefusal(address, t.ID)
 		l.Close()
-		return nil, query.Position{}, fmt.Errorf("holder refused the link: %w", r.Failure)
+		return nil, query.Position{}, fmt.Errorf("holder refused the link: %w", n.Failure)
 	}
-	return l, r.Position, nil
+	return l, n.Position, nil
 }
 
-func (d *Dialer) connect(ctx context.Context, address string) (*link, error) {
+// openChannel opens a channel to a target through a holder, and returns it with the
+// holder's first response. A trunk that was lost unnoticed is replaced by a new one.
+func (d *Dialer) openChannel(ctx context.Context, address string, t pool.Target) (channel, response, error) {
+	for {
+		k, isNew, err := d.trunkTo(ctx, address)
+		if err != nil {
+			return nil, response{}, err
+		}
+		if k == nil {
+			return d.openOwn(ctx, address, t)
+		}
+		s, r, err := k.open(t)
+		if err == nil {
+			return s, r, nil
+		}
+		if isNew || isTimeout(err) || ctx.Err() != nil {
+			return nil, r, err
+		}
+		d.forgetTrunk(address, k)
+	}
+}
+
+// openOwn opens a channel with a connection of its own.
+func (d *Dialer) openOwn(ctx context.Context, address string, t pool.Target) (channel, response, error) {
+	c, err := connect(ctx, address)
+	if err != nil {
+		return nil, response{}, err
+	}
+	r, err := c.greet(hello{Group: t.Group, Target: t.ID})
+	if err != nil {
+		c.close()
+		return nil, r, err
+	}
+	return c, r, nil
+}
+
+func connect(ctx context.Context, address string) (*ownConnection, error) {
 	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return nil, fmt.Errorf("connect to holder: %w", err)
 	}
-	w := bufio.NewWriterSize(conn, linkBuffer)
-	l := &link{
-		dialer: d, address: address, conn: conn, writer: w,
-		encoder: gob.NewEncoder(w), decoder: gob.NewDecoder(bufio.NewReaderSize(conn, linkBuffer)),
-	}
+	return newOwnConnection(conn), nil
+}
+
+func (d *Dialer) addLink(l *link) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
-	d.holderState(address).links[l] = true
-	return l, nil
+	d.holderState(l.address).links[l] = true
 }
 
 // holderState returns the state of a holder and creates it if necessary. The
@@ -252,7 +287,6 @@
 // it.
 func (d *Dialer) markUnreachable(address string) {
 	d.lock.Lock()
-	defer d.lock.Unlock()
 	p := d.holderState(address)
 	if d.Now() >= p.avoidUntil {
 		d.Log.Info("holder is unreachable; skipping it for a while and breaking its links", "holder", address, "links", len(p.links))
@@ -261,7 +295,13 @@
 	p.down = true
 	for l := range p.links {
 		// The goroutine that waits on the link reports the error.
-		_ = l.conn.SetDeadline(time.Unix(1, 0))
+		_ = l.channel.setDeadline(time.Unix(1, 0))
+	}
+	k := p.trunk
+	p.trunk = nil
+	d.lock.Unlock()
+	if k != nil {
+		k.fail(errSilent)
 	}
 }
 
@@ -316,6 +356,9 @@
 	defer d.lock.Unlock()
 	now := d.Now()
 	for address, p := range d.holderStates {
+		if k := p.trunk; k != nil {
+			go k.closeUnused(trunkIdleTimeout)
+		}
 		if p.probing || !p.isSilent(now) && !p.isDueForRetry(now) {
 			continue
 		}
@@ -340,10 +383,10 @@
 func (d *Dialer) probe(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	l, err := d.connect(ctx, address)
+	c, err := connect(ctx, address)
 	if err == nil {
-		_, err = l.handshake(pool.Target{})
-		l.Close()
+		_, err = c.greet(hello{})
+		c.close()
 	}
 	if err != nil {
 		d.markUnreachable(address)
--- a/relay/link.go
+++ b/relay/link.go
@@ -1,10 +1,6 @@
 package relay
 
 import (
-	"bufio"
-	"encoding/gob"
-	"fmt"
-	"net"
 	"time"
 
 	"amaranthsill/pool"
@@ -15,14 +11,11 @@
 // Most orders and replies are shorter than 1 KiB.
 const linkBuffer = 2048
 
-// link is the sending end of a connection to a target through a holder.
+// link is the sending end of a way to a target through a holder.
 type link struct {
 	dialer   *Dialer
 	address  string
-	conn     net.Conn
-	writer   *bufio.Writer
-	encoder  *gob.Encoder
-	decoder  *gob.Decoder
+	channel  channel
 	deadline time.Time
 	// customer and priority were set by SetCustomer while the configuration of the
 	// given version was in force; zero if there are no customers.
@@ -38,21 +31,6 @@
 
 var _ pool.CustomerLink = (*link)(nil)
 
-// handshake names the target to the holder and returns the holder's first
-// reply.
-func (l *link) handshake(t pool.Target) (query.Reply, error) {
-	if err := l.SetDeadline(time.Now().Add(connectTimeout)); err != nil {
-		return query.Reply{}, err
-	}
-	if err := l.encoder.Encode(hello{Group: t.Group, Target: t.ID}); err != nil {
-		return query.Reply{}, fmt.Errorf("open link on holder: %w", err)
-	}
-	if err := l.writer.Flush(); err != nil {
-		return query.Reply{}, fmt.Errorf("open link on holder: %w", err)
-	}
-	return l.receive()
-}
-
 // SetCustomer implements pool.CustomerLink.
 func (l *link) SetCustomer(name string, priority int) {
 	l.customer, l.priority, l.version = name, priority, l.dialer.version()
@@ -60,6 +38,7 @@
 
 // Send implements pool.Link.
 func (l *link) Send(orders ...pool.Order) error {
+	requests := make([]request, 0, len(orders))
 	for _, o := range orders {
 		r, err := newRequest(o, time.Until(l.deadline))
 		if err != nil {
@@ -68,49 +47,32 @@
 		if l.version != 0 {
 			r.Customer, r.Priority, r.Version = l.customer, l.priority, l.version
 		}
-		if err := l.encoder.Encode(r); err != nil {
-			return fmt.Errorf("send order to holder: %w", err)
-		}
+		requests = append(requests, r)
 	}
 	l.dialer.setPending(l, true)
-	if err := l.writer.Flush(); err != nil {
-		return fmt.Errorf("send order to holder: %w", err)
-	}
-	return nil
+	return l.channel.send(requests)
 }
 
 // Receive implements pool.Link.
 func (l *link) Receive() (query.Reply, error) {
-	r, err := l.receive()
+	r, err := l.channel.receive()
 	l.dialer.setPending(l, false)
 	if err != nil {
-		return r, err
-	}
-	l.dialer.recordAnswer(l)
-	return r, nil
-}
-
-func (l *link) receive() (query.Reply, error) {
-	r := response{}
-	if err := l.decoder.Decode(&r); err != nil {
-		return query.Reply{}, fmt.Errorf("receive reply from holder: %w", err)
+		return query.Reply{}, err
 	}
 	l.leaving = r.Leaving
+	l.dialer.recordAnswer(l)
 	return r.reply(), nil
 }
 
 // SetDeadline implements pool.Link.
 func (l *link) SetDeadline(t time.Time) error {
 	l.deadline = t
-	if err := l.conn.SetDeadline(t); err != nil {
-		return fmt.Errorf("set deadline: %w", err)
-	}
-	return nil
+	return l.channel.setDeadline(t)
 }
 
 // Close implements pool.Link.
 func (l *link) Close() {
 	l.dialer.removeLink(l)
-	// The link is not used any more, whether or not closing succeeds.
-	_ = l.conn.Close()
+	l.channel.close()
 }
--- a/relay/message.go
+++ b/relay/message.go
@@ -22,6 +22,10 @@
 // builds, and gob matches fields by name and skips unknown ones.
 type hello struct {
 	Group, Target string
+	// Streams asks for a connection that carries many links, each a stream of its own.
+	// A holder of a former build skips the field, and refuses the hello since it names
+	// no target.
+	Streams bool
 }
 
 // kind is the type of the order in a request.
@@ -39,6 +43,10 @@
 	kindAssign
 	kindDefine
 	kindLocate
+	// kindOpen opens a stream to the target that the request names, and kindClose ends
+	// one without a reply. Both are sent on connections with streams only.
+	kindOpen
+	kindClose
 )
 
 // request is an order that a VM sends to a holder.
@@ -71,6 +79,10 @@
 	Customer string
 	Priority int
 	Version  uint64
+	// Stream is the link that the request belongs to, where a connection carries many.
+	// Group and Target are those of a stream that is being opened.
+	Stream        uint32
+	Group, Target string
 }
 
 // response is the reply to one request, or to the hello.
@@ -90,6 +102,14 @@
 	Age time.Duration
 	// Leaving reports that the holder is about to stop.
 	Leaving bool
+	// Streams is set in the reply to a hello that asked for streams and got them.
+	Streams bool
+	// Stream is the link that the response belongs to, where a connection carries many.
+	// Zero stands for all of them: the holder opens no more and waits for the open
+	// transactions.
+	Stream uint32
+	// Ended reports that the stream has ended, whether or not its last order ran.
+	Ended bool
 }
 
 // newRequest returns the request for an order; timeout is the time that
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -145,7 +146,7 @@
 type holder struct {
 	*fakeTarget
 	server   *relay.Server
-	listener net.Listener
+	listener *countingListener
 	pool     *pool.Group
 	// retired is true once the VM is no holder any more.
 	retired atomic.Bool
@@ -172,9 +173,9 @@
 
 		TransactionIdleTimeout: func() time.Duration { return 100 * time.Millisecond },
 	}
-	var err error
-	h.listener, err = net.Listen("tcp4", "127.0.0.1:0")
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	h.listener = &countingListener{Listener: l}
 	go func() {
 		defer ginkgo.GinkgoRecover()
 		gomega.Expect(h.server.Serve(context.Background(), h.listener)).To(gomega.Succeed())
@@ -183,6 +184,40 @@
 	return h
 }
 
+// countingListener keeps the connections that it has accepted.
+type countingListener struct {
+	net.Listener
+	lock  sync.Mutex
+	conns []net.Conn
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		l.lock.Lock()
+		defer l.lock.Unlock()
+		l.conns = append(l.conns, c)
+	}
+	return c, err
+}
+
+// accepted returns the number of connections that were accepted.
+func (l *countingListener) accepted() int {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	return len(l.conns)
+}
+
+// lose ends the holder's connections and accepts no more, as when its process ends.
+func (h *holder) lose() {
+	gomega.Expect(h.listener.Close()).To(gomega.Succeed())
+	h.listener.lock.Lock()
+	defer h.listener.lock.Unlock()
+	for _, c := range h.listener.conns {
+		_ = c.Close()
+	}
+}
+
 func (h *holder) address() string { return h.listener.Addr().String() }
 
 // dialer returns the dialer of another VM that reaches the target through the
@@ -423,6 +458,59 @@
 	})
 })
 
+// A VM and a holder must need one connection, whatever the number of links: with one for
+// each link they grew with the VMs times the targets.
+var _ = ginkgo.Describe("The links of a VM to one holder", func() {
+	ginkgo.It("share one connection, and none waits for another", func() {
+		h := newHolder(3)
+		d := dialer(nil, h.address())
+		links := []pool.Link{}
+		for range 50 {
+			links = append(links, dial(d))
+		}
+		exchange(links[0], pool.Begin{})
+		h.fakeTarget.lock.Lock()
+		h.fakeTarget.block = make(chan struct{})
+		h.fakeTarget.lock.Unlock()
+		gomega.Expect(links[1].Send(read("q1"))).To(gomega.Succeed())
+		h.leads.Store(true)
+		h.pool.Sample(clock.SinceBoot(), group.At(1, 7))
+		gomega.Expect(exchange(links[2], pool.Locate{MaxAge: time.Hour}).Position).To(gomega.Equal(group.At(1, 7)))
+		links[1].Close()
+		close(h.fakeTarget.block)
+		exchange(links[0], commit("q2"))
+		gomega.Expect(h.listener.accepted()).To(gomega.Equal(1))
+	})
+
+	ginkgo.It("end with it, open transactions are rolled back, and the next link opens another", func() {
+		h := newHolder(2)
+		d := dialer(nil, h.address())
+		open, idle := dial(d), dial(d)
+		exchange(open, pool.Begin{})
+		h.listener.lock.Lock()
+		_ = h.listener.conns[0].Close()
+		h.listener.lock.Unlock()
+		for _, l := range []pool.Link{open, idle} {
+			_, err := l.Receive()
+			gomega.Expect(err).To(gomega.HaveOccurred())
+		}
+		gomega.Eventually(h.orders).Should(gomega.Equal([][]string{{"begin", "rollback"}}))
+		exchange(dial(d), read("q1"))
+		gomega.Expect(h.listener.accepted()).To(gomega.Equal(2))
+	})
+
+	ginkgo.It("do not end when one of them passes its deadline", func() {
+		h := newHolder(2)
+		d := dialer(nil, h.address())
+		late, other := dial(d), dial(d)
+		gomega.Expect(late.SetDeadline(time.Unix(1, 0))).To(gomega.Succeed())
+		_, err := late.Receive()
+		gomega.Expect(errors.Is(err, os.ErrDeadlineExceeded)).To(gomega.BeTrue())
+		late.Close()
+		exchange(other, read("q1"))
+	})
+})
+
 var _ = ginkgo.Describe("A holder that stops", func() {
 	ginkgo.It("ends links between transactions and accepts no new ones", func() {
 		h := newHolder(2)
--- a/relay/server.go
+++ b/relay/server.go
@@ -66,7 +66,7 @@
 	// leaving reports that Leave was called.
 	leaving  atomic.Bool
 	lock     sync.Mutex
-	links    map[*serverLink]bool
+	open     map[drainable]bool
 	stopping bool
 }
 
@@ -88,7 +88,7 @@
 func (s *Server) Drain(ctx context.Context) {
 	s.lock.Lock()
 	s.stopping = true
-	for r := range s.links {
+	for r := range s.open {
 		r.endIdle()
 	}
 	s.lock.Unlock()
@@ -101,53 +101,55 @@
 	return s.stopping
 }
 
+// serve serves one connection of another VM: a link, or many as streams.
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
-	w := bufio.NewWriterSize(conn, linkBuffer)
-	r := &serverLink{
-		server: s, conn: conn, writer: w,
-		encoder: gob.NewEncoder(w), decoder: gob.NewDecoder(bufio.NewReaderSize(conn, linkBuffer)),
-	}
-	// The link has ended, whether or not closing succeeds.
+	w, r := bufio.NewWriterSize(conn, linkBuffer), bufio.NewReaderSize(conn, linkBuffer)
+	c := &serverConn{server: s, conn: conn, reader: r, writer: w, encoder: gob.NewEncoder(w), decoder: gob.NewDecoder(r)}
+	// The connection has ended, whether or not closing succeeds.
 	defer func() { _ = conn.Close() }()
-	defer s.removeLink(r)
-	if err := r.handshake(); err != nil {
-		s.Log.V(1).Info("link not opened", "from", conn.RemoteAddr().String(), "reason", err.Error())
-		return
+	h, err := c.readHello()
+	if err == nil && h.Streams {
+		err = (&serverTrunk{serverConn: c, streams: map[uint32]*serverStream{}}).serve(ctx)
+	} else if err == nil {
+		err = (&connLink{serverConn: c, serverLink: serverLink{server: s, hello: h}}).serve(ctx)
 	}
-	err := r.run(ctx)
 	if err != nil && !errors.Is(err, io.EOF) {
-		s.Log.V(1).Info("link closed on error", "from", conn.RemoteAddr().String(), "target", r.hello.Target, "reason", err.Error())
+		s.Log.V(1).Info("connection of another VM closed on error", "from", conn.RemoteAddr().String(), "target", h.Target, "reason", err.Error())
 	}
 }
 
-// addLink registers a link, so that Drain ends it. It returns false if the server
+// drainable is a connection that Drain ends.
+type drainable interface {
+	// endIdle ends what is open outside orders and transactions.
+	endIdle()
+}
+
+// add registers a connection, so that Drain ends it. It returns false if the server
 // is stopping.
-func (s *Server) addLink(r *serverLink) bool {
+func (s *Server) add(r drainable) bool {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	if s.stopping {
 		return false
 	}
-	if s.links == nil {
-		s.links = map[*serverLink]bool{}
+	if s.open == nil {
+		s.open = map[drainable]bool{}
 	}
-	s.links[r] = true
+	s.open[r] = true
 	return true
 }
 
-func (s *Server) removeLink(r *serverLink) {
+func (s *Server) remove(r drainable) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	delete(s.links, r)
+	delete(s.open, r)
 }
 
-// admit registers a link and returns its pool and the reply to its hello. The
-// hello names a target, but pools are per group: the link acquires connections to
-// its target from the group's pool by pool.Need.Target. The pool is nil if the link
-// is refused, or if the hello names no target and so only asks whether the holder
-// answers.
-func (s *Server) admit(r *serverLink) (*pool.Group, query.Reply) {
-	h := r.hello
+// admit returns the pool of a link and the reply to its hello. The hello names a target,
+// but pools are per group: the link acquires connections to its target from the group's
+// pool by pool.Need.Target. The pool is nil if the link is refused, or if the hello names
+// no target and so only asks whether the holder answers.
+func (s *Server) admit(h hello) (*pool.Group, query.Reply) {
 	if h.Target == "" {
 		return nil, query.Reply{}
 	}
@@ -158,7 +160,7 @@
 	if _, known := g.Target(h.Target); !known || g.Health(h.Target).FailingFor > 0 {
 		return nil, busyReply("target is not reached from here", query.StateIdle)
 	}
-	if !s.addLink(r) {
+	if s.isStopping() {
 		return nil, busyReply("holder stops", query.StateIdle)
 	}
 	return g, query.Reply{Position: g.Position(h.Target)}
--- a/relay/serverlink.go
+++ b/relay/serverlink.go
@@ -1,12 +1,8 @@
 package relay
 
 import (
-	"bufio"
 	"context"
-	"encoding/gob"
 	"fmt"
-	"net"
-	"sync"
 	"time"
 
 	"amaranthsill/customer"
@@ -15,16 +11,12 @@
 	"amaranthsill/session"
 )
 
-// serverLink is the holder's end of one link. Only its own goroutine uses the
-// fields above the lock.
+// serverLink is the holder's end of one link, without the connection that carries it.
+// One goroutine at a time uses it.
 type serverLink struct {
-	server  *Server
-	conn    net.Conn
-	writer  *bufio.Writer
-	encoder *gob.Encoder
-	decoder *gob.Decoder
-	hello   hello
-	group   *pool.Group
+	server *Server
+	hello  hello
+	group  *pool.Group
 	// state is the session state that the other VM has set on the link.
 	state session.State
 	// prepared is the statement that was prepared last. If a transaction opens
@@ -32,56 +24,6 @@
 	prepared *query.Plan
 	// slot is the connection of the open transaction; nil if there is none.
 	slot *pool.Slot
-	// used reports that an order has arrived on the link.
-	used bool
-
-	lock sync.Mutex
-	// idle is true while the link waits for an order outside a transaction.
-	idle bool
-}
-
-// handshake reads the hello and replies to it. It returns an error if the link
-// is not to be used, because it is refused or only asked whether this VM answers.
-func (r *serverLink) handshake() error {
-	if err := r.conn.SetReadDeadline(time.Now().Add(handshakeTimeout)); err != nil {
-		return fmt.Errorf("set deadline: %w", err)
-	}
-	if err := r.decoder.Decode(&r.hello); err != nil {
-		return fmt.Errorf("read hello: %w", err)
-	}
-	g, answer := r.server.admit(r)
-	if err := r.sendReply(answer); err != nil {
-		return err
-	}
-	if g == nil {
-		return fmt.Errorf("open link to %q: %w", r.hello.Target, pool.ErrNoTarget)
-	}
-	r.group = g
-	return nil
-}
-
-// run handles orders until the link ends.
-func (r *serverLink) run(ctx context.Context) error {
-	defer r.rollBack()
-	for r.prepareRead() {
-		q := request{}
-		if err := r.decoder.Decode(&q); err != nil {
-			return fmt.Errorf("read order: %w", err)
-		}
-		r.used = true
-		r.setIdle(false)
-		if r.slot == nil && !r.isHolder() {
-			return r.sendReply(busyReply("connections to this target are held elsewhere now", query.StateIdle))
-		}
-		answer, err := r.handle(ctx, &q)
-		if err != nil {
-			return err
-		}
-		if err := r.sendReply(answer); err != nil {
-			return err
-		}
-	}
-	return nil
 }
 
 // isHolder reports whether this VM still holds the target's connections, or did
@@ -93,68 +35,6 @@
 	return r.server.Released != nil && r.server.Released(r.hello.Group, r.hello.Target)
 }
 
-// prepareRead sets the read timeout for the next order. It returns false if
-// the link is to be closed instead. A link that is still unused when the holder
-// stops waits for drainGrace, since its first order may be on its way.
-func (r *serverLink) prepareRead() bool {
-	stopping := r.server.isStopping()
-	if r.slot == nil && stopping && r.used {
-		return false
-	}
-	limit := linkIdleTimeout
-	if stopping {
-		limit = drainGrace
-	}
-	if r.slot != nil {
-		limit = r.server.TransactionIdleTimeout() + transactionIdleMargin
-	}
-	if err := r.conn.SetReadDeadline(time.Now().Add(limit)); err != nil {
-		return false
-	}
-	r.setIdle(r.slot == nil)
-	if r.slot == nil && !stopping && r.server.isStopping() {
-		// Drain began before the link was marked as idle, and so passed it over.
-		r.endIdle()
-	}
-	return true
-}
-
-// Idle timeouts after which the other VM is taken as lost, so that the
-// connection, and with it an open transaction, is released for other VMs.
-const (
-	// linkIdleTimeout applies outside transactions. It is longer than the time
-	// for which a VM's pool keeps an unused link.
-	linkIdleTimeout = 15 * time.Second
-	// transactionIdleMargin is how much longer than the caller's own VM a holder
-	// waits before it ends an idle transaction, so that the caller's VM ends it
-	// first.
-	transactionIdleMargin = time.Second
-)
-
-func (r *serverLink) setIdle(idle bool) {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	r.idle = idle
-}
-
-// drainGrace is how long a link that is being closed still accepts an order
-// that may be on its way within the zone.
-const drainGrace = 20 * time.Millisecond
-
-// endIdle sets the read deadline of an idle link to drainGrace from now. The
-// link's goroutine closes the link when the deadline passes. If an order arrives
-// before, the goroutine closes the link after the reply, or after the end of a
-// transaction that the order opens.
-func (r *serverLink) endIdle() {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	if r.idle {
-		// An error may be ignored: on a lost connection, the read of the link's
-		// goroutine fails as well.
-		_ = r.conn.SetReadDeadline(time.Now().Add(drainGrace))
-	}
-}
-
 // handle runs one order. After an error the order may have run, and the link
 // must be closed.
 func (r *serverLink) handle(ctx context.Context, q *request) (query.Reply, error) {
@@ -294,7 +174,7 @@
 // not allowed there ends the link, and with it the transaction.
 func (r *serverLink) handleInTransaction(q *request, until time.Duration) (query.Reply, error) {
 	if q.Kind != kindForward && q.Kind != kindPlan && q.Kind != kindRollback {
-		r.server.Log.Info("order not allowed inside a transaction; closing the link", "kind", q.Kind, "target", r.hello.Target, "from", r.conn.RemoteAddr().String())
+		r.server.Log.Info("order not allowed inside a transaction; closing the link", "kind", q.Kind, "target", r.hello.Target)
 		return query.Reply{}, fmt.Errorf("relay order of kind %d inside a transaction: %w", q.Kind, ErrOrder)
 	}
 	if err := r.slot.Align(&r.state, until); err != nil {
@@ -335,18 +215,3 @@
 	}
 	return query.StateOpen
 }
-
-func (r *serverLink) sendReply(n query.Reply) error {
-	if err := r.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return fmt.Errorf("set deadline: %w", err)
-	}
-	answer := newResponse(n)
-	answer.Leaving = r.server.leaving.Load()
-	if err := r.encoder.Encode(answer); err != nil {
-		return fmt.Errorf("send reply: %w", err)
-	}
-	if err := r.writer.Flush(); err != nil {
-		return fmt.Errorf("send reply: %w", err)
-	}
-	return nil
-}
