Date the configuration by itself, and end transactions of revoked keys within 6 s

Cause, found by reading (docs/FINDINGS.md): a VM whose watch hangs while its lease is renewed told others the age of the leader record as that of its configuration; a VM that was suspended between the store's answer and its reading dated the answer by the reading; and an open transaction had 2 s from when a VM learns of a revocation, however late that was. Each lets a revoked key be served later than 6 s after the version.

Change: Recall tells the age of the configuration apart (VMs of former builds, which do not, are taken as before). A watch that returns no change is dated by the end of its wait, one that returns changes by its sending. The time left to transactions counts from the former configuration's last confirmation.

Measured: the tests of each (TestConfigurationAgeOfAnotherVM, TestWatchedUntil, TestRevocationTimeLeft, TestTransactionTimeLeft) cannot pass on the code before, which has no such age.

--- a/edge/configuration_test.go
+++ b/edge/configuration_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"amaranthsill/peer/peerpb"
 	"amaranthsill/store"
 	"amaranthsill/succession"
 )
@@ -50,3 +51,71 @@
 		})
 	}
 }
+
+// TestConfigurationAgeOfAnotherVM guards against a revoked key that is served for longer
+// than 6 s by VMs that follow one whose watch hangs while its lease is renewed.
+func TestConfigurationAgeOfAnotherVM(t *testing.T) {
+	cases := map[string]struct {
+		answer *peerpb.RecallResponse
+		age    time.Duration
+		known  bool
+	}{
+		"record newer than the configuration": {&peerpb.RecallResponse{Age: 100, ConfigurationAge: 4000}, 4 * time.Second, true},
+		"no configuration":                    {&peerpb.RecallResponse{Age: 100, ConfigurationAge: -1}, 0, false},
+		"former build":                        {&peerpb.RecallResponse{Age: 100}, 100 * time.Millisecond, true},
+		"former build without a record":       {&peerpb.RecallResponse{Age: -1}, 0, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			if age, known := configurationAgeOf(c.answer); known != c.known || known && age != c.age {
+				t.Errorf("got %s, %t, want %s, %t", age, known, c.age, c.known)
+			}
+		})
+	}
+	v := &VM{Now: func() time.Duration { return time.Hour }}
+	if got := v.configurationAgeMessage(); got >= 0 {
+		t.Errorf("a VM without a configuration tells an age of %d", got)
+	}
+	v.confirmConfiguration(time.Hour - 4*time.Second)
+	if age, _ := configurationAgeOf(&peerpb.RecallResponse{ConfigurationAge: v.configurationAgeMessage()}); age < 4*time.Second || age > 4010*time.Millisecond {
+		t.Errorf("a configuration of 4 s is told as of %s", age)
+	}
+}
+
+// TestWatchedUntil guards against a VM that was suspended between the store's answer and
+// its reading, and that takes what it read for the state of now.
+func TestWatchedUntil(t *testing.T) {
+	const sent, wait = time.Minute, 2 * time.Second
+	cases := map[string]struct {
+		now     time.Duration
+		changes int
+		want    time.Duration
+	}{
+		"no changes, the whole wait":        {sent + wait + 8*time.Millisecond, 0, sent + wait},
+		"no changes, suspended after that":  {sent + wait + 5*time.Second, 0, sent + wait},
+		"changes, suspended after that":     {sent + 5*time.Second, 1, sent},
+		"no changes, answered before that":  {sent + time.Second, 0, sent},
+		"changes at the end of the wait":    {sent + wait, 2, sent},
+		"changes that come without waiting": {sent + 8*time.Millisecond, 1, sent},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			if got := watchedUntil(sent, wait, c.now, c.changes); got != c.want {
+				t.Errorf("got %s, want %s", got, c.want)
+			}
+		})
+	}
+}
+
+// TestRevocationTimeLeft guards against transactions that go on later than 6 s after the
+// version that revokes their key, on a VM that learns of it late.
+func TestRevocationTimeLeft(t *testing.T) {
+	for age, want := range map[time.Duration]time.Duration{
+		0: 2 * time.Second, 3700 * time.Millisecond: 2 * time.Second,
+		5300 * time.Millisecond: 450 * time.Millisecond, time.Minute: 0,
+	} {
+		if got := revocationTimeLeft(age); got != want {
+			t.Errorf("after %s: got %s, want %s", age, got, want)
+		}
+	}
+}
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -265,6 +265,7 @@
 		Complete: complete.Number(), CompleteEra: complete.Era(), Record: revision.Number(), RecordEra: revision.Era(),
 		Age: age, Resting: idle, Incarnation: s.incarnation, Waited: uint32(waited.Milliseconds()),
 	}
+	r.ConfigurationAge = s.configurationAgeMessage()
 	r.Era, _, _ = s.grants.Era()
 	r.Confirmations = s.grants.Confirmations()
 	if validAt, ever := s.grants.ValidFrom(revision); ever {
@@ -351,8 +352,10 @@
 	f.observePeerEra(a.GetEra())
 	record := store.At(a.GetRecordEra(), a.GetRecord())
 	answeredAt := sent + time.Duration(a.GetWaited())*time.Millisecond
+	if age, known := configurationAgeOf(a); known {
+		f.confirmConfiguration(answeredAt - age)
+	}
 	if a.GetAge() >= 0 {
-		f.confirmConfiguration(answeredAt - time.Duration(a.GetAge())*time.Millisecond)
 		f.grants.ConfirmRevision(record, answeredAt-time.Duration(a.GetAge())*time.Millisecond)
 	}
 	if a.GetValid() > 0 {
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -109,6 +109,7 @@
 	case followedNone:
 	}
 	f.awaitBatch(ctx)
+	sent := f.Now()
 	items, revision, err := f.Adapter.Store.Watch(ctx, "", f.directory.CompleteRevision(), followTimeout)
 	if errors.Is(err, store.ErrCompacted) {
 		f.Log.Info("store no longer keeps the changes after this revision; reading everything again", "after", f.directory.CompleteRevision().String(), "era", f.Adapter.Store.Era())
@@ -125,7 +126,7 @@
 		f.directory.Apply(i)
 	}
 	f.directory.MarkComplete(revision)
-	f.confirmConfiguration(f.currentAt)
+	f.confirmConfiguration(watchedUntil(sent, followTimeout, f.currentAt, len(items)))
 	if len(items) > 0 {
 		f.wakeSupervisor()
 	}
--- a/edge/vm.go
+++ b/edge/vm.go
@@ -235,7 +235,7 @@
 		Metrics:       front.NewMetrics(v.registry, v.Log),
 		Log:           v.Log,
 	}
-	v.directory.Changed = v.front.ConfigurationChanged
+	v.directory.Changed = v.configurationChanged
 	v.relays = &relay.Server{
 		Group:    v.heldPool,
 		IsLeader: v.grants.IsLeader,
--- a/front/access.go
+++ b/front/access.go
@@ -12,10 +12,6 @@
 
 // Times of ending a session whose key was revoked.
 const (
-	// revokedTransactionTime is how long a transaction may stay open after its key was
-	// revoked. A version is in force on a VM within 4 s, and no request may be served
-	// under a revoked key later than 6 s after the version was acknowledged.
-	revokedTransactionTime = 2 * time.Second
 	// revokedAnswerTime is how long a session stays open after its transaction was
 	// rolled back for this reason, so that a commit on its way is answered.
 	revokedAnswerTime = time.Second
@@ -41,10 +37,11 @@
 	checked *catalog.Configuration
 	// customer holds the key; nil if the route is public or there are no customers.
 	customer *customer.Customer
-	// revoked is true once the key was found to be revoked, at the time revokedAt. It
-	// stays true whatever later configurations say.
-	revoked   bool
-	revokedAt time.Duration
+	// revoked is true once the key was found to be revoked. It
+	// stays true whatever later configurations say. An open transaction may go on until
+	// revokedUntil.
+	revoked      bool
+	revokedUntil time.Duration
 	// expired is true once the time for an open transaction is over.
 	expired bool
 }
@@ -127,7 +124,7 @@
 	}
 	holder, valid := s.lookUp(c)
 	if !valid {
-		s.revoke()
+		s.revoke(0)
 		return false
 	}
 	s.checked, s.customer = c, holder
@@ -145,10 +142,11 @@
 	return c.Customers.Lookup(s.key)
 }
 
-// revoke marks the session as one whose key was revoked. The caller holds the lock.
-func (s *session) revoke() {
+// revoke marks the session as one whose key was revoked, and whose open transaction may
+// go on for a time. The caller holds the lock.
+func (s *session) revoke(left time.Duration) {
 	s.revoked = true
-	s.revokedAt = s.server.Now()
+	s.revokedUntil = s.server.Now() + left
 	s.server.Metrics.revokedSessions.Inc()
 }
 
@@ -176,9 +174,9 @@
 
 // ConfigurationChanged ends the sessions whose key is not valid in the configuration in
 // force: idle ones at once, others after their statement, and those with an open
-// transaction when that ends, or after 2 s by rolling it back. It is to be called after
-// each change of the catalog, and may be called from any goroutine.
-func (srv *Server) ConfigurationChanged() {
+// transaction when that ends, or after the time left by rolling it back. It is to be
+// called after each change of the catalog, and may be called from any goroutine.
+func (srv *Server) ConfigurationChanged(left time.Duration) {
 	c := srv.Catalog.Current()
 	if c == nil {
 		return
@@ -186,7 +184,7 @@
 	revoked := []*session{}
 	srv.lock.Lock()
 	for s := range srv.sessions {
-		if s.revokeUnder(c) {
+		if s.revokeUnder(c, left) {
 			revoked = append(revoked, s)
 		}
 	}
@@ -195,7 +193,7 @@
 		return
 	}
 	srv.Log.Info("ending sessions whose key was revoked", "sessions", len(revoked), "version", c.Version)
-	time.AfterFunc(revokedTransactionTime, func() {
+	time.AfterFunc(left, func() {
 		for _, s := range revoked {
 			s.expire()
 		}
@@ -205,7 +203,7 @@
 // revokeUnder ends the session as far as that can be done at once, if its key is not
 // valid in a configuration, and reports whether it was newly revoked. A session that
 // has not started yet looks its key up later.
-func (s *session) revokeUnder(c *catalog.Configuration) bool {
+func (s *session) revokeUnder(c *catalog.Configuration, left time.Duration) bool {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	if s.checked == nil || s.revoked || c.Version <= s.checked.Version {
@@ -214,7 +212,7 @@
 	if _, valid := s.lookUp(c); valid {
 		return false
 	}
-	s.revoke()
+	s.revoke(left)
 	if s.idle {
 		// The session's goroutine reports a lost connection.
 		_ = s.conn.SetReadDeadline(time.Now().Add(closeGrace))
@@ -245,7 +243,7 @@
 func (s *session) isExpired() bool {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	return s.expired || s.revoked && s.server.Now()-s.revokedAt >= revokedTransactionTime
+	return s.expired || s.revoked && s.server.Now() >= s.revokedUntil
 }
 
 // endedReason returns why an open transaction may not go on; empty if it may.
@@ -269,7 +267,7 @@
 	s.tx.fail(keyRevoked)
 	s.lock.Lock()
 	s.expired = true
-	left := s.revokedAt + revokedTransactionTime + revokedAnswerTime - s.server.Now()
+	left := s.revokedUntil + revokedAnswerTime - s.server.Now()
 	err := s.conn.SetReadDeadline(time.Now().Add(left))
 	s.lock.Unlock()
 	if err != nil || s.conn.Wait() != nil {
--- a/front/access_test.go
+++ b/front/access_test.go
@@ -106,7 +106,7 @@
 		// The start asks for this after it has read the configuration.
 		b.Current = func() bool {
 			if b.Catalog.Update(configuration(2, withoutFirst)) {
-				b.ConfigurationChanged()
+				b.ConfigurationChanged(transactionTime)
 			}
 			return true
 		}
@@ -268,6 +268,21 @@
 	})
 }
 
+// TestTransactionTimeLeft guards against a transaction that goes on for the whole time
+// although its VM learned late that the key was revoked.
+func TestTransactionTimeLeft(t *testing.T) {
+	run(t, configuration(1, both), func(b *bench) {
+		c := b.session("STARTUP kept " + firstKey)
+		c.want("BEGIN", "done T")
+		b.Catalog.Update(configuration(2, withoutFirst))
+		b.ConfigurationChanged(300 * time.Millisecond)
+		time.Sleep(250 * time.Millisecond)
+		c.want("READ bar", "done T")
+		time.Sleep(60 * time.Millisecond)
+		c.want("COMMIT", "ABORTED I")
+	})
+}
+
 // TestOlderVersion guards against a revoked key that is valid again since a VM sees an
 // older version, as from a store that came back from a copy.
 func TestOlderVersion(t *testing.T) {
@@ -278,7 +293,7 @@
 		if b.Catalog.Update(configuration(1, both)) {
 			t.Error("older version was put in force")
 		}
-		b.ConfigurationChanged()
+		b.ConfigurationChanged(transactionTime)
 		_, line := b.connect("STARTUP kept " + firstKey)
 		if !strings.HasPrefix(line, "ERROR AUTHFAIL") {
 			t.Errorf("session starts with %q under a revoked key", line)
--- a/front/bench_test.go
+++ b/front/bench_test.go
@@ -228,13 +228,16 @@
 	})
 }
 
+// transactionTime is how long a transaction may go on after its key was revoked.
+const transactionTime = 2 * time.Second
+
 // put puts a configuration in force, as the directory does.
 func (b *bench) put(c *catalog.Configuration) {
 	synctest.Wait()
 	if !b.Catalog.Update(c) {
 		b.t.Fatalf("version %d was not put in force", c.Version)
 	}
-	b.ConfigurationChanged()
+	b.ConfigurationChanged(transactionTime)
 	synctest.Wait()
 }
 
