Estimate the queue's wait from the connections that will serve it

Cause of the known red TestServiceOfCustomers (all VMs start at once): a VM that starts opens its first connections one by one, 12 ms each on a busy slot. After 0.1 s the queue's throughput counted as known, so the waits of the last statements were estimated from the time in which hardly a connection was open, and they were refused at 116 to 131 ms of the 250 they had. Seen by printing the refused statements of failing runs: all of one VM, all sent at 0 s, 'too many statements wait'.

Change: the throughput also adds up connections over time; the estimate by which customers' statements are displaced is scaled by the connections that are open or being opened. With a constant number nothing changes.

--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -200,6 +200,8 @@
 	}
 	g.waiting = slices.DeleteFunc(g.waiting, func(w *waiter) bool { return w.served })
 	g.displace(now)
+	open, _ := g.connections()
+	g.throughput.setConnections(now, open)
 	g.throughput.setQueued(now, len(g.waiting) > 0 && g.reachable(g.leader))
 	for _, s := range g.servers {
 		s.demand.add(now, g.wanted(s))
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -74,7 +74,8 @@
 		queue[i] = queued{left: w.need.deadline() - now, kept: w.refused == nil || !g.occupied(&w.need, now)}
 	}
 	refused := []*waiter{}
-	for _, i := range displaced(queue, func(ahead int) time.Duration { return g.throughput.estimateWait(now, ahead) }) {
+	open, dialing := g.connections()
+	for _, i := range displaced(queue, func(ahead int) time.Duration { return g.throughput.estimateWaitOn(now, ahead, open+dialing) }) {
 		refused = append(refused, g.waiting[i])
 	}
 	for _, w := range refused {
@@ -82,6 +83,15 @@
 	}
 }
 
+// connections returns the number of connections that are open, and of those being
+// opened. The caller holds the lock.
+func (g *Group) connections() (open, dialing int) {
+	for _, s := range g.servers {
+		open, dialing = open+s.open, dialing+s.dialing
+	}
+	return open, dialing
+}
+
 // occupied reports whether a statement's target, or else the leader, is reached and
 // answers, so that the queue's throughput tells when the statement will be served. The
 // caller holds the lock.
--- a/pool/throughput.go
+++ b/pool/throughput.go
@@ -21,6 +21,8 @@
 	// queued reports whether statements have been queued since updatedAt.
 	queued            bool
 	current, previous queuedInterval
+	// connections is the number that were open since updatedAt.
+	connections int
 }
 
 // queuedInterval is the time within a window during which statements were
@@ -28,12 +30,22 @@
 type queuedInterval struct {
 	served   int
 	duration time.Duration
+	// connectionTime is the time for which connections were open meanwhile, added up
+	// over the connections.
+	connectionTime time.Duration
+}
+
+// setConnections records how many connections are open from now on.
+func (t *throughput) setConnections(now time.Duration, n int) {
+	t.setQueued(now, t.queued)
+	t.connections = n
 }
 
 // setQueued records whether statements are queued from now on.
 func (t *throughput) setQueued(now time.Duration, queued bool) {
 	if t.queued {
 		t.current.duration += now - t.updatedAt
+		t.current.connectionTime += time.Duration(t.connections) * (now - t.updatedAt)
 	}
 	t.updatedAt = now
 	t.queued = queued
@@ -60,6 +72,19 @@
 	return time.Duration(float64(ahead) / served * float64(duration))
 }
 
+// estimateWaitOn returns what estimateWait does, given the number of connections on which
+// the queue will be served. A VM that starts serves little while it opens its first
+// connections, which says nothing about the time after that.
+func (t *throughput) estimateWaitOn(now time.Duration, ahead, connections int) time.Duration {
+	wait := t.estimateWait(now, ahead)
+	duration := t.current.duration + t.previous.duration
+	if wait == 0 || connections == 0 {
+		return wait
+	}
+	average := float64(t.current.connectionTime+t.previous.connectionTime) / float64(duration)
+	return time.Duration(float64(wait) * average / float64(connections))
+}
+
 // servable returns how many statements of the queue will probably be served within a
 // time; false if too little is known.
 func (t *throughput) servable(now, within time.Duration) (int, bool) {
