Call other VMs over HTTP/2

Calls between VMs, above all the 14,600 renewals of delegated limits, have some 470 bytes of HTTP/1.1 headers each, several times their message.

Change: VMs call one another over unencrypted HTTP/2, with compressed headers and one connection for each pair. A VM of a former build answers the connection's first bytes as HTTP/1, and is called over that for 10 s; VMs of former builds call this one as before. A connection may fall silent for good, and HTTP/2 would go on using it: when a call reaches its deadline and nothing was received since it was sent, the connection is closed.

--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -55,15 +54,9 @@
 }
 
 // newFleet returns the client and server of the calls between this VM and the
-// others. The HTTP transport requests no compression, because Connect negotiates
-// its own; see compressMinBytes.
+// others.
 func newFleet(v *VM) *fleet {
-	d := &net.Dialer{Timeout: peerDialTimeout}
-	return &fleet{VM: v, http: &http.Client{Transport: &http.Transport{
-		DialContext:        d.DialContext,
-		IdleConnTimeout:    peerIdleTimeout,
-		DisableCompression: true,
-	}}}
+	return &fleet{VM: v, http: &http.Client{Transport: newPeerTransport()}}
 }
 
 // client returns a client for the VM at an address.
--- a/edge/vm.go
+++ b/edge/vm.go
@@ -288,14 +288,14 @@
 	ready.HandleFunc("/", v.handleReady)
 	metrics := http.NewServeMux()
 	metrics.Handle("/metrics", promhttp.HandlerFor(v.registry, promhttp.HandlerOpts{}))
-	v.serve(l.ready, ready)
-	v.serve(l.metrics, metrics)
-	v.serve(l.peers, v.fleet.handler())
+	v.serve(l.ready, &http.Server{Handler: ready})
+	v.serve(l.metrics, &http.Server{Handler: metrics})
+	v.serve(l.peers, &http.Server{Handler: v.fleet.handler(), Protocols: peerProtocols()})
 }
 
 // serve serves HTTP on a listener in the background.
-func (v *VM) serve(l net.Listener, h http.Handler) {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+func (v *VM) serve(l net.Listener, s *http.Server) {
+	s.ReadHeaderTimeout = headerTimeout
 	go func() {
 		err := s.Serve(l)
 		if !errors.Is(err, net.ErrClosed) {
