Connect to holders in advance, but open no links through them

Change: targets that are reached through another VM are prepared: the connection to the first holder is opened, without a stream. Direct connections are opened as before.

--- a/pool/dial.go
+++ b/pool/dial.go
@@ -11,16 +11,27 @@
 // zones and a wait in the target's statement queue.
 const dialTimeout = 1200 * time.Millisecond
 
+// Preparer is a Dialer that can make later links to a target fast without opening one.
+type Preparer interface {
+	// Prepare reports whether the target is reached through another VM, and connects to
+	// that in the background.
+	Prepare(t Target) bool
+}
+
 // Warm opens one connection to the leader and to each target of this VM's
-// zone, so that the first statements do not wait for a dial.
+// zone, so that the first statements do not wait for a dial. Targets that are reached
+// through other VMs are prepared instead, since a link for each group on every VM would
+// grow with the VMs times the groups.
 func (g *Group) Warm() {
 	g.lock.Lock()
 	defer g.lock.Unlock()
+	p, prepares := g.Dialer.(Preparer)
 	for _, s := range g.servers {
 		preferred := s.Zone == g.Zone || s.ID == g.leader
-		if preferred && !s.Draining && s.open+s.dialing == 0 {
-			g.dial(s, g.identity(s, ""))
+		if !preferred || s.Draining || s.open+s.dialing > 0 || prepares && p.Prepare(s.Target) {
+			continue
 		}
+		g.dial(s, g.identity(s, ""))
 	}
 }
 
--- a/relay/dialer.go
+++ b/relay/dialer.go
@@ -64,7 +64,10 @@
 	fallbacks map[string]bool
 }
 
-var _ pool.Dialer = (*Dialer)(nil)
+var (
+	_ pool.Dialer   = (*Dialer)(nil)
+	_ pool.Preparer = (*Dialer)(nil)
+)
 
 // holderState is what the dialer knows about one holder.
 type holderState struct {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -482,6 +482,18 @@
 		gomega.Expect(h.listener.accepted()).To(gomega.Equal(1))
 	})
 
+	ginkgo.It("are not opened before they are needed, but the connection is", func() {
+		h := newHolder(1)
+		d := dialer(nil, h.address())
+		g := &pool.Group{Name: "choir", Zone: "xela", Dialer: d, Now: clock.SinceBoot, Log: logr.Discard()}
+		g.Configure([]pool.Target{commonTarget}, 8)
+		g.Warm()
+		gomega.Eventually(h.listener.accepted).Should(gomega.Equal(1))
+		gomega.Expect(g.Opens()).To(gomega.BeZero())
+		exchange(dial(d), read("q1"))
+		gomega.Expect(h.listener.accepted()).To(gomega.Equal(1))
+	})
+
 	ginkgo.It("end with it, open transactions are rolled back, and the next link opens another", func() {
 		h := newHolder(2)
 		d := dialer(nil, h.address())
--- a/relay/trunks.go
+++ b/relay/trunks.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"amaranthsill/pool"
 )
 
 const (
@@ -57,6 +59,22 @@
 	}
 }
 
+// Prepare implements pool.Preparer. It opens the trunk to the first holder of a target.
+func (d *Dialer) Prepare(t pool.Target) bool {
+	h := d.Holders(t, "")
+	if h.Self || len(h.Addresses) == 0 {
+		return false
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
+		defer cancel()
+		if _, _, err := d.trunkTo(ctx, h.Addresses[0]); err != nil {
+			d.Log.V(1).Info("connection to a holder failed; it is tried again with the first statement", "holder", h.Addresses[0], "reason", err.Error())
+		}
+	}()
+	return true
+}
+
 // openTrunk opens the trunk to a holder, for all who wait for it.
 func (d *Dialer) openTrunk(ctx context.Context, address string) (*trunk, error) {
 	k, agreed, err := d.greetForStreams(ctx, address)
