Serve customers for 5.5 s after the configuration's last confirmation, whoever confirms it

Cause: a VM refused customers 3 s after the last confirmation unless most VMs confirmed the leader record to one another, and 5.5 s after it in any case. VMs that do not reach the store cannot know of a newer version, so their confirmation proves nothing; 3 s made up for dates that were up to 2 s too late, which are true since.

Change: one limit of 5.5 s, below the 6 s in which a revoked key must be out of use; the VM that follows the store asks in steps of 1 s instead of 2, so that the configuration was confirmed lately when the store fails.

--- a/edge/configuration.go
+++ b/edge/configuration.go
@@ -7,16 +7,13 @@
 	"amaranthsill/store"
 )
 
-// Limits on the age of the last confirmation that the configuration in force is the
-// newest.
+// Times within which a configuration, and the keys that it revokes, must be in force.
 const (
-	// configurationMaxAge is the limit for a VM that nothing confirms.
-	configurationMaxAge = 3 * time.Second
-	// configurationMaxOutage is the limit while most VMs confirm one another that the
-	// store tells them nothing. No request may be served under a revoked key later than
-	// 6 s after the version was acknowledged, which a store may do that a part of the VMs
-	// does not reach. The rest is for a request on its way.
-	configurationMaxOutage = 5500 * time.Millisecond
+	// configurationMaxAge is how old the last confirmation that the configuration in
+	// force is the newest may be. No request may be served under a revoked key later than
+	// 6 s after the version was acknowledged, which a store may do that this VM, or most
+	// VMs, do not reach. The rest is for a request on its way.
+	configurationMaxAge = 5500 * time.Millisecond
 	// maxRevocationTime and revocationMargin: the first is the time after a version was
 	// acknowledged in which requests under a key that it revokes may be served; the
 	// second of it is kept for a statement on its way.
@@ -97,17 +94,11 @@
 }
 
 // hasNewestConfiguration reports whether the configuration in force is known to be the
-// newest.
+// newest. It does not depend on other VMs that reach the store no more than this one:
+// they cannot know of a newer version.
 func (v *VM) hasNewestConfiguration() bool {
 	age, known := v.configurationAge()
-	if !known || age > configurationMaxOutage {
-		return false
-	}
-	if age <= configurationMaxAge {
-		return true
-	}
-	_, _, confirmed := v.grants.StoreConfirmation()
-	return confirmed && v.grants.ExpiredFor() == 0
+	return known && age <= configurationMaxAge
 }
 
 // applyConfiguration puts a configuration in force if it is newer.
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -15,8 +15,9 @@
 const (
 	// followTimeout is how long one call waits for changes. It bounds the time
 	// in which a silently dropped watch is noticed; a configuration has to be in
-	// force within 4 s.
-	followTimeout = 2 * time.Second
+	// force within 4 s. It is also how old the confirmation of the configuration
+	// may be when the store fails, of the time for which VMs serve customers then.
+	followTimeout = time.Second
 	// batchInterval is the pause before a call that comes within this time of
 	// the last one, so that one call returns several changes. It is short
 	// compared with the seconds within which a change has to be in force.
