Follow only VMs that follow the store's changes

VMs that renew their leases confirmed the leader record to the one that is cut off, and took its answer, which told that record's age, as current: so all followed it, and nobody watched the store. The true age of the configuration shows it.

Change: a VM is followed only while its configuration is at most 2.5 s old.

--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -308,9 +308,18 @@
 	return a
 }
 
+// maxFollowedAge is how old the configuration of a VM may be for others to follow it. It
+// covers a wait for changes of followTimeout, and peerFollowTimeout for each hop.
+const maxFollowedAge = 2500 * time.Millisecond
+
 // isCurrent reports whether a response is from a VM that had the leader record confirmed
-// by the store at most storeStaleAfter ago, directly or through others.
+// by the store at most storeStaleAfter ago, directly or through others, and that follows
+// the store's changes. Otherwise VMs that renew their leases could follow one that is cut
+// off from the store, and nobody would learn of a new configuration.
 func isCurrent(a *peerpb.RecallResponse) bool {
+	if age, known := configurationAgeOf(a); !known || age > maxFollowedAge {
+		return false
+	}
 	return a.GetAge() >= 0 && time.Duration(a.GetAge())*time.Millisecond <= storeStaleAfter
 }
 
