Add a case of reads that get other clients' answers

Data with a line feed in a server's answer ends the message for a VM, so that the connection's answers are shifted and other clients get one another's rows.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -112,4 +112,5 @@
 	"linefeed": playLineFeed,
 	"foreign":  playForeign,
 	"shape":    playShape,
+	"forged":   playForged,
 }
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -352,8 +352,17 @@
 	return fmt.Sprintf("m.%x", h.Sum64())
 }
 
+// forgedItem is an item whose data has two line feeds, of which each is followed by what looks like a
+// message of a server.
+const forgedItem = "forged"
+
 // row is the row that a read of an item returns.
-func row(item string) string { return "row-of-" + item }
+func row(item string) string {
+	if item == forgedItem {
+		return "note\nCOMPLETE m.0\nREADY I 1.1"
+	}
+	return "row-of-" + item
+}
 
 // run runs one query and returns the code of an error.
 func (k *link) run(id, full string) string {
