--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -37,6 +37,9 @@
 	cloud   *cloud
 	service *service
 	vms     []*vm
+	// extra is a second service in the desired state; empty for none. It has no servers.
+	extra   string
+	version int
 }
 
 // zones are those of the site.
@@ -72,9 +75,17 @@
 			"target_latency_ms": r.aim, "priority": r.priority, "max_staleness_ms": r.stale,
 		})
 	}
+	services := []map[string]any{{"name": w.service.name, "max_conns": maxConnections, "sync_replicas": w.service.sync}}
+	if w.extra != "" {
+		services = append(services, map[string]any{"name": w.extra, "max_conns": maxConnections, "sync_replicas": 0})
+		routes = append(routes, map[string]any{
+			"name": "claim-archive", "host": "claim-archive", "kind": "primary", "service": w.extra, "timeout_ms": 800,
+			"target_latency_ms": 600, "priority": 3, "max_staleness_ms": 0,
+		})
+	}
+	w.version += 7
 	w.store.write("op/config", map[string]any{
-		"version": 7, "routes": routes, "limits": map[string]any{"tx_idle_ms": 2000},
-		"services": []map[string]any{{"name": w.service.name, "max_conns": maxConnections, "sync_replicas": w.service.sync}},
+		"version": w.version, "routes": routes, "limits": map[string]any{"tx_idle_ms": 2000}, "services": services,
 	})
 }
 
@@ -113,4 +124,5 @@
 	"foreign":  playForeign,
 	"shape":    playShape,
 	"forged":   playForged,
+	"recover":  playRecover,
 }
