--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
-# Builds the stand-ins that the scripts start. It needs Go alone, and no network.
+# Builds the stand-in that the scripts start, from the files beside this one, into bin/. It needs Go
+# alone, and no network.
 set -e
-cd "$(dirname "$0")/standin"
-GOFLAGS=-mod=mod GOTOOLCHAIN=local GOPROXY=off go build -o ../bin/standin .
+cd "$(dirname "$0")"
+GOFLAGS=-mod=mod GOTOOLCHAIN=local GOPROXY=off go build -o ../bin/review-standin .
--- a/review/standin/main.go
+++ b/review/main.go
@@ -1,11 +1,11 @@
 // Command standin plays the cases of the review: it starts VMs of the system as separate
 // processes, with stand-ins for the platform, the servers and the clients around them.
 //
-//	standin CASE FOLDER
+//	review-standin CASE FOLDER on|off
 //
 // It writes FOLDER/record.txt and exits with 1 if the case's rule was broken, with 0 if it held,
-// and with 2 if the case could not run. With TROUBLE=0 in the environment, the disruption is left
-// out.
+// and with 2 if the case could not run. The last word says whether the disruption happens; the
+// scripts choose it by TROUBLE.
 package main
 
 import (
@@ -28,7 +28,7 @@
 }
 
 // trouble reports whether the disruption is to happen.
-var trouble = os.Getenv("TROUBLE") != "0"
+var trouble bool
 
 // world is what a case runs in.
 type world struct {
@@ -90,9 +90,10 @@
 }
 
 func main() {
-	if len(os.Args) != 3 {
-		fatal("usage: standin CASE FOLDER")
+	if len(os.Args) != 4 || os.Args[3] != "on" && os.Args[3] != "off" {
+		fatal("usage: review-standin CASE FOLDER on|off")
 	}
+	trouble = os.Args[3] == "on"
 	var err error
 	if program, err = filepath.Abs("target/amaranthsilld"); err != nil {
 		fatal("find the daemon: %v", err)
@@ -121,7 +122,6 @@
 var cases = map[string]func(path string) int{
 	"sync":     playSync,
 	"linefeed": playLineFeed,
-	"foreign":  playForeign,
 	"shape":    playShape,
 	"forged":   playForged,
 	"recover":  playRecover,
