Log calls for promotions, changes of the lead with the last commit, and conflicting primaries

VMs now log each change of a group's lead with the last commit that they acknowledged before it, each call for a promotion with its result, and targets that report themselves as primaries beside the leader, which the metric amaranthsill_conflicting_primaries counts. No logic changes.

--- a/edge/cause_test.go
+++ b/edge/cause_test.go
@@ -1,10 +1,12 @@
 package edge
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"amaranthsill/pool"
+	"amaranthsill/succession"
 )
 
 func TestFailureCause(t *testing.T) {
@@ -34,3 +36,26 @@
 		})
 	}
 }
+
+func TestConflictingPrimaries(t *testing.T) {
+	targets := []pool.Target{
+		{ID: "a", Role: pool.RolePrimary},
+		{ID: "b", Role: pool.RoleReplica},
+		{ID: "c", Role: pool.RolePrimary},
+		{ID: "d", Role: pool.RolePrimary, Absent: true},
+	}
+	for name, c := range map[string]struct {
+		lead succession.Lead
+		want []string
+	}{
+		"one of two primaries leads": {succession.Lead{Target: "a"}, []string{"c"}},
+		"a replica leads":            {succession.Lead{Target: "b"}, []string{"a", "c"}},
+		"nobody leads yet":           {succession.Lead{}, []string{"a", "c"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := conflictingPrimaries(targets, c.lead); !slices.Equal(got, c.want) {
+				t.Errorf("conflicting primaries %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/edge/collector.go
+++ b/edge/collector.go
@@ -21,6 +21,7 @@
 	storeEra, storeLosses                                     *prometheus.Desc
 	confirmationAge, customers, customerSessions              *prometheus.Desc
 	connectionOpens, connectionEvictions, customerWaiting     *prometheus.Desc
+	conflictingPrimaries                                      *prometheus.Desc
 }
 
 var _ prometheus.Collector = (*collector)(nil)
@@ -52,6 +53,7 @@
 		connectionOpens:      describe("connection_opens_total", "Connections to targets that were opened, through holders or not.", "group"),
 		connectionEvictions:  describe("connection_evictions_total", "Idle connections that were closed to open one for another customer.", "group"),
 		customerWaiting:      describe("customer_waiting_statements", "Statements that wait for a target, of the customers with the most.", "customer"),
+		conflictingPrimaries: describe("conflicting_primaries", "Targets that report themselves as primaries although they do not lead.", "group"),
 		movesUnderWay:        describe("moves_under_way", "Whether this VM moves a leadership: 1 or 0."),
 	}
 }
@@ -122,6 +124,7 @@
 		gauge(c.activeStatements, float64(l.Active), name)
 		gauge(c.unreachableTargets, float64(l.Down), name)
 		gauge(c.replicaLag, l.Lag.Seconds(), name)
+		gauge(c.conflictingPrimaries, float64(len(conflictingPrimaries(c.directory.Targets(name), c.grants.Lead(name)))), name)
 	}
 	gauge(c.heldGroups, float64(held))
 	for customer, n := range pool.Busiest(waiting, customerLabels) {
--- a/edge/directory.go
+++ b/edge/directory.go
@@ -292,7 +292,7 @@
 		return
 	}
 	if old == nil || old.entry.Draining != t.Draining || old.entry.Role != t.Role || old.entry.Incarnation != t.Incarnation {
-		d.Log.Info("target changed", "target", id, "group", t.Group, "zone", t.Zone, "role", t.Role.String(), "draining", t.Draining, "revision", i.Revision.String())
+		d.Log.Info("target changed", "target", id, "group", t.Group, "zone", t.Zone, "role", t.Role.String(), "draining", t.Draining, "incarnation", t.Incarnation, "known", old != nil, "revision", i.Revision.String())
 	}
 	d.targets[id] = &registration[pool.Target]{entry: t, item: i}
 }
--- a/edge/supervisor.go
+++ b/edge/supervisor.go
@@ -103,6 +103,9 @@
 	// maybeLocal reports that the cause may lie in this VM or its network, so
 	// that other VMs are asked before the leader is replaced.
 	maybeLocal bool
+	// conflicting holds the targets that report themselves as primaries although they
+	// do not lead.
+	conflicting []string
 }
 
 // run checks all groups at every interval and whenever the supervisor is woken,
@@ -140,7 +143,7 @@
 		}
 		g := s.pool(name)
 		s.configurePool(name, n.ConnectionLimit, g, targets)
-		s.updateLeader(ctx, name, g)
+		s.updateLeader(ctx, name, g, targets)
 	}
 	s.settleRecord(ctx, c.Groups)
 	s.recordFirstLeaders(ctx, c.Groups)
@@ -212,7 +215,7 @@
 
 // updateLeader passes the leader in the record to the group's pool, and starts to
 // replace the leader if there is a cause.
-func (s *supervisor) updateLeader(ctx context.Context, name string, g *pool.Group) {
+func (s *supervisor) updateLeader(ctx context.Context, name string, g *pool.Group, targets []pool.Target) {
 	lead := s.grants.Lead(name)
 	st := s.states[name]
 	now := s.Now()
@@ -224,9 +227,14 @@
 		if st != nil && st.lead.Moving() && lead.Moving() && st.lead.Row() == lead.Row() {
 			next.movingSince = cmp.Or(st.movingSince, now)
 		}
+		if st != nil {
+			next.conflicting = st.conflicting
+			s.logLead(name, st.lead, lead, g)
+		}
 		st = next
 		s.states[name] = st
 	}
+	s.logConflicts(name, st, targets)
 	leader := lead.Target
 	if lead.Moving() {
 		leader = ""
@@ -248,6 +256,43 @@
 	s.replace(ctx, name, st, now)
 }
 
+// logLead logs that a group's lead has changed, with the last commit that this VM
+// acknowledged under the former one.
+func (s *supervisor) logLead(name string, old, lead succession.Lead, g *pool.Group) {
+	last := g.LastCommit()
+	ago := ""
+	if last.Request != "" {
+		ago = (s.Now() - last.At).String()
+	}
+	s.Log.Info("lead changed", "group", name, "from", old.Target, "to", lead.Target, "mover", lead.Mover, "record", s.grants.Record().Revision.String(),
+		"commit", last.Request, "executedby", last.Target, "position", last.Position.String(), "acknowledged", ago)
+}
+
+// logConflicts logs the targets that begin to report themselves as primaries although
+// another one leads. Such a target was promoted by a call that this VM does not know of,
+// or was deposed and does not know it yet.
+func (s *supervisor) logConflicts(name string, st *groupState, targets []pool.Target) {
+	now := conflictingPrimaries(targets, st.lead)
+	for _, id := range now {
+		if !slices.Contains(st.conflicting, id) {
+			s.Log.Info("target that does not lead reports itself as the primary", "group", name, "target", id, "leader", st.lead.Target, "mover", st.lead.Mover)
+		}
+	}
+	st.conflicting = now
+}
+
+// conflictingPrimaries returns the targets of a group that report themselves as primaries
+// although the lead names another one.
+func conflictingPrimaries(targets []pool.Target, l succession.Lead) []string {
+	list := []string{}
+	for _, t := range targets {
+		if t.Role == pool.RolePrimary && t.ID != l.Target && !t.Absent {
+			list = append(list, t.ID)
+		}
+	}
+	return list
+}
+
 // cause returns why a group's leader has to be replaced; empty if it has not.
 func (s *supervisor) cause(name string, st *groupState, g *pool.Group, now time.Duration) string {
 	st.maybeLocal = false
--- a/front/attempt.go
+++ b/front/attempt.go
@@ -374,7 +374,7 @@
 	}
 	a.recordPosition(slot, answer)
 	a.recordDuration(a.session.server.Now() - a.arrived)
-	return a.succeed(st, answer), true
+	return a.succeed(st, slot, answer), true
 }
 
 // answerDeadline returns how long to wait for a target's answer. A read that
@@ -461,10 +461,11 @@
 
 // succeed returns the reply for a target's answer. After a write, it raises the
 // session's floor to the position of the answer.
-func (a *attempt) succeed(st statement, answer pool.Answer) query.Reply {
+func (a *attempt) succeed(st statement, slot *pool.Slot, answer pool.Answer) query.Reply {
 	s := a.session
 	if st.write {
 		s.recordCommit(answer.Position)
+		a.group.RecordCommit(st.query.ID, slot.Target(), answer.Position)
 	}
 	r := answer.Reply
 	r.State = query.StateIdle
--- a/front/transaction.go
+++ b/front/transaction.go
@@ -267,6 +267,7 @@
 	t.attempt.recordPosition(slot, answer)
 	if t.wrote {
 		s.recordCommit(answer.Position)
+		t.attempt.group.RecordCommit(q.ID, slot.Target(), answer.Position)
 	}
 	return answer.Reply
 }
--- a/pool/group.go
+++ b/pool/group.go
@@ -48,6 +48,7 @@
 	throughput       throughput
 	pathLatencies    pathLatencies
 	crossing         crossing
+	lastCommit       Commit
 }
 
 // Configure sets the registered targets, and the number of connections to each
--- a/pool/observe.go
+++ b/pool/observe.go
@@ -60,6 +60,32 @@
 	return query.Position{}
 }
 
+// Commit is a commit that was acknowledged to its caller.
+type Commit struct {
+	// Request is the ID of the commit, or of a write outside a transaction.
+	Request string
+	// Target executed the commit.
+	Target string
+	// Position is the target's log position after it.
+	Position query.Position
+	// At is when the commit was acknowledged.
+	At time.Duration
+}
+
+// RecordCommit records a commit that is being acknowledged to its caller.
+func (g *Group) RecordCommit(request, target string, p query.Position) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	g.lastCommit = Commit{Request: request, Target: target, Position: p, At: g.Now()}
+}
+
+// LastCommit returns the commit that this VM acknowledged last, zero if there is none.
+func (g *Group) LastCommit() Commit {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	return g.lastCommit
+}
+
 // Sample records a log position of the leader, taken from the answer to a
 // statement sent at the given time. The caller must know that the target still
 // led when it answered.
--- a/succession/fence.go
+++ b/succession/fence.go
@@ -238,6 +238,7 @@
 			v.steppedDown = true
 			v.oldPosition = r.Received
 			v.lock.Unlock()
+			v.Log.Info("old leader is a replica", "group", v.group, "target", v.oldLeader, "term", r.Term, "received", r.Received.String())
 			return nil
 		}
 		if err := sleep(ctx, retryInterval); err != nil {
--- a/succession/promote.go
+++ b/succession/promote.go
@@ -61,7 +61,14 @@
 	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
 	defer cancel()
 	v.called = true
-	return v.Promoter.Promote(ctx, v.group, target, v.token)
+	begun := v.Now()
+	err := v.Promoter.Promote(ctx, v.group, target, v.token)
+	result := "accepted"
+	if err != nil {
+		result = err.Error()
+	}
+	v.Log.Info("called for a promotion", "group", v.group, "target", target, "token", v.token, "result", result, "took", (v.Now() - begun).String())
+	return err
 }
 
 // awaitPrimary waits until a promoted target reports that it is the primary.
@@ -70,6 +77,7 @@
 	for v.Now() < deadline {
 		r, err := v.sendOrder(ctx, target, pool.Status{})
 		if err == nil && r.Role == pool.RolePrimary {
+			v.Log.Info("target reports that it is the primary", "group", v.group, "target", target, "term", r.Term, "received", r.Received.String())
 			return nil
 		}
 		if err := sleep(ctx, retryInterval); err != nil {
