Show commits that a deposed leader goes on acknowledging

A target that is promoted while the record names another leader, as by a call for a promotion that takes effect late, is noticed by nobody: all VMs go on acknowledging the commits of the recorded leader, which the new one lacks. Reads on the new leader's log are stale then.

--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -284,6 +284,10 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// Promote promotes a server of a group as the platform does for a call that it executes
+// late, when nobody waits for it any more.
+func (s *Site) Promote(group string, v *Server) { s.groups[group].promote(v) }
+
 func (g *Group) promote(v *Server) {
 	if v.Primary() && g.site.Leader(g.Name) == v {
 		return
