Stop using a recorded leader once another target leads under a higher term

Callers saw reads on bounded routes that lacked writes acknowledged over 1.5 s before.

Cause: VMs took the leader record alone for what leads. A promotion that takes effect without a move, since its call was given up, deposes the recorded leader, and nothing compared the record with what the targets report. The deposed leader goes on as a primary until it is told to step down or hears of the new one, and its commits, which the new leader lacks, were acknowledged all that time.

Now a VM that learns that a target reports itself as the primary while the record names another asks both for their terms. If that target's is higher, the VM does not use the recorded leader any more: answers that were under way are in doubt, later statements are refused as not run, and its leadership is moved. A deposed primary that has not noticed has the lower term, and changes nothing.

What remains is the time until a VM hears of the promotion: the store's changes take up to half a second.

--- a/edge/supervisor.go
+++ b/edge/supervisor.go
@@ -103,9 +103,7 @@
 	// maybeLocal reports that the cause may lie in this VM or its network, so
 	// that other VMs are asked before the leader is replaced.
 	maybeLocal bool
-	// conflicting holds the targets that report themselves as primaries although they
-	// do not lead.
-	conflicting []string
+	conflicts
 }
 
 // run checks all groups at every interval and whenever the supervisor is woken,
@@ -228,15 +226,15 @@
 			next.movingSince = cmp.Or(st.movingSince, now)
 		}
 		if st != nil {
-			next.conflicting = st.conflicting
+			next.conflicts = st.conflicts
 			s.logLead(name, st.lead, lead, g)
 		}
 		st = next
 		s.states[name] = st
 	}
-	s.logConflicts(name, st, targets)
+	s.checkConflicts(ctx, name, st, targets)
 	leader := lead.Target
-	if lead.Moving() {
+	if lead.Moving() || s.grants.Deposed(name, leader) {
 		leader = ""
 	}
 	g.SetLeader(leader)
@@ -268,31 +266,6 @@
 		"commit", last.Request, "executedby", last.Target, "position", last.Position.String(), "acknowledged", ago)
 }
 
-// logConflicts logs the targets that begin to report themselves as primaries although
-// another one leads. Such a target was promoted by a call that this VM does not know of,
-// or was deposed and does not know it yet.
-func (s *supervisor) logConflicts(name string, st *groupState, targets []pool.Target) {
-	now := conflictingPrimaries(targets, st.lead)
-	for _, id := range now {
-		if !slices.Contains(st.conflicting, id) {
-			s.Log.Info("target that does not lead reports itself as the primary", "group", name, "target", id, "leader", st.lead.Target, "mover", st.lead.Mover)
-		}
-	}
-	st.conflicting = now
-}
-
-// conflictingPrimaries returns the targets of a group that report themselves as primaries
-// although the lead names another one.
-func conflictingPrimaries(targets []pool.Target, l succession.Lead) []string {
-	list := []string{}
-	for _, t := range targets {
-		if t.Role == pool.RolePrimary && t.ID != l.Target && !t.Absent {
-			list = append(list, t.ID)
-		}
-	}
-	return list
-}
-
 // cause returns why a group's leader has to be replaced; empty if it has not.
 func (s *supervisor) cause(name string, st *groupState, g *pool.Group, now time.Duration) string {
 	st.maybeLocal = false
@@ -305,6 +278,9 @@
 		}
 		return ""
 	}
+	if s.grants.Deposed(name, st.lead.Target) {
+		return causeDeposed
+	}
 	t, known := g.Target(st.lead.Target)
 	if !known {
 		return s.causeUnregistered(now)
@@ -355,6 +331,10 @@
 // either.
 func (s *supervisor) replace(ctx context.Context, name string, st *groupState, now time.Duration) {
 	delay := time.Duration(s.rank(name)) * rankDelay
+	if st.cause == causeDeposed {
+		// Until the move begins, VMs that have not heard acknowledge what will be lost.
+		delay = time.Duration(min(s.rank(name), deposedRanks)) * deposedRankDelay
+	}
 	if !s.established() {
 		delay += unestablishedDelay
 	}
--- a/succession/grants.go
+++ b/succession/grants.go
@@ -59,11 +59,45 @@
 	confirmedAt      time.Duration
 	storeConfirmedAt time.Duration
 	everConfirmed    bool
+	// deposed holds, by group, the leader that the record names although another target
+	// was seen to lead.
+	deposed map[string]deposedLeader
 	// confirmations counts how often confirmedAt has grown.
 	confirmations uint64
 	changed       chan struct{}
 }
 
+// deposedLeader is a target that does not lead until a time.
+type deposedLeader struct {
+	target string
+	until  time.Duration
+}
+
+// Depose records that a target does not lead its group until a time, on the clock of
+// Now, although the record may name it: the platform has promoted another one.
+func (g *Grants) Depose(group, target string, until time.Duration) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	if g.deposed == nil {
+		g.deposed = map[string]deposedLeader{}
+	}
+	g.deposed[group] = deposedLeader{target, until}
+	g.notifyWaiters()
+}
+
+// Deposed reports whether a target is known not to lead its group, whatever the record
+// says.
+func (g *Grants) Deposed(group, target string) bool {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	return g.isDeposed(group, target)
+}
+
+func (g *Grants) isDeposed(group, target string) bool {
+	d, ok := g.deposed[group]
+	return ok && d.target == target && g.Now() < d.until
+}
+
 // Observe takes in a record from any source, without confirming it. It reports
 // whether the record is newer than the known one; others are ignored.
 func (g *Grants) Observe(r Record) bool {
@@ -308,7 +342,7 @@
 
 func (g *Grants) leads(group, target string) bool {
 	l := g.record.Leads[group]
-	return l.Target == target && !l.Moving()
+	return l.Target == target && !l.Moving() && !g.isDeposed(group, target)
 }
 
 func (g *Grants) valid() bool {
--- a/succession/succession_test.go
+++ b/succession/succession_test.go
@@ -558,6 +558,20 @@
 	record := func(revision store.Revision, lease store.LeaseID, l succession.Lead) succession.Record {
 		return succession.Record{Lease: lease, Era: revision.Era(), Revision: revision, Leads: map[string]succession.Lead{"choir": l}}
 	}
+
+	ginkgo.It("name no leader that was found deposed, until the time for that has passed", func() {
+		now := 10 * time.Second
+		g := &succession.Grants{Length: time.Second, Now: func() time.Duration { return now }}
+		g.ConfirmRecord(record(1, 5, succession.Lead{Target: "a"}), now)
+		gomega.Expect(g.IsLeader("choir", "a")).To(gomega.BeTrue())
+		g.Depose("choir", "b", now+time.Second)
+		gomega.Expect(g.IsLeader("choir", "a")).To(gomega.BeTrue())
+		g.Depose("choir", "a", now+100*time.Millisecond)
+		gomega.Expect(g.IsLeader("choir", "a")).To(gomega.BeFalse())
+		gomega.Expect(errors.Is(g.AwaitLeader(context.Background(), "choir", "a", now+time.Second), succession.ErrNotLeader)).To(gomega.BeTrue())
+		now += 100 * time.Millisecond
+		gomega.Expect(g.IsLeader("choir", "a")).To(gomega.BeTrue())
+	})
 	first, second := store.At(1, 90), store.At(2, 80)
 	stable := succession.Lead{Target: "a"}
 	moving := succession.Lead{Target: "a", Mover: "vm-1"}
