Let the stand-in for the platform depose primaries as the platform does

A promotion took effect 30 ms after the call, before the answer, and an old primary went on for ever unless it was told to step down. So no test could see what a VM does while a promotion is under way, or what an old primary commits after another one leads.

With the new options, a call is answered at once and takes effect after PromotionDelay, or is taken up late (SetCallDelay); a primary becomes a replica DemotionDelay after it reaches a newer one, with its log rolled back; servers that do not reach one another or the store neither copy the log nor report; entries of silent servers go; crashed servers return with their logs; and statements, STATUS among them, take slots and are answered with BUSY if too many wait. A plain transaction whose server lost the lead gets READONLY. Each promotion that took effect is recorded with its time, and each write with that of its commit.

Without the options all of this is as before, but for PAUSE, which now stops a replica from receiving, and the check of plain transactions.

--- a/internal/site/server.go
+++ b/internal/site/server.go
@@ -47,6 +47,23 @@
 	startedBy map[string]bool
 	// ranFor maps a request's ID to the customer of the connection on which it last ran.
 	ranFor map[string]string
+	// committedAt maps a write's ID to when it was last committed on the server.
+	committedAt map[string]time.Time
+	// slots limits what the server works on; nil without a limit. busyUntil is until when
+	// it answers statements with BUSY after its log was rolled back.
+	slots     *slots
+	busyUntil time.Time
+	// receivePaused reports that a PAUSE keeps the replica from receiving.
+	receivePaused bool
+	crashed       bool
+	// newerSince is since when the server, a primary, reaches a newer one; zero if it does
+	// not.
+	newerSince time.Time
+	// silentSince is since when the server has not reached the store; zero if it does.
+	// reportDue reports that its entry is to be written once it does, and removed that the
+	// entry was removed.
+	silentSince        time.Time
+	reportDue, removed bool
 }
 
 // entry is one write in a log, or one that its transaction has not committed yet.
@@ -193,6 +210,27 @@
 	return false
 }
 
+// CommittedAt returns when a write was last committed on the server as the primary. It
+// reports false if it never was.
+func (s *Server) CommittedAt(id string) (time.Time, bool) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	at, ok := s.committedAt[id]
+	return at, ok
+}
+
+// EntriesAtRun returns the IDs of the requests that wrote the entries of the log on which
+// the request with this ID last ran.
+func (s *Server) EntriesAtRun(id string) map[string]bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	ids := map[string]bool{}
+	for _, e := range s.logAtRun[id] {
+		ids[e.requestID] = true
+	}
+	return ids
+}
+
 func (s *Server) isUnresponsive() bool {
 	s.lock.Lock()
 	defer s.lock.Unlock()
@@ -218,8 +256,10 @@
 	out               *bufio.Writer
 	inTransaction     bool
 	transactionFailed bool
-	pendingWrites     []entry
-	settings          map[string]string
+	// plain reports that the open transaction may write.
+	plain         bool
+	pendingWrites []entry
+	settings      map[string]string
 	// prepared maps the name of a prepared statement to its access: READ or WRITE.
 	prepared map[string]string
 }
@@ -228,7 +268,7 @@
 	defer func() { _ = c.Close() }()
 	in := bufio.NewReader(c)
 	line, err := in.ReadString('\n')
-	if err != nil {
+	if err != nil || s.isCrashed() {
 		return
 	}
 	d := &connection{Server: s, conn: c, out: bufio.NewWriter(c), settings: map[string]string{}, prepared: map[string]string{}}
@@ -309,12 +349,21 @@
 // query executes one query and sends its answer. It reports whether the connection
 // stays open.
 func (c *connection) query(id, text string) bool {
-	time.Sleep(c.Group.StatementDelay)
+	acquired := !takesSlot(text) || c.slots.acquire()
+	if acquired {
+		time.Sleep(c.Group.StatementDelay)
+		if takesSlot(text) {
+			defer c.slots.release()
+		}
+	}
 	if c.isUnresponsive() {
 		time.Sleep(5 * time.Second)
 		return false
 	}
-	errorCode := c.execute(id, text)
+	errorCode := "BUSY"
+	if acquired {
+		errorCode = c.execute(id, text)
+	}
 	if c.dropsAnswer(id) {
 		time.Sleep(5 * time.Second)
 		return false
@@ -329,6 +378,15 @@
 	return true
 }
 
+// takesSlot reports whether a query occupies a slot.
+func takesSlot(text string) bool {
+	f := strings.Fields(text)
+	if f[0] == "AFTER" {
+		f = f[2:]
+	}
+	return slices.Contains([]string{"READ", "WRITE", "EXECUTE", "COMMIT", "STATUS"}, f[0])
+}
+
 func (c *connection) dropsAnswer(id string) bool {
 	c.lock.Lock()
 	defer c.lock.Unlock()
@@ -358,11 +416,20 @@
 	}
 	switch f[0] {
 	case "STATUS":
+		if c.slots != nil && (c.busy || time.Now().Before(c.busyUntil)) {
+			return "BUSY"
+		}
 		return c.status()
 	case "STEPDOWN":
 		c.stepDown(f[1])
 		return c.status()
 	case "PAUSE":
+		if term, err := strconv.ParseUint(f[1], 10, 64); err == nil && term > c.term {
+			c.receivePaused = true
+		}
+		return c.status()
+	case "RESUME":
+		c.receivePaused = false
 		return c.status()
 	case "RESET":
 		clear(c.settings)
@@ -388,7 +455,7 @@
 		if len(f) == 1 && !c.primary {
 			return "READONLY"
 		}
-		c.inTransaction = true
+		c.inTransaction, c.plain = true, len(f) == 1
 		c.send("COMPLETE -")
 		return ""
 	case "ROLLBACK":
@@ -396,10 +463,14 @@
 		c.send("COMPLETE -")
 		return ""
 	}
-	if c.busy {
+	if c.busy || time.Now().Before(c.busyUntil) {
 		delete(c.executions, id)
 		return "BUSY"
 	}
+	if c.inTransaction && c.plain && !c.primary && (f[0] != "COMMIT" || len(c.pendingWrites) > 0) {
+		delete(c.executions, id)
+		return "READONLY"
+	}
 	return c.executeStatement(id, f)
 }
 
@@ -453,12 +524,13 @@
 	for _, e := range c.pendingWrites {
 		e.term = c.term
 		c.log = append(c.log, e)
+		c.committedAt[e.requestID] = time.Now()
 	}
 	c.pendingWrites = nil
 }
 
 func (c *connection) resetTransaction() {
-	c.inTransaction = false
+	c.inTransaction, c.plain = false, false
 	c.transactionFailed = false
 	c.pendingWrites = nil
 }
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -28,11 +29,31 @@
 	// Era is the store's era at the start; zero sends none with its answers.
 	Era uint64
 	// ProxyAddress returns the address under which a server is registered,
-	// given the address on which it listens, such as that of a proxy between
-	// them. Nil registers the server's own address.
-	ProxyAddress func(address string) string
+	// given its ID and the address on which it listens, such as that of a proxy
+	// between them. Nil registers the server's own address.
+	ProxyAddress func(id, address string) string
+	// PromotionDelay is how long after the call a promotion takes effect; the call is
+	// answered at once. Zero means 30 ms, and an answer once it has taken effect.
+	PromotionDelay time.Duration
+	// DemotionDelay is how long a primary goes on once it can reach a newer one, before
+	// it becomes a replica. Zero means until it is told to step down.
+	DemotionDelay time.Duration
+	// Reaches reports whether a server, given by its ID, reaches another one or StoreNode.
+	// Nil means that all reach one another.
+	Reaches func(from, to string) bool
+	// EntryTimeout is how long a server may not reach the store before its entry is
+	// removed. Zero means that entries stay.
+	EntryTimeout time.Duration
+	// Slots is how many statements, statuses and new connections each server works on at
+	// a time. Twice as many may wait; more are answered with BUSY. Zero means no limit.
+	Slots int
+	// Rewrite changes what a VM writes to a key of the store; nil leaves it as it is.
+	Rewrite func(key string, value []byte) []byte
 }
 
+// StoreNode is the name of the store in calls of Options.Reaches.
+const StoreNode = "store"
+
 // Site is a running simulation of the platform and its database servers.
 type Site struct {
 	// Store is the metadata store.
@@ -47,7 +68,9 @@
 	configurationVersion int
 	customers            []Customer
 	fencingTokens        []uint64
-	closed               chan struct{}
+	// callDelay bounds the random time after which promotion calls are taken up.
+	callDelay time.Duration
+	closed    chan struct{}
 }
 
 // Group is one database group: a primary and its replicas.
@@ -61,6 +84,10 @@
 
 	site    *Site
 	servers []*Server
+
+	lock sync.Mutex
+	// promotions are those that took effect, in order.
+	promotions []Promotion
 }
 
 // Open starts a site on loopback and puts its first configuration in the store. It
@@ -78,6 +105,7 @@
 		groups: map[string]*Group{}, closed: make(chan struct{}),
 	}
 	s.Store.SetEra(options.Era)
+	s.Store.rewrite = options.Rewrite
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /promotion", s.promote)
 	mux.Handle("/", s.Store)
@@ -104,16 +132,19 @@
 		}
 		v := &Server{
 			ID: fmt.Sprintf("%s-%d", name, i), Group: g, Zone: zone, listener: l,
-			primary: i == 0, term: 1, connections: map[net.Conn]bool{}, startedBy: map[string]bool{}, ranFor: map[string]string{}, executions: map[string]int{}, logAtRun: map[string][]entry{},
+			primary: i == 0, term: 1, committedAt: map[string]time.Time{}, slots: newSlots(s.options.Slots), connections: map[net.Conn]bool{}, startedBy: map[string]bool{}, ranFor: map[string]string{}, executions: map[string]int{}, logAtRun: map[string][]entry{},
 		}
 		if s.options.ProxyAddress != nil {
-			v.proxyAddress = s.options.ProxyAddress(v.Address())
+			v.proxyAddress = s.options.ProxyAddress(v.ID, v.Address())
 		}
 		g.servers = append(g.servers, v)
 		go v.serve()
 		g.register(v)
 	}
 	go g.replicate()
+	if s.options.Reaches != nil {
+		go g.heartbeat()
+	}
 	return nil
 }
 
@@ -136,14 +167,18 @@
 // consider themselves primary; nil if none does.
 func (s *Site) Leader(group string) *Server {
 	var leader *Server
+	highest := uint64(0)
 	for _, v := range s.groups[group].servers {
-		if v.Primary() && (leader == nil || v.term > leader.term) {
-			leader = v
+		if primary, term := v.lead(); primary && (leader == nil || term > highest) {
+			leader, highest = v, term
 		}
 	}
 	return leader
 }
 
+// Servers returns the group's servers in the order of the zones.
+func (g *Group) Servers() []*Server { return g.servers }
+
 // FencingTokens returns the fencing tokens of all promotion calls, in the order of arrival,
 // including calls that were refused because of their server.
 func (s *Site) FencingTokens() []uint64 {
@@ -152,6 +187,14 @@
 	return slices.Clone(s.fencingTokens)
 }
 
+// SetCallDelay makes the platform take up each promotion call after a random time of up
+// to a delay, whether or not the caller still waits; zero makes it take them up at once.
+func (s *Site) SetCallDelay(delay time.Duration) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.callDelay = delay
+}
+
 // Route is one route of the operators' configuration, as a JSON object.
 type Route map[string]any
 
@@ -196,8 +239,15 @@
 	return version
 }
 
-// register writes the server's record to the store, in the state "ready".
-func (g *Group) register(v *Server) { g.registerAs(v, "ready") }
+// register writes the server's record to the store, in the state "ready". A server that
+// does not reach the store writes it once it does.
+func (g *Group) register(v *Server) {
+	if !g.reaches(v.ID, StoreNode) {
+		v.setReportDue()
+		return
+	}
+	g.registerAs(v, "ready")
+}
 
 // registeredAddress returns the address in the server's record: the proxy's if there
 // is one, else the listener's.
@@ -211,6 +261,9 @@
 // Drain registers the server as draining.
 func (s *Server) Drain() { s.Group.registerAs(s, "draining") }
 
+// EndDrain registers the server as ready.
+func (s *Server) EndDrain() { s.Group.register(s) }
+
 func (g *Group) registerAs(v *Server, state string) {
 	role := "replica"
 	if v.Primary() {
@@ -222,7 +275,8 @@
 	})
 }
 
-// replicate copies the primary's log to the replicas every 5 ms until the site closes.
+// replicate copies the logs of primaries to the replicas that they reach every 5 ms until
+// the site closes, and has old primaries learn of newer ones.
 func (g *Group) replicate() {
 	tick := time.NewTicker(5 * time.Millisecond)
 	defer tick.Stop()
@@ -233,25 +287,53 @@
 		case <-tick.C:
 		}
 		leader := g.site.Leader(g.Name)
-		if leader == nil || leader.isUnresponsive() {
+		if leader == nil {
 			continue
 		}
-		leader.lock.Lock()
-		log, term := slices.Clone(leader.log), leader.term
-		leader.lock.Unlock()
+		g.demoteOthers(leader)
+		logs := map[*Server]replicatedLog{}
+		for _, p := range g.servers {
+			if p == leader || g.site.options.DemotionDelay > 0 {
+				p.copyLog(logs)
+			}
+		}
 		time.Sleep(g.site.options.Lag)
-		for _, v := range g.servers {
-			v.receiveLog(log, term)
+		for p, l := range logs {
+			for _, v := range g.servers {
+				if v != p && g.reaches(p.ID, v.ID) {
+					v.receiveLog(l.entries, l.term)
+				}
+			}
 		}
 	}
 }
 
+// replicatedLog is the log of a primary of a term.
+type replicatedLog struct {
+	entries []entry
+	term    uint64
+}
+
+// copyLog adds the server's log if it is a primary that replicates.
+func (s *Server) copyLog(logs map[*Server]replicatedLog) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.primary && !s.unresponsive && !s.crashed {
+		// Without spare capacity, servers that take over the log can't share what they
+		// append to it.
+		logs[s] = replicatedLog{s.log[:len(s.log):len(s.log)], s.term}
+	}
+}
+
 func (s *Server) receiveLog(log []entry, term uint64) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	if s.primary || s.replicationPaused || s.unresponsive || term < s.term {
+	if s.primary || s.replicationPaused || s.unresponsive || s.crashed || s.receivePaused || term < s.term {
 		return
 	}
+	if n := len(s.log); n > 0 && (n > len(log) || log[n-1] != s.log[n-1]) && s.slots != nil {
+		s.busyUntil = time.Now().Add(rollbackTime)
+	}
 	s.log = log
 	s.term = term
 }
@@ -273,31 +355,17 @@
 	}
 	s.lock.Lock()
 	s.fencingTokens = append(s.fencingTokens, token)
+	delay := s.callDelay
 	s.lock.Unlock()
+	if delay > 0 {
+		time.Sleep(rand.N(delay))
+	}
 	g := s.groups[body.Service]
 	i := slices.IndexFunc(g.servers, func(v *Server) bool { return v.ID == body.ID })
-	if i < 0 || g.servers[i].isUnresponsive() {
+	if i < 0 || g.servers[i].isUnresponsive() || g.servers[i].isCrashed() {
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
 	g.promote(g.servers[i])
 	w.WriteHeader(http.StatusOK)
 }
-
-func (g *Group) promote(v *Server) {
-	if v.Primary() && g.site.Leader(g.Name) == v {
-		return
-	}
-	highest := uint64(0)
-	for _, o := range g.servers {
-		o.lock.Lock()
-		highest = max(highest, o.term)
-		o.lock.Unlock()
-	}
-	time.Sleep(30 * time.Millisecond)
-	v.lock.Lock()
-	v.primary = true
-	v.term = highest + 1
-	v.lock.Unlock()
-	g.register(v)
-}
--- a/internal/site/store.go
+++ b/internal/site/store.go
@@ -34,6 +34,8 @@
 	answersToDrop int
 	calls         int
 	watchesPaused bool
+	// rewrite changes what a VM writes to a key; nil leaves it as it is.
+	rewrite func(key string, value []byte) []byte
 }
 
 type item struct {
@@ -389,7 +391,11 @@
 	}
 	s.revision++
 	for _, p := range t.Puts {
-		s.put(p.Key, p.Value, p.Lease)
+		value := p.Value
+		if s.rewrite != nil {
+			value = s.rewrite(p.Key, value)
+		}
+		s.put(p.Key, value, p.Lease)
 	}
 	for _, key := range t.Deletes {
 		s.remove(key)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -133,7 +133,7 @@
 
 // startProxy starts a proxy to a database server and returns the proxy's address. If
 // it can't be started, it reports a violation and returns the server's address.
-func (r *Run) startProxy(address string) string {
+func (r *Run) startProxy(_, address string) string {
 	p, err := NewProxy(address)
 	if err != nil {
 		r.reportViolation("start proxy to server %s: %v", address, err)
