Check writes that a deposed primary acknowledged in the soak

The soak looked for missing writes only among those that the final log keeps, so an acknowledged write that was committed at a primary after another one had been promoted was exempt, although only writes that a promotion rolled back are. Such a write is now a violation of ONE, and a read that lacks it a violation of STALE. An acknowledged write that is gone without any promotion is reported too.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"amaranthsill/internal/site"
 )
@@ -21,6 +22,7 @@
 		k := &checker{Run: r, leader: leader, servers: r.site.Servers(g)}
 		for _, q := range requests {
 			k.checkWrite(q)
+			k.checkLeader(q)
 		}
 		k.checkReads(requests)
 	}
@@ -68,6 +70,58 @@
 	}
 }
 
+// checkLeader checks that no acknowledged write was committed at a server after the
+// promotion of another one had taken effect.
+func (k *checker) checkLeader(q request) {
+	if !q.write || q.code != "" {
+		return
+	}
+	at, s := k.committed(q)
+	if s == nil {
+		return
+	}
+	if leader := k.site.LeaderAt(s.Group.Name, at); leader != s.ID {
+		k.reportViolation("ONE: %s was committed at %s through %s over route %s at %s, when %s led, and acknowledged at %s", q.id, s.ID, q.vmName, q.route, at.Format(timeFormat), leader, q.ended.Format(timeFormat))
+	}
+}
+
+// timeFormat is how violations show times; logs of VMs show them alike, in UTC.
+const timeFormat = "15:04:05.000"
+
+// committed returns when a write was committed at the server that acknowledged it, and
+// that server; nil if it is in another group.
+func (k *checker) committed(q request) (time.Time, *site.Server) {
+	s := k.server(q.serverID)
+	if s == nil {
+		return time.Time{}, nil
+	}
+	at, ok := s.CommittedAt(q.id)
+	if !ok {
+		k.reportViolation("%s was acknowledged by %s, but was not committed there", q.id, s.ID)
+		return time.Time{}, nil
+	}
+	return at, s
+}
+
+// rolledBack reports whether a write that is not in the final log was removed by a
+// promotion: it was committed by the leader before another one was promoted. What a
+// primary commits after that is removed too, but must never have been acknowledged.
+func (k *checker) rolledBack(q request) bool {
+	at, s := k.committed(q)
+	if s == nil {
+		return true
+	}
+	g := s.Group.Name
+	if k.site.LeaderAt(g, at) != s.ID {
+		return false
+	}
+	promoted := slices.ContainsFunc(k.site.Promotions(g), func(p site.Promotion) bool { return p.At.After(at) })
+	if !promoted {
+		k.reportViolation("%s was committed at %s and acknowledged, and is gone without a promotion", q.id, s.ID)
+	}
+	return true
+}
+
 // checkReads checks that each read ran on a log with all the writes that its route
 // guarantees it to see: those acknowledged before it began. Writes that a promotion
 // removed from the leader's log are exempt. Logs are compared instead of values, since
@@ -80,7 +134,7 @@
 	}
 	writes := slices.DeleteFunc(slices.Clone(requests), func(q request) bool {
 		_, kept := indexInFinal[q.id]
-		return !q.write || q.code != "" || !kept
+		return !q.write || q.code != "" || !kept && k.rolledBack(q)
 	})
 	for _, q := range requests {
 		s := k.server(q.serverID)
@@ -93,11 +147,16 @@
 			continue
 		}
 		onFinalLog := length == 0 || length <= len(finalLog) && finalLog[length-1] == last
+		var entries map[string]bool
+		if !onFinalLog {
+			entries = s.EntriesAtRun(q.id)
+		}
 		for _, w := range writes {
-			if !q.mustShow(w) || onFinalLog && indexInFinal[w.id] < length || !onFinalLog && !s.LackedWrite(q.id, w.id) {
+			i, kept := indexInFinal[w.id]
+			if !q.mustShow(w) || onFinalLog && kept && i < length || entries[w.id] {
 				continue
 			}
-			k.reportViolation("%s ran on server %s through %s over route %s (transaction %t) without the write %s, acknowledged %v before it began", q.id, s.ID, q.vmName, q.route, q.transaction, w.id, q.begun.Sub(w.ended))
+			k.reportViolation("STALE: %s ran on server %s through %s over route %s (transaction %t, begun %s) without the write %s of server %s through %s, acknowledged %v before it began", q.id, s.ID, q.vmName, q.route, q.transaction, q.begun.Format(timeFormat), w.id, w.serverID, w.vmName, q.begun.Sub(w.ended))
 			break
 		}
 	}
