Add a soak with slow promotions and cuts of the network

With -incident, eight VMs serve three groups whose promotions take a second. Proxies stand between VMs, and between a VM and the promotion service, and know which VM opened a connection, so that any two nodes can be cut off from each other. A cut holds what was sent until it heals, as TCP does. The further faults cut primaries off from their replicas, the store and a part of the VMs, one group's or those of all, until promotions are called, take effect, or a time has passed; crash servers; and make the promotion service slow. They stand in a list of their own, and callers run transactions that write only here, so that existing seeds mean what they did.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -68,11 +68,13 @@
 	// customer and customerKey are those of the open session.
 	customer, customerKey string
 	// keys are the keys of all callers of the group.
-	keys    []string
-	vms     []*VM
-	random  *rand.Rand
-	record  func(request)
-	stopped chan struct{}
+	keys   []string
+	vms    []*VM
+	random *rand.Rand
+	// transactions adds transactions that write.
+	transactions bool
+	record       func(request)
+	stopped      chan struct{}
 
 	requestCount, lastValue, sessionCount int
 	// transactionBegun is when the open transaction began; zero outside a transaction.
@@ -192,6 +194,9 @@
 
 // runOperation runs a random operation: a write, a transaction of reads or a read.
 func (c *caller) runOperation() error {
+	if c.transactions && c.random.IntN(8) == 0 {
+		return c.writeInTransaction()
+	}
 	switch c.random.IntN(5) {
 	case 0:
 		return c.write()
@@ -213,6 +218,41 @@
 	return err
 }
 
+// writeInTransaction runs a read and a write in a transaction. The outcome of the write is
+// that of the COMMIT.
+func (c *caller) writeInTransaction() error {
+	if strings.HasSuffix(c.route, "bounded") {
+		return c.read(c.name)
+	}
+	c.transactionBegun = time.Now()
+	defer func() { c.transactionBegun = time.Time{} }()
+	if code, _, _, err := c.query(c.newRequest("").id, "BEGIN"); err != nil || code != "" {
+		c.close()
+		return nil
+	}
+	if err := c.read(c.keys[c.random.IntN(len(c.keys))]); err != nil || c.conn == nil {
+		return err
+	}
+	c.lastValue++
+	r := c.newRequest(c.name)
+	r.write, r.value = true, c.lastValue
+	if code, _, _, err := c.query(r.id, fmt.Sprintf("WRITE %s %d", c.name, c.lastValue)); err != nil || code != "" {
+		c.close()
+		return nil
+	}
+	code, _, proof, err := c.query(c.newRequest("").id, "COMMIT")
+	r.ended, r.code = time.Now(), code
+	if err != nil {
+		r.code = lostAnswer
+	}
+	r.serverID, _, _ = strings.Cut(proof, ":")
+	c.record(r)
+	if r.code != "" {
+		c.close()
+	}
+	return nil
+}
+
 // readInTransaction runs two reads in a transaction.
 func (c *caller) readInTransaction() error {
 	c.transactionBegun = time.Now()
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -13,7 +13,7 @@
 	r.lock.Lock()
 	requests := slices.Clone(r.requests)
 	r.lock.Unlock()
-	for _, g := range groups {
+	for _, g := range r.groups {
 		leader := r.site.Leader(g)
 		if leader == nil {
 			r.reportViolation("group %s has no leader after the run", g)
@@ -34,11 +34,30 @@
 		}
 	}
 	r.Logf("seed %d: %d of %d requests succeeded", r.Seed, succeeded, len(requests))
+	if r.Incident {
+		r.logMoves(requests)
+	}
 	if succeeded == 0 {
 		r.reportViolation("no request succeeded")
 	}
 }
 
+// logMoves logs how many promotions there were, and how many writes primaries committed
+// after another one had been promoted.
+func (r *Run) logMoves(requests []request) {
+	deposed := 0
+	for _, g := range r.groups {
+		for _, s := range r.site.Servers(g) {
+			for _, q := range requests {
+				if at, ok := s.CommittedAt(q.id); ok && r.site.LeaderAt(g, at) != s.ID {
+					deposed++
+				}
+			}
+		}
+	}
+	r.Logf("seed %d: %d promotions after %d calls, %d writes committed at deposed primaries", r.Seed, r.promotionCount(), len(r.site.FencingTokens()), deposed)
+}
+
 // checker checks the requests against the servers of one group.
 type checker struct {
 	*Run
--- a/internal/soak/customers.go
+++ b/internal/soak/customers.go
@@ -124,7 +124,7 @@
 	if !r.Customers {
 		return
 	}
-	for _, g := range groups {
+	for _, g := range r.groups {
 		for _, s := range r.site.Servers(g) {
 			r.checkServer(s, requests)
 		}
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -8,6 +8,12 @@
 //	go test ./internal/soak                              # the seeds of CI
 //	go test ./internal/soak -seeds 50 -first 1000        # 50 new seeds
 //	go test ./internal/soak -seeds 1 -first 1007 -v      # repeat one seed
+//	go test ./internal/soak -seeds 5 -incident -length 24s
+//
+// With -incident, eight VMs in three zones serve three groups whose promotions take
+// -promotion, a second by default, after a call that is answered at once. Nodes are cut
+// off from one another, and a primary that is cut off goes on until a second after it
+// reaches the new one.
 //
 // The logs and settings of all VMs are kept for each seed that failed.
 package soak
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -19,37 +19,52 @@
 	if r.Customers {
 		kinds = slices.Concat(kinds, customerFaults)
 	}
+	longest, pause := maxFaultDuration, maxFaultInterval
+	if r.Incident {
+		longest, pause = maxIncidentDuration, maxIncidentInterval
+	}
 	for time.Since(start) < r.Length {
 		f := kinds[r.random.IntN(len(kinds))]
-		duration := time.Duration(r.random.Int64N(int64(maxFaultDuration)))
+		if r.Incident && r.random.IntN(5) > 0 {
+			f = incidentFaults[r.random.IntN(len(incidentFaults))]
+		}
+		duration := time.Duration(r.random.Int64N(int64(longest)))
 		r.Logf("seed %d: %v %s for %v", r.Seed, time.Since(start).Round(time.Millisecond), f.name, duration.Round(time.Millisecond))
 		undo := f.inject(r)
 		if undo != nil {
 			time.AfterFunc(duration, undo)
 		}
-		time.Sleep(time.Duration(r.random.Int64N(int64(maxFaultInterval))))
+		time.Sleep(time.Duration(r.random.Int64N(int64(pause))))
 	}
 	// Wait until the timers of the last faults have ended them.
-	time.Sleep(maxFaultDuration)
+	time.Sleep(longest)
 }
 
 // clearFaults ends the faults that are still active and starts all VMs that are down.
 func (r *Run) clearFaults() {
 	r.site.Store.SetDown(false)
 	r.site.Store.SetWatchesPaused(false)
+	if r.network != nil {
+		r.network.heal()
+		r.site.SetCallDelay(0)
+	}
 	for _, p := range r.proxies {
 		p.Set(Forward)
 	}
-	for _, g := range groups {
+	for _, g := range r.groups {
 		for _, s := range r.site.Servers(g) {
 			s.SetUnresponsive(false)
 			s.SetBusy(false)
 			s.SetReplicationPaused(false)
 			s.DropAnswers(0)
+			s.Restart()
 		}
 	}
 	for _, v := range r.vms {
 		v.Store.Set(Forward)
+		if v.duty != nil {
+			v.duty.Set(Forward)
+		}
 		v.Resume()
 		if err := v.Start(false); err != nil {
 			r.reportViolation("%v", err)
@@ -134,7 +149,7 @@
 		return nil
 	}},
 	{"a leader is unresponsive", func(r *Run) func() {
-		s := r.site.Leader(groups[r.random.IntN(len(groups))])
+		s := r.site.Leader(r.groups[r.random.IntN(len(r.groups))])
 		if s == nil {
 			return nil
 		}
@@ -142,7 +157,7 @@
 		return func() { s.SetUnresponsive(false) }
 	}},
 	{"the answers to three requests to a leader are lost", func(r *Run) func() {
-		s := r.site.Leader(groups[r.random.IntN(len(groups))])
+		s := r.site.Leader(r.groups[r.random.IntN(len(r.groups))])
 		if s == nil {
 			return nil
 		}
@@ -150,12 +165,12 @@
 		return func() { s.DropAnswers(0) }
 	}},
 	{"replication to a server is paused", func(r *Run) func() {
-		s := r.site.Servers(groups[r.random.IntN(len(groups))])[r.random.IntN(3)]
+		s := r.site.Servers(r.groups[r.random.IntN(len(r.groups))])[r.random.IntN(3)]
 		s.SetReplicationPaused(true)
 		return func() { s.SetReplicationPaused(false) }
 	}},
 	{"a server answers BUSY", func(r *Run) func() {
-		s := r.site.Servers(groups[r.random.IntN(len(groups))])[r.random.IntN(3)]
+		s := r.site.Servers(r.groups[r.random.IntN(len(r.groups))])[r.random.IntN(3)]
 		s.SetBusy(true)
 		return func() { s.SetBusy(false) }
 	}},
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -32,6 +33,9 @@
 type Proxy struct {
 	target   string
 	listener net.Listener
+	// path returns the path that a connection takes, nil if no cut concerns it; nil itself
+	// if cuts concern none.
+	path func(client net.Conn) *path
 
 	lock        sync.Mutex
 	fault       Fault
@@ -44,16 +48,20 @@
 	// blackholed reports whether all further bytes of this connection are dropped, while
 	// the connection stays open and new connections work.
 	blackholed bool
+	path       *path
 }
 
 // NewProxy starts a proxy to the server at an address. It fails if no loopback port can
 // be listened on.
-func NewProxy(target string) (*Proxy, error) {
+func NewProxy(target string) (*Proxy, error) { return newProxy(target, nil) }
+
+// newProxy is like NewProxy for connections that cuts concern.
+func newProxy(target string, path func(client net.Conn) *path) (*Proxy, error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("listen for proxy: %w", err)
 	}
-	p := &Proxy{target: target, listener: l, connections: map[*proxiedConnection]bool{}}
+	p := &Proxy{target: target, listener: l, path: path, connections: map[*proxiedConnection]bool{}}
 	go p.accept()
 	return p, nil
 }
@@ -128,12 +136,22 @@
 		reset(client)
 		return
 	}
+	c := &proxiedConnection{client: client}
+	if p.path != nil {
+		c.path = p.path(client)
+	}
+	if c.path.isCut() {
+		// No handshake passes a cut.
+		_, _ = io.Copy(io.Discard, client)
+		_ = client.Close()
+		return
+	}
 	server, err := net.Dial("tcp4", p.target)
 	if err != nil {
 		reset(client)
 		return
 	}
-	c := &proxiedConnection{client: client, server: server}
+	c.server = server
 	p.lock.Lock()
 	p.connections[c] = true
 	p.lock.Unlock()
@@ -158,6 +176,11 @@
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := source.Read(buffer)
+		if !c.path.hold() {
+			reset(source)
+			reset(destination)
+			return
+		}
 		if err != nil {
 			_ = destination.Close()
 			return
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -43,6 +43,13 @@
 // connections to targets, so that the third has to relay its statements.
 var vmZones = []string{"quetzaltenango", "quetzaltenango", "quetzaltenango", "guatemala", "coban"}
 
+// incidentVMZones are the zones of the VMs with Incident.
+var incidentVMZones = []string{
+	"quetzaltenango", "quetzaltenango", "quetzaltenango",
+	"guatemala", "guatemala", "guatemala",
+	"coban", "coban",
+}
+
 // Run is one run of VMs and a simulated platform under faults. Set the exported fields
 // before Execute.
 type Run struct {
@@ -59,6 +66,11 @@
 	// Customers gives callers customers with keys and limits, and adds faults in which
 	// keys are replaced.
 	Customers bool
+	// Incident runs eight VMs and three groups with slow promotions, and adds faults in
+	// which nodes are cut off from one another and primaries go on without the others.
+	Incident bool
+	// Promotion is how long promotions take with Incident; zero means incidentPromotion.
+	Promotion time.Duration
 	// Logf logs the faults and the results, as testing.T.Logf does.
 	Logf func(format string, args ...any)
 
@@ -72,19 +84,30 @@
 	// extraRoutes are the routes that faults have added to configurations.
 	extraRoutes []site.Route
 	customers   customers
+	groups      []string
+	// network is nil without Incident.
+	network *network
 
 	lock       sync.Mutex
 	requests   []request
 	violations []error
 }
 
-var groups = []string{"choir", "dues"}
+// groups and incidentGroups are the groups of a run.
+var (
+	groups         = []string{"choir", "dues"}
+	incidentGroups = []string{"choir", "dues", "hymns"}
+)
 
 // Execute starts the VMs, injects faults while callers work, and returns all violated
 // guarantees, joined, each wrapping ErrViolation. Other errors mean that the run could
 // not be set up.
 func (r *Run) Execute() error {
 	r.random = rand.New(rand.NewPCG(r.Seed, 1))
+	r.groups = groups
+	if r.Incident {
+		r.groups = incidentGroups
+	}
 	r.stopped = make(chan struct{})
 	defer r.close()
 	if err := r.open(); err != nil {
@@ -105,22 +128,31 @@
 	if r.Losses {
 		era = 1
 	}
-	var err error
-	r.site, err = site.Open(site.Options{
+	options := site.Options{
 		Era:    era,
-		Groups: groups, Zones: []string{"quetzaltenango", "guatemala", "coban"},
+		Groups: r.groups, Zones: []string{"quetzaltenango", "guatemala", "coban"},
 		ConnectionLimit: 12, StatementDelay: time.Millisecond, ProxyAddress: r.startProxy,
-	})
+	}
+	zones := vmZones
+	if r.Incident {
+		r.network = newNetwork()
+		r.setIncident(&options)
+		zones = incidentVMZones
+	}
+	var err error
+	r.site, err = site.Open(options)
 	if err != nil {
 		return fmt.Errorf("start simulated platform: %w", err)
 	}
 	r.setCustomers()
-	for i, zone := range vmZones {
-		v, err := newVM(fmt.Sprintf("vm-%d", i), zone, r.Program, r.Folder, r.site.Address)
+	for i, zone := range zones {
+		v, err := newVM(fmt.Sprintf("vm-%d", i), zone, r.Program, r.Folder, r.site.Address, r.network, r.pathTo)
 		if err != nil {
 			return err
 		}
+		r.lock.Lock()
 		r.vms = append(r.vms, v)
+		r.lock.Unlock()
 		if err := v.Start(true); err != nil {
 			return err
 		}
@@ -133,8 +165,8 @@
 
 // startProxy starts a proxy to a database server and returns the proxy's address. If
 // it can't be started, it reports a violation and returns the server's address.
-func (r *Run) startProxy(_, address string) string {
-	p, err := NewProxy(address)
+func (r *Run) startProxy(id, address string) string {
+	p, err := newProxy(address, r.pathTo(id))
 	if err != nil {
 		r.reportViolation("start proxy to server %s: %v", address, err)
 		return address
@@ -157,15 +189,16 @@
 
 func (r *Run) startCallers() *sync.WaitGroup {
 	wait := &sync.WaitGroup{}
-	for _, g := range groups {
+	for _, g := range r.groups {
 		keys := []string{}
 		for i := range callersPerGroup {
 			keys = append(keys, fmt.Sprintf("%s%d", g, i))
 		}
 		for i, name := range keys {
 			c := &caller{
-				credentials: func() (string, string) { return r.customerOf(i) },
-				name:        name, group: g, keys: keys, vms: r.vms, record: r.record, stopped: r.stopped,
+				transactions: r.Incident,
+				credentials:  func() (string, string) { return r.customerOf(i) },
+				name:         name, group: g, keys: keys, vms: r.vms, record: r.record, stopped: r.stopped,
 				random: rand.New(rand.NewPCG(r.Seed, uint64(len(name))<<32+r.random.Uint64())),
 			}
 			wait.Go(func() {
@@ -236,7 +269,7 @@
 		if !v.IsReady() {
 			return v.Name
 		}
-		for _, g := range groups {
+		for _, g := range r.groups {
 			if !r.servesRoute(v, g+"-own") {
 				return v.Name + " " + g
 			}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -17,6 +17,8 @@
 	faultDuration = flag.Duration("length", 8*time.Second, "for how long faults are injected with each seed")
 	losses        = flag.Bool("losses", false, "with these seeds, let the store come back from older copies too")
 	customers     = flag.Bool("customers", false, "with these seeds, give callers customers with keys and limits")
+	incident      = flag.Bool("incident", false, "with these seeds, run more VMs and groups, slow promotions, and cuts of the network")
+	promotion     = flag.Duration("promotion", 0, "with -incident, how long promotions take")
 	logFolder     = flag.String("keep", "", "folder for the logs of seeds that fail; the system's temporary one by default")
 )
 
@@ -64,7 +66,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			execute(t, &soak.Run{Seed: seed, Program: program, Folder: folder, Length: *faultDuration, Losses: *losses, Customers: *customers, Logf: t.Logf})
+			execute(t, &soak.Run{Seed: seed, Program: program, Folder: folder, Length: *faultDuration, Losses: *losses, Customers: *customers, Incident: *incident, Promotion: *promotion, Logf: t.Logf})
 		})
 	}
 	if *seedCount > 0 {
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -21,7 +22,11 @@
 	CallersAddress string
 	// Store is the proxy between the VM and the store.
 	Store *Proxy
+	// peers and relay are the proxies between the other VMs and this one, and duty that
+	// between this VM and the promotion service; nil unless cuts concern them.
+	peers, relay, duty *Proxy
 
+	zone         string
 	program      string
 	settingsFile string
 	// settingsFormat is the text of the settings file with a verb for the field "first".
@@ -44,20 +49,41 @@
 
 // newVM starts the VM's proxy to the store, chooses its addresses and creates its log
 // file in folder. It does not start the process.
-func newVM(name, zone, program, folder, storeAddress string) (*VM, error) {
-	p, err := NewProxy(storeAddress)
-	if err != nil {
+// If there is a network, it also starts the proxies that cuts concern, to nodes that
+// pathTo describes.
+func newVM(name, zone, program, folder, storeAddress string, n *network, pathTo func(node string) func(net.Conn) *path) (*VM, error) {
+	v := &VM{Name: name, zone: zone, program: program, settingsFile: filepath.Join(folder, name+".json")}
+	var toStore func(net.Conn) *path
+	if n != nil {
+		toStore = func(net.Conn) *path { return &path{network: n, from: name, to: site.StoreNode} }
+	}
+	var err error
+	if v.Store, err = newProxy(storeAddress, toStore); err != nil {
 		return nil, err
 	}
-	v := &VM{Name: name, Store: p, program: program, settingsFile: filepath.Join(folder, name+".json")}
+	dutyAddress := storeAddress
+	if n != nil {
+		if v.duty, err = newProxy(storeAddress, toStore); err != nil {
+			return nil, err
+		}
+		dutyAddress = v.duty.Address()
+	}
 	addresses := []string{}
 	for range 5 {
 		addresses = append(addresses, site.FreeAddress())
 	}
+	if n != nil {
+		if v.peers, err = newProxy(addresses[2], pathTo(name)); err != nil {
+			return nil, err
+		}
+		if v.relay, err = newProxy(addresses[4], pathTo(name)); err != nil {
+			return nil, err
+		}
+	}
 	v.CallersAddress, v.readyAddress = addresses[0], addresses[1]
 	text := fmt.Sprintf(`{"vm": %q, "zone": %q, "callers": %q, "ready": %q, "peers": %q, "metrics": %q, "relay": %q,
 		"store": %q, "duty": %q, "memory": 512, "grace": %q, "first": %%t}`,
-		name, zone, addresses[0], addresses[1], addresses[2], addresses[3], addresses[4], p.Address(), storeAddress, stopGrace)
+		name, zone, addresses[0], addresses[1], addresses[2], addresses[3], addresses[4], v.Store.Address(), dutyAddress, stopGrace)
 	v.settingsFormat = text
 	v.logFile, err = os.Create(filepath.Join(folder, name+".log"))
 	if err != nil {
@@ -164,6 +190,10 @@
 func (v *VM) close() {
 	v.Resume()
 	v.Kill()
-	v.Store.Close()
+	for _, p := range []*Proxy{v.Store, v.peers, v.relay, v.duty} {
+		if p != nil {
+			p.Close()
+		}
+	}
 	_ = v.logFile.Close()
 }
