Replace a leader that refuses writes although other VMs reach it

A VM asks others whether they reach the leader before it replaces one that it does not reach itself; it asked also when the leader answered READONLY, which all others reach as well, and so left it alone again and again.

A refused write is the leader's own word, and no fault of the VM or its network: nobody else is asked now.

Test: edge "is replaced when it refuses writes, although all VMs reach it" timed out after 7 s before.

--- a/edge/leader_test.go
+++ b/edge/leader_test.go
@@ -1,6 +1,8 @@
 package edge_test
 
 import (
+	"fmt"
+	"net"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -53,6 +55,20 @@
 		gomega.Expect(f.site.FencingTokens()).To(gomega.BeEmpty())
 	})
 
+	// Guards against writes that are refused for good: VMs that were asked whether they
+	// reach a leader which had become a replica kept it from being replaced.
+	ginkgo.It("is replaced when it refuses writes, although all VMs reach it", func() {
+		f := openFixture(threeZones, 3)
+		c := f.vms[1].session("choir-own")
+		c.must("WRITE bar before")
+		conn, err := net.Dial("tcp4", f.site.Leader("choir").Address())
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		defer func() { _ = conn.Close() }()
+		_, err = fmt.Fprint(conn, "STARTUP choir operator\r\nQUERY - STEPDOWN 2\r\n")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		c.retry("WRITE bar after")
+	})
+
 	ginkgo.It("is served by other VMs of a zone while one does not reach it", func() {
 		// That VM reports that it is not ready, since callers try VMs of their zone only.
 		f := openFixture(threeZones, 3)
--- a/edge/supervisor.go
+++ b/edge/supervisor.go
@@ -288,14 +288,18 @@
 	if t.Draining {
 		return "it is draining"
 	}
-	st.maybeLocal = true
 	h := g.Health(t.ID)
 	if h.UnansweredFor > probeAfter || h.FailingFor > 0 {
 		g.Probe(t.ID)
 	}
-	return failureCause(h, now-st.leadSince)
+	c := failureCause(h, now-st.leadSince)
+	st.maybeLocal = c != causeReadOnly
+	return c
 }
 
+// causeReadOnly is why a leader that answers, but refuses writes, has to be replaced.
+const causeReadOnly = "it refuses writes"
+
 // failureCause returns why a leader with this health has to be replaced; empty if
 // it has not. led is how long it has led. Failures from before that time count
 // only if a connection has failed since.
@@ -310,7 +314,7 @@
 	case failingFor > unreachableTimeout && !h.Refused:
 		return "it does not answer over fresh connections"
 	case min(h.ReadOnlyFor, led) > readOnlyTimeout:
-		return "it refuses writes"
+		return causeReadOnly
 	default:
 		return ""
 	}
