--- a/edge/conflict.go
+++ b/edge/conflict.go
@@ -81,20 +81,15 @@
 }
 
 // compareTerms asks the leader that the record names and other targets for their terms.
-// If one of them is a primary of a higher term, the leader counts as deposed. The term of
-// a leader that does not answer is that of its last known log position, which is never
-// above it.
+// If one of them is a primary of a higher term, the leader counts as deposed.
 func (s *supervisor) compareTerms(ctx context.Context, group, leader string, others []string) {
 	ctx, cancel := context.WithTimeout(ctx, conflictTimeout)
 	defer cancel()
 	reports := s.termsOf(ctx, group, append([]string{leader}, others...))
-	leaderTerm := reports[leader].Term
-	if g, ok := s.existingPool(group); ok {
-		leaderTerm = max(leaderTerm, uint64(g.Position(leader).Term()))
-	}
+	leaderTerm, known := s.termOf(group, leader, reports)
 	for _, id := range others {
 		r := reports[id]
-		if r.Role != pool.RolePrimary || r.Term <= leaderTerm {
+		if !known || r.Role != pool.RolePrimary || r.Term <= leaderTerm {
 			continue
 		}
 		if !s.grants.Deposed(group, leader) {
@@ -106,11 +101,26 @@
 	}
 }
 
+// termOf returns the term of a target's report. That of a target which did not answer is
+// the term of its last known log position, which is never above it; false if this VM knows
+// none, and so has had no answer that depends on it.
+func (s *supervisor) termOf(group, target string, reports map[string]pool.Report) (uint64, bool) {
+	if r, ok := reports[target]; ok {
+		return r.Term, true
+	}
+	g, ok := s.existingPool(group)
+	if !ok || g.Position(target).IsZero() {
+		return 0, false
+	}
+	return uint64(g.Position(target).Term()), true
+}
+
 // termsOf returns the reports of the targets that answer, by ID.
 func (s *supervisor) termsOf(ctx context.Context, group string, targets []string) map[string]pool.Report {
 	type answer struct {
 		target string
 		report pool.Report
+		err    error
 	}
 	answers := make(chan answer, len(targets))
 	for _, id := range targets {
@@ -119,13 +129,14 @@
 			if err != nil {
 				s.Log.V(1).Info("target did not return its status; its term is not known", "group", group, "target", id, "reason", err.Error())
 			}
-			answers <- answer{id, r}
+			answers <- answer{id, r, err}
 		}()
 	}
 	reports := map[string]pool.Report{}
 	for range targets {
-		a := <-answers
-		reports[a.target] = a.report
+		if a := <-answers; a.err == nil {
+			reports[a.target] = a.report
+		}
 	}
 	return reports
 }
