Show that a promotion under way deposes a recorded leader

The platform promotes a target up to a second and more after the call, and changes nothing if the target is the present primary. A primary that was deposed goes on until it can reach its successor. A VM that sees no sign of a promotion within 1.5 s, or that takes a move over, forgets what was called for. Callers would see writes acknowledged that the next leader lacks, and reads on logs that lack acknowledged writes.

The platform of the specs now promotes after a delay, leaves the old primary as it is for a time, gives each promotion the next term of the group, and has targets that refuse orders.

--- a/succession/succession_test.go
+++ b/succession/succession_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -161,6 +162,18 @@
 	calls   []string
 	// absent holds the targets whose entries are gone from the store.
 	absent map[string]bool
+	// busy holds the targets that refuse orders because all their slots are taken.
+	busy map[string]bool
+	// latest is the target that was promoted last. A call for it changes nothing as
+	// long as it is a primary.
+	latest string
+	// effectDelay is the time from a call until the target leads, and zombieTime the
+	// time for which a primary goes on after another target was promoted.
+	effectDelay, zombieTime time.Duration
+	// outstanding counts the promotions by target that have not taken effect yet.
+	outstanding map[string]int
+	// lostPromotions is the number of next promotions that never take effect.
+	lostPromotions int
 	// unansweredPromotions is the number of next promotions that take effect
 	// without an answer.
 	unansweredPromotions int
@@ -169,7 +182,10 @@
 }
 
 func newFakePlatform() *fakePlatform {
-	p := &fakePlatform{reports: map[string]*pool.Report{}, down: map[string]bool{}}
+	p := &fakePlatform{
+		reports: map[string]*pool.Report{}, down: map[string]bool{}, busy: map[string]bool{},
+		latest: "a", zombieTime: time.Hour, outstanding: map[string]int{},
+	}
 	for i, id := range []string{"a", "b", "c"} {
 		p.reports[id] = &pool.Report{Role: pool.RoleReplica, Term: 3, Received: group.At(3, uint64(9-i))}
 	}
@@ -188,8 +204,21 @@
 	if p.down[target] {
 		return succession.ErrRejected
 	}
-	p.reports[target].Role = pool.RolePrimary
-	p.reports[target].Term++
+	switch {
+	case p.leads(target):
+	case p.lostPromotions > 0:
+		p.lostPromotions--
+	case p.effectDelay > 0:
+		p.outstanding[target]++
+		time.AfterFunc(p.effectDelay, func() {
+			p.lock.Lock()
+			defer p.lock.Unlock()
+			p.outstanding[target]--
+			p.lead(target)
+		})
+	default:
+		p.lead(target)
+	}
 	if p.unansweredPromotions > 0 {
 		p.unansweredPromotions--
 		return succession.ErrNoAnswer
@@ -197,6 +226,73 @@
 	return nil
 }
 
+// leads reports whether a target is the present primary. The caller holds the lock.
+func (p *fakePlatform) leads(target string) bool {
+	return p.latest == target && p.reports[target].Role == pool.RolePrimary
+}
+
+// lead makes a target the primary of the next term. The caller holds the lock.
+func (p *fakePlatform) lead(target string) {
+	if p.leads(target) {
+		return
+	}
+	term := p.highestTerm() + 1
+	p.latest = target
+	p.reports[target].Role = pool.RolePrimary
+	p.reports[target].Term = term
+	time.AfterFunc(p.zombieTime, func() {
+		p.lock.Lock()
+		defer p.lock.Unlock()
+		for _, r := range p.reports {
+			if r.Term < term {
+				r.Role, r.Term = pool.RoleReplica, term
+			}
+		}
+	})
+}
+
+// highestTerm returns the highest term of all targets. The caller holds the lock.
+func (p *fakePlatform) highestTerm() uint64 {
+	highest := uint64(0)
+	for _, r := range p.reports {
+		highest = max(highest, r.Term)
+	}
+	return highest
+}
+
+// setBusy makes targets refuse orders, or accept them again.
+func (p *fakePlatform) setBusy(busy bool, targets ...string) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	for _, t := range targets {
+		p.busy[t] = busy
+	}
+}
+
+// setDown cuts targets off, or connects them again.
+func (p *fakePlatform) setDown(down bool, targets ...string) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	for _, t := range targets {
+		p.down[t] = down
+	}
+}
+
+// isPromoted reports whether a target is a primary or may become one by a call that was
+// made already.
+func (p *fakePlatform) isPromoted(target string) bool {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	return p.reports[target].Role == pool.RolePrimary || p.outstanding[target] > 0
+}
+
+// calledFor returns the targets of all calls so far.
+func (p *fakePlatform) calledFor() []string {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	return slices.Clone(p.calls)
+}
+
 func (p *fakePlatform) Candidates(string) []pool.Target {
 	return []pool.Target{{ID: "a", Absent: p.absent["a"]}, {ID: "b", Absent: p.absent["b"]}, {ID: "c", Absent: p.absent["c"]}}
 }
@@ -207,6 +303,9 @@
 	if p.down[target] {
 		return pool.Report{}, errors.New("target is down")
 	}
+	if p.busy[target] {
+		return pool.Report{}, errors.New("target is busy")
+	}
 	if s, ok := o.(pool.StepDown); ok && s.Term > p.reports[target].Term {
 		p.reports[target].Role = pool.RoleReplica
 	}
