Call for no other target while a promotion may take effect

Callers would see writes acknowledged that the next leader lacks, and then reads that lack acknowledged writes.

- A move that saw no sign of its promotion within 1.5 s chose again, and called for another target while the first promotion could still take effect.
If that was the old leader, the call changed nothing, and it was recorded at once.
- Any primary passed for one that was just promoted, also one of an old term that had not noticed its successor.
- A VM that took a move over did not reckon with the promotions of that move.
- A replica passed for one that had stepped down for good, although a promotion of it was under way.

Change: a move calls for another target only once the last call's target has not led for 2 s after the call ended, and until then takes that target if it leads. A move that takes another over makes no call in its first 1.5 s, when the last calls of those before it are 2 s old. So a promotion is the last one at the time of its call. To show that it has taken effect, the target has to be a replica before the call (it is told to step down otherwise) and then a primary with a term above that of any primary so far. The old leader of a move that follows none need not step down: nothing was called for since it was recorded. An old leader that was called for counts as fenced only if it is a replica once its promotion can take effect no more. Its position is taken at once, as before.

The record carries no more than before. The calls of a former move would have to be written before each of them, which costs every move a write, and a VM of a former build would not write them. A VM that began a move again after one of its own that called for nothing does not wait.

Not covered: a call that the network delivers more than a second after the caller has given it up.

Three new ones: another target is called for after a promotion that never takes effect, within the same move; an old leader that alone answers is recorded at once; a target that was promoted for a former move is recorded.

--- a/succession/candidate.go
+++ b/succession/candidate.go
@@ -14,30 +14,30 @@
 	pool.Report
 }
 
-// chooseCandidate returns the ID of the target to promote: the one whose log
-// reaches furthest. If the old leader has stepped down, it waits up to
+// chooseCandidate returns the target to promote: the one whose log reaches
+// furthest. If the old leader has stepped down, it waits up to
 // catchUpTimeout for a target to reach the old leader's last position, unless the
 // old leader is gone from the store: it is cut off then, and can neither pass on its
 // log nor lead again.
-func (v *move) chooseCandidate(ctx context.Context) (string, error) {
+func (v *move) chooseCandidate(ctx context.Context) (candidateReport, error) {
 	deadline := v.Now() + catchUpTimeout
 	for {
 		reports := v.collectReports(ctx)
 		if len(reports) == 0 {
-			return "", ErrNoCandidate
+			return candidateReport{}, ErrNoCandidate
 		}
 		best := slices.MaxFunc(reports, compareCandidates)
 		v.lock.Lock()
 		enough := !v.steppedDown || best.Received.Reaches(v.oldPosition)
 		v.lock.Unlock()
 		if enough || v.oldLeaderIsGone() {
-			return best.ID, nil
+			return best, nil
 		}
 		if v.Now() > deadline {
 			return v.fallbackCandidate(best), nil
 		}
 		if err := sleep(ctx, retryInterval); err != nil {
-			return "", err
+			return candidateReport{}, err
 		}
 	}
 }
@@ -108,14 +108,16 @@
 	return !slices.ContainsFunc(v.Targets.Candidates(v.group), func(t pool.Target) bool { return t.ID == v.oldLeader && !t.Absent })
 }
 
-// fallbackCandidate is used if no other target reaches the old leader's last
-// position. It returns the old leader, whose promotion loses nothing, unless
-// that target is draining or no longer registered.
-func (v *move) fallbackCandidate(best candidateReport) string {
+// fallbackCandidate is used if no other target reaches the position at which the old
+// leader stepped down. It returns the old leader, whose promotion loses nothing, unless
+// that target is draining or no longer registered. Its present role is not known.
+func (v *move) fallbackCandidate(best candidateReport) candidateReport {
 	targets := v.Targets.Candidates(v.group)
 	i := slices.IndexFunc(targets, func(t pool.Target) bool { return t.ID == v.oldLeader })
 	if i < 0 || targets[i].Draining {
-		return best.ID
+		return best
 	}
-	return v.oldLeader
+	v.lock.Lock()
+	defer v.lock.Unlock()
+	return candidateReport{Target: targets[i], Report: pool.Report{Received: v.oldPosition}}
 }
--- a/succession/fence.go
+++ b/succession/fence.go
@@ -16,13 +16,14 @@
 func (v *move) fence(ctx context.Context) (string, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	settledAt := v.settledAt
 	go func() {
 		select {
 		case <-v.backed:
 		case <-ctx.Done():
 			return
 		}
-		if v.stepDown(ctx) == nil {
+		if v.stepDown(ctx, settledAt) == nil {
 			close(v.stepped)
 		}
 	}()
@@ -222,27 +223,63 @@
 	return nil
 }
 
+// fenceAgain is like fence for an old leader that may have been promoted again by this
+// move.
+func (v *move) fenceAgain(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	settledAt := v.settledAt
+	stepped := make(chan error, 1)
+	go func() { stepped <- v.stepDown(ctx, settledAt) }()
+	select {
+	case err := <-stepped:
+		return err
+	case <-v.grantsGone:
+		return nil
+	}
+}
+
 // stepDown demotes the old leader to a replica, the strongest fence, and
-// retries until it succeeds or the context ends.
-func (v *move) stepDown(ctx context.Context) error {
+// retries until it succeeds or the context ends. Before the time settledAt, the old
+// leader may be about to be promoted again by an earlier call, so that it is demoted
+// again after that; its position is known from the first time on.
+func (v *move) stepDown(ctx context.Context, settledAt time.Duration) error {
 	if v.oldLeader == "" {
 		return ErrNoCandidate
 	}
+	for {
+		asked := v.Now()
+		r, err := v.demote(ctx, v.oldLeader)
+		if err != nil {
+			return err
+		}
+		v.lock.Lock()
+		v.steppedDown = true
+		v.oldPosition = r.Received
+		v.lock.Unlock()
+		if asked >= settledAt {
+			return nil
+		}
+		if err := sleep(ctx, settledAt-v.Now()); err != nil {
+			return err
+		}
+	}
+}
+
+// demote tells a target to step down until it reports itself as a replica, and returns
+// that report.
+func (v *move) demote(ctx context.Context, target string) (pool.Report, error) {
 	for ctx.Err() == nil {
-		r, err := v.sendOrder(ctx, v.oldLeader, pool.Status{})
+		r, err := v.sendOrder(ctx, target, pool.Status{})
 		if err == nil && r.Role == pool.RolePrimary {
-			r, err = v.sendOrder(ctx, v.oldLeader, pool.StepDown{Term: r.Term + 1})
+			r, err = v.sendOrder(ctx, target, pool.StepDown{Term: r.Term + 1})
 		}
 		if err == nil && r.Role == pool.RoleReplica {
-			v.lock.Lock()
-			v.steppedDown = true
-			v.oldPosition = r.Received
-			v.lock.Unlock()
-			return nil
+			return r, nil
 		}
 		if err := sleep(ctx, retryInterval); err != nil {
-			return err
+			return pool.Report{}, err
 		}
 	}
-	return fmt.Errorf("step down %s: %w", v.oldLeader, ctx.Err())
+	return pool.Report{}, fmt.Errorf("step down %s: %w", target, ctx.Err())
 }
--- a/succession/move.go
+++ b/succession/move.go
@@ -31,10 +31,22 @@
 	grantsReason        string
 	// backed is closed once half of the VMs have yielded.
 	backed chan struct{}
-	// called reports that the platform was asked for a promotion.
-	called bool
-	// highestTerm is the highest term that any target reported.
-	highestTerm uint64
+	// called is the target that the platform was last asked to promote; empty if it
+	// was not asked. It is pending if the promotion may take effect or have done so.
+	called  string
+	pending bool
+	// prepared is the target that the next calls may be for; see prepare.
+	prepared string
+	// settledAt is when all promotions that this move or earlier ones of its row called
+	// for have taken effect, or do so no more; zero if none was called for.
+	settledAt time.Duration
+	// leadsOn reports that the target called for is the old leader, and that it leads
+	// unless the call deposes it.
+	leadsOn bool
+	// highestTerm is the highest term that any primary reported, and formerTerm what it
+	// was before the first call for the present target. Those of replicas do not count,
+	// since the order to step down may have raised them.
+	highestTerm, formerTerm uint64
 }
 
 func (v *move) run(ctx context.Context, from Lead) error {
@@ -110,6 +122,7 @@
 	}
 	v.startedAt = v.Now()
 	v.movingSince = cmp.Or(v.movingSince, v.startedAt)
+	v.settledAt = v.earlierCallsSettledAt(from)
 	lead := Lead{Target: from.Target, Mover: v.nextWriterID()}
 	lead.First = cmp.Or(from.Row(), lead.Mover)
 	v.record, err = v.writeRecord(ctx, r, r.WithLead(v.group, lead), &d.item)
@@ -124,6 +137,21 @@
 	return nil
 }
 
+// earlierCallsSettledAt returns the value of settledAt for a move that begins now, and
+// takes over the move from if that is one. At least TakeOver has passed since that one
+// began, unless it was this VM's own and called for nothing.
+func (v *move) earlierCallsSettledAt(from Lead) time.Duration {
+	if !from.Moving() {
+		return 0
+	}
+	v.lock.Lock()
+	defer v.lock.Unlock()
+	if a := v.abandoned[v.group]; a.mover == from.Mover {
+		return a.settledAt
+	}
+	return v.startedAt + promotionWindow + promoteTimeout + effectTime - TakeOver
+}
+
 func (v *move) sendOrder(ctx context.Context, target string, o pool.Order) (pool.Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
@@ -131,9 +159,11 @@
 	if err != nil {
 		return pool.Report{}, fmt.Errorf("order to %s: %w", target, err)
 	}
-	v.lock.Lock()
-	v.highestTerm = max(v.highestTerm, r.Term)
-	v.lock.Unlock()
+	if r.Role == pool.RolePrimary {
+		v.lock.Lock()
+		defer v.lock.Unlock()
+		v.highestTerm = max(v.highestTerm, r.Term)
+	}
 	return r, nil
 }
 
--- a/succession/mover.go
+++ b/succession/mover.go
@@ -85,6 +85,10 @@
 	// leadershipTimeout bounds the retries of a promotion call, and the wait
 	// for the promoted target to report that it leads.
 	leadershipTimeout = 1500 * time.Millisecond
+	// effectTime is the longest time from the end of a call for a promotion until the
+	// promotion takes effect. The platform takes some hundred milliseconds, or a
+	// second.
+	effectTime = 2 * time.Second
 	// writeTimeout bounds the write of the new leader to the record.
 	writeTimeout = 10 * time.Second
 	// leaseTTL is the time to live of the record's lease after the last
@@ -176,9 +180,17 @@
 	moves int
 	// endedLeases holds the leases that this VM has ended.
 	endedLeases map[store.LeaseID]bool
-	// abandoned holds, by group, the Lead.Mover of this VM's last attempt that ended
-	// without a call for a promotion.
-	abandoned map[string]string
+	// abandoned holds, by group, this VM's last attempt that ended without a call for
+	// a promotion.
+	abandoned map[string]abandonedMove
+}
+
+// abandonedMove is a move that ended without a call for a promotion.
+type abandonedMove struct {
+	// mover is the move's Lead.Mover.
+	mover string
+	// settledAt is that of the move.
+	settledAt time.Duration
 }
 
 // Start writes the first record, or adds groups that the record lacks. The
@@ -242,21 +254,21 @@
 	}
 	m.Log.Info("leadership is being moved", "group", group, "from", from.Target, "reason", reason, "token", v.token, "record", v.record.Revision.String())
 	if err := v.run(ctx, from); err != nil {
-		if !v.called {
-			m.abandon(group, v.record.Leads[group].Mover)
+		if v.called == "" {
+			m.abandon(group, abandonedMove{mover: v.record.Leads[group].Mover, settledAt: v.settledAt})
 		}
 		return fmt.Errorf("move leadership of %s: %w", group, err)
 	}
 	return nil
 }
 
-func (m *Mover) abandon(group, mover string) {
+func (m *Mover) abandon(group string, a abandonedMove) {
 	m.lock.Lock()
 	defer m.lock.Unlock()
 	if m.abandoned == nil {
-		m.abandoned = map[string]string{}
+		m.abandoned = map[string]abandonedMove{}
 	}
-	m.abandoned[group] = mover
+	m.abandoned[group] = a
 }
 
 // Abandoned reports whether the move that the record shows for a group was this VM's
@@ -265,7 +277,7 @@
 func (m *Mover) Abandoned(group string, l Lead) bool {
 	m.lock.Lock()
 	defer m.lock.Unlock()
-	return l.Moving() && m.abandoned[group] == l.Mover
+	return l.Moving() && m.abandoned[group].mover == l.Mover
 }
 
 func (m *Mover) addMoves(n int) {
--- a/succession/outstanding_test.go
+++ b/succession/outstanding_test.go
@@ -7,6 +7,7 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"amaranthsill/clock"
 	"amaranthsill/group"
 	"amaranthsill/pool"
 	"amaranthsill/succession"
@@ -156,4 +157,38 @@
 		gomega.Expect(s.mover("vm-0").Move(ctx, "choir", s.grants.Lead("choir"), "test")).NotTo(gomega.Succeed())
 		gomega.Expect(s.calledFor()).To(gomega.ContainElement("b"))
 	})
+
+	ginkgo.It("is given up for another target once it can no longer take effect", func() {
+		s := newFixture()
+		s.reports["b"].Received = group.At(3, 12)
+		s.reports["c"].Received = group.At(3, 11)
+		s.lostPromotions = 1
+		time.AfterFunc(100*time.Millisecond, func() { s.setDown(true, "b") })
+		gomega.Expect(s.move("vm-0")).To(gomega.Succeed())
+		gomega.Expect(s.calledFor()).To(gomega.Equal([]string{"b", "c"}))
+		s.expectLasting()
+	})
+
+	ginkgo.It("is not waited for by a move that follows none", func() {
+		// The old leader cannot be told to step down, and then answers alone.
+		s := newFixture()
+		s.setDown(true, "a")
+		s.setBusy(true, "b", "c")
+		time.AfterFunc(300*time.Millisecond, func() { s.setDown(false, "a") })
+		begun := clock.SinceBoot()
+		gomega.Expect(s.move("vm-0")).To(gomega.Succeed())
+		gomega.Expect(clock.SinceBoot() - begun).To(gomega.BeNumerically("<", time.Second))
+		s.expectLasting()
+	})
+
+	ginkgo.It("may have taken effect before the move is taken over", func() {
+		s := newFixture()
+		s.reports["b"].Received = group.At(3, 12)
+		s.effectDelay = 100 * time.Millisecond
+		s.interrupted("vm-0")
+		time.Sleep(2 * s.effectDelay)
+		gomega.Expect(s.move("vm-1")).To(gomega.Succeed())
+		gomega.Expect(s.grants.Lead("choir").Target).To(gomega.Equal("b"))
+		s.expectLasting()
+	})
 })
--- a/succession/succession_test.go
+++ b/succession/succession_test.go
@@ -609,7 +609,9 @@
 		gomega.Expect(clock.SinceBoot() - begun).To(gomega.BeNumerically("<", 3*time.Second))
 		gomega.Expect(m.Abandoned("choir", s.grants.Lead("choir"))).To(gomega.BeTrue())
 		s.fakeFleet.yields = 3
+		begun = clock.SinceBoot()
 		gomega.Expect(m.Move(context.Background(), "choir", s.grants.Lead("choir"), "test")).To(gomega.Succeed())
+		gomega.Expect(clock.SinceBoot() - begun).To(gomega.BeNumerically("<", time.Second))
 	})
 
 	ginkgo.It("does not promote while enough VMs may confirm an older record for one another", func() {
