Take a leader that stepped down for deposed whatever its term is

After a loss of the store with all VMs, the record names the leader of the copy. If another target leads, the group is marked as moving, so that the targets are asked. Callers would be refused, or wait for a leader that is a replica, until its refusals of writes have it replaced.

Cause: the terms of the recorded leader and of the primary were compared whatever the recorded leader's role was. An order to step down names a term above the leader's. A target that takes that term over, as those of internal/site do, is as high as the primary of the next term, and passed for the leader.

Change: only a primary's term counts. The platform of the specs now raises the term of a target that steps down, and gives a promotion the next term of the group. With that, "leaves a group to its targets' terms if all VMs were lost with it and another target leads" failed, and passes now. go test -race ./succession ./edge passed.

--- a/succession/settle.go
+++ b/succession/settle.go
@@ -90,7 +90,9 @@
 }
 
 // isDeposed reports whether a target other than the recorded leader is a primary of a
-// higher term than the leader's, or is one while the leader does not answer.
+// higher term than the leader's, or is one while the leader does not answer or is none.
+// The term of a replica may be as high as that of its successor, since the order to step
+// down may have raised it.
 func (m *Mover) isDeposed(ctx context.Context, group, leader string) bool {
 	v := &move{Mover: m, group: group, oldLeader: leader}
 	leaderTerm, highest := uint64(0), uint64(0)
@@ -99,9 +101,10 @@
 		switch {
 		case err != nil:
 			m.Log.Info("target did not return its status; its term is not known", "group", group, "target", t.ID, "reason", err.Error())
+		case r.Role != pool.RolePrimary:
 		case t.ID == leader:
 			leaderTerm = r.Term
-		case r.Role == pool.RolePrimary:
+		default:
 			highest = max(highest, r.Term)
 		}
 	}
--- a/succession/succession_test.go
+++ b/succession/succession_test.go
@@ -167,6 +167,9 @@
 	// latest is the target that was promoted last. A call for it changes nothing as
 	// long as it is a primary.
 	latest string
+	// term is the newest term of the group. An order to step down may raise the term
+	// of a replica above it.
+	term uint64
 	// effectDelay is the time from a call until the target leads, and zombieTime the
 	// time for which a primary goes on after another target was promoted.
 	effectDelay, zombieTime time.Duration
@@ -184,7 +187,7 @@
 func newFakePlatform() *fakePlatform {
 	p := &fakePlatform{
 		reports: map[string]*pool.Report{}, down: map[string]bool{}, busy: map[string]bool{},
-		latest: "a", zombieTime: time.Hour, outstanding: map[string]int{},
+		latest: "a", term: 3, zombieTime: time.Hour, outstanding: map[string]int{},
 	}
 	for i, id := range []string{"a", "b", "c"} {
 		p.reports[id] = &pool.Report{Role: pool.RoleReplica, Term: 3, Received: group.At(3, uint64(9-i))}
@@ -236,7 +239,8 @@
 	if p.leads(target) {
 		return
 	}
-	term := p.highestTerm() + 1
+	p.term++
+	term := p.term
 	p.latest = target
 	p.reports[target].Role = pool.RolePrimary
 	p.reports[target].Term = term
@@ -308,6 +312,7 @@
 	}
 	if s, ok := o.(pool.StepDown); ok && s.Term > p.reports[target].Term {
 		p.reports[target].Role = pool.RoleReplica
+		p.reports[target].Term = s.Term
 	}
 	return *p.reports[target], ctx.Err()
 }
