Check calls for promotions that take effect late with Spin

spec/leaders.pml has one call, which takes effect at once. spec/calls.pml has two VMs of which the second takes the first one's move over, two choices of each between two targets, promotions that take effect late, in any order or never, and a primary that does not know its successor. What leaders.pml checks about grants is one bit in it; both in one model would be too many states.

--- a/scripts/spec.sh
+++ b/scripts/spec.sh
@@ -56,6 +56,10 @@
 for mutant in CONFIRM_LOST VOUCH_LOST SETTLE_EARLY SETTLE_BLIND; do
   check "loss-$mutant" leaders.pml violated -DLOSS -D$mutant
 done
+check calls calls.pml holds
+for mutant in SWITCH ROLE HASTY STEP_EARLY NO_REFENCE SAME_TERM; do
+  check "calls-$mutant" calls.pml violated -D$mutant
+done
 check limits limits.pml holds
 check limits-burst limits.pml holds -DBURST=3 -DVALID=1
 for mutant in OWN_EARLY TWICE SWITCH_EARLY NO_REST NO_FLIGHT; do
--- a/spec/leaders.pml
+++ b/spec/leaders.pml
@@ -8,7 +8,8 @@
  * the record for one another instead, which takes more than half of them.
  * A VM yields when it agrees to a failover; it then stops confirming the old
  * record. A VM that performs a failover ensures that no grant for the old leader
- * is left before the platform promotes another target.
+ * is left before the platform promotes another target. Here, a promotion takes effect at
+ * the call; spec/calls.pml has those that do so later.
  *
  * There are four VMs. VM 0 performs the failover. VM 1 serves callers. VM 2
  * confirms the record for others and may restart. VM 3 always confirms it, and
