Ask a target that was called for once more after a suspension

Test: succession "is noticed by a VM that was suspended until the time for it was over" failed before with two calls.

--- a/succession/outstanding_test.go
+++ b/succession/outstanding_test.go
@@ -181,6 +181,34 @@
 		s.expectLasting()
 	})
 
+	// Guards against a second promotion for nothing: a VM that was suspended while a
+	// promotion took effect chose another target without asking the first one again.
+	ginkgo.It("is noticed by a VM that was suspended until the time for it was over", func() {
+		s := newFixture()
+		s.reports["b"].Received = group.At(3, 12)
+		s.reports["c"].Received = group.At(3, 11)
+		s.effectDelay = 50 * time.Millisecond
+		suspended := time.Duration(0)
+		s.fakePlatform.beforePromotion = func() {
+			s.setBusy(true, "b")
+			time.AfterFunc(200*time.Millisecond, func() {
+				s.fakePlatform.lock.Lock()
+				suspended = 2 * time.Second
+				s.fakePlatform.lock.Unlock()
+				s.setBusy(false, "b")
+			})
+		}
+		m := s.mover("vm-0")
+		m.Now = func() time.Duration {
+			s.fakePlatform.lock.Lock()
+			defer s.fakePlatform.lock.Unlock()
+			return clock.SinceBoot() + suspended
+		}
+		gomega.Expect(m.Move(context.Background(), "choir", s.grants.Lead("choir"), "test")).To(gomega.Succeed())
+		gomega.Expect(s.calledFor()).To(gomega.Equal([]string{"b"}))
+		s.expectLasting()
+	})
+
 	ginkgo.It("may have taken effect before the move is taken over", func() {
 		s := newFixture()
 		s.reports["b"].Received = group.At(3, 12)
--- a/succession/promote.go
+++ b/succession/promote.go
@@ -129,9 +129,11 @@
 }
 
 // awaitPrimary waits until a target reports that it leads by a promotion that was called
-// for, or until a time on the clock of Now.
+// for, or until a time on the clock of Now. It asks at least once after that time, since
+// the VM may have been suspended meanwhile.
 func (v *move) awaitPrimary(ctx context.Context, target string, until time.Duration) error {
-	for v.Now() < until {
+	for late := false; !late; {
+		late = v.Now() >= until
 		r, err := v.sendOrder(ctx, target, pool.Status{})
 		if err == nil && v.isPromoted(r) {
 			v.Log.Info("target reports that it is the primary", "group", v.group, "target", target, "term", r.Term, "received", r.Received.String())
