--- a/front/bench_test.go
+++ b/front/bench_test.go
@@ -143,11 +143,12 @@
 func (p *pipes) Close() error   { return nil }
 func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
 
-// bench is a server of sessions in front of one target, on the clock of the test's
-// bubble.
+// bench is a server of sessions in front of the targets of one group, on the clock of
+// the test's bubble.
 type bench struct {
 	*front.Server
 	t        *testing.T
+	group    *pool.Group
 	database *database
 	limits   *limiter
 	current  atomic.Bool
@@ -195,10 +196,23 @@
 var withoutFirst = map[string][]string{"miny": {secondKey}, "odo": {otherKey}}
 
 // run starts a server with a configuration, nil for none, in a bubble with virtual time.
+// Its only target is certain to lead.
 func run(t *testing.T, c *catalog.Configuration, test func(*bench)) {
+	d := &database{}
+	runOn(t, c, d, func(b *bench) {
+		b.database, b.Leaders = d, certainLeaders{}
+		b.group.Configure([]pool.Target{{ID: "a", Group: "choir", Zone: "coban", Slots: 4, Role: pool.RolePrimary}}, 9)
+		b.group.SetLeader("a")
+		test(b)
+	})
+}
+
+// runOn starts a server like run, but leaves it to the test to set the leaders, and to
+// configure the targets, before the first session.
+func runOn(t *testing.T, c *catalog.Configuration, d pool.Dialer, test func(*bench)) {
 	synctest.Test(t, func(t *testing.T) {
 		begun := time.Now()
-		b := &bench{t: t, database: &database{}, limits: &limiter{}, registry: prometheus.NewRegistry(), listener: &pipes{accepted: make(chan net.Conn)}}
+		b := &bench{t: t, limits: &limiter{}, registry: prometheus.NewRegistry(), listener: &pipes{accepted: make(chan net.Conn)}}
 		b.current.Store(true)
 		log := funcr.New(func(prefix, args string) {
 			b.lock.Lock()
@@ -206,12 +220,10 @@
 			b.log.WriteString(prefix + args + "\n")
 		}, funcr.Options{Verbosity: 9})
 		now := func() time.Duration { return time.Since(begun) }
-		g := &pool.Group{Name: "choir", Zone: "coban", Dialer: b.database, Now: now, Log: log}
-		g.Configure([]pool.Target{{ID: "a", Group: "choir", Zone: "coban", Slots: 4, Role: pool.RolePrimary}}, 9)
-		g.SetLeader("a")
+		b.group = &pool.Group{Name: "choir", Zone: "coban", Dialer: d, Now: now, Log: log}
 		b.Server = &front.Server{
-			Catalog: &catalog.Catalog{}, Leaders: certainLeaders{}, Limits: b.limits, Current: b.current.Load, Now: now,
-			Group:         func(string) (*pool.Group, bool) { return g, true },
+			Catalog: &catalog.Catalog{}, Limits: b.limits, Current: b.current.Load, Now: now,
+			Group:         func(string) (*pool.Group, bool) { return b.group, true },
 			NewCallerConn: func(c net.Conn) front.CallerConn { return platform.NewSession(c) },
 			Metrics:       front.NewMetrics(b.registry, log), Log: log,
 		}
