Show reads that lack commits because of a former leadership's position

A caller would see a bounded or a current read that lacks a commit which was acknowledged longer ago than the route allows. A position in an answer counts as one of the leader if its target leads when the answer is looked at. If it was sent while another target led, and the target leads again, the position lacks what that one committed, although the time of sending says otherwise.

The test fails both for a position in the answer to a read and for one that was asked for: the read runs on the replica at 1.95 and lacks 2.96.

--- a/front/leadership_test.go
+++ b/front/leadership_test.go
@@ -211,3 +211,56 @@
 		}
 	}
 }
+
+// TestPositionOfAnEarlierLeadership guards against reads on a replica that lacks
+// acknowledged commits, because a position counted as the leader's that a target had
+// answered while another one led, and leads again when the answer is looked at.
+func TestPositionOfAnEarlierLeadership(t *testing.T) {
+	without := func(zone string) map[string]string { return map[string]string{"a": zone} }
+	with := func(zone string) map[string]string { return map[string]string{"a": zone, "r": "coban"} }
+	cases := map[string]struct {
+		route string
+		zone  string
+		// during and after are the targets that are registered when the position is
+		// answered, and when it is used.
+		during, after map[string]string
+		staleness     time.Duration
+	}{
+		"in the answer to an earlier read":         {"bounded", "coban", without("coban"), with("coban"), 1500 * time.Millisecond},
+		"in the answer to a question for it alone": {"current", "antigua", with("antigua"), with("antigua"), 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			runWithLeader(t, without(c.zone), func(n *leaderBench) {
+				time.Sleep(50 * time.Millisecond)
+				s := n.session("STARTUP " + c.route + " u")
+				s.row("READ 1")
+				// The VM reaches only a from here on. Another target is promoted, of which
+				// neither a nor the replica r knows, and other VMs acknowledge its commit 2.96.
+				time.Sleep(1350 * time.Millisecond)
+				acknowledged := n.Now()
+				time.Sleep(100 * time.Millisecond)
+				n.register(c.during)
+				n.delayAnswers(300 * time.Millisecond)
+				answer := make(chan string, 1)
+				go func() { answer <- s.row("READ 1") }()
+				time.Sleep(100 * time.Millisecond)
+				// Then a leads again, with the log of the other target.
+				n.commit("a", group.At(2, 96))
+				n.confirm(recordOf(t, 5, reign{target: "a", since: 4}))
+				got := <-answer
+				if c.staleness > 0 {
+					n.delayAnswers(0)
+					n.register(c.after)
+					n.commit("a", group.At(2, 96))
+					time.Sleep(acknowledged + c.staleness + 50*time.Millisecond - n.Now())
+					n.confirm(n.grants.Record())
+					got = s.row("READ 1")
+				}
+				if got != "DATAROW a 2.96" {
+					t.Errorf("the read ran on %q, want the log of a with 2.96", got)
+				}
+			})
+		})
+	}
+}
