Show that a holder learns a position of a former leadership

A holder records the positions in relayed answers if their target leads when they arrive, and answers the zone's questions for the leader's position from them. A position that was asked for while another target led would make reads of the whole zone lack that one's commits.

--- a/relay/customer_test.go
+++ b/relay/customer_test.go
@@ -109,7 +109,7 @@
 	// come through it, also those whose customer it does not know.
 	ginkgo.It("answers for the leader's position without a connection of any customer", func() {
 		h, n := newCustomersHolder(1)
-		h.leads.Store(true)
+		h.leadership.Store(1)
 		l := dialFor(customersDialer(nil, h.address()), "bell").(pool.CustomerLink)
 		for _, name := range []string{"", "gone"} {
 			l.SetCustomer(name, 0)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -150,10 +150,10 @@
 	pool     *pool.Group
 	// retired is true once the VM is no holder any more.
 	retired atomic.Bool
-	// leads is true while the target is confirmed as the leader; refreshes counts
-	// the questions for the leader's position.
-	leads     atomic.Bool
-	refreshes atomic.Int32
+	// leadership is that of the target, zero while it is not confirmed as the leader;
+	// refreshes counts the questions for the leader's position.
+	leadership atomic.Uint64
+	refreshes  atomic.Int32
 }
 
 func newHolder(connections int) *holder {
@@ -162,7 +162,7 @@
 	h.pool.Configure([]pool.Target{commonTarget}, connections)
 	h.server = &relay.Server{
 		Group:    func(string, string) (*pool.Group, bool) { return h.pool, !h.retired.Load() },
-		IsLeader: func(string, string) bool { return h.leads.Load() },
+		IsLeader: func(string, string) bool { return h.leadership.Load() != 0 },
 		Refresh: func(context.Context, *pool.Group) error {
 			h.refreshes.Add(1)
 			h.pool.Sample(clock.SinceBoot(), group.At(1, 9))
@@ -349,7 +349,7 @@
 
 	ginkgo.It("returns a position that the holder knows if it may be that old, and asks the leader otherwise", func() {
 		h := newHolder(1)
-		h.leads.Store(true)
+		h.leadership.Store(1)
 		h.pool.Sample(clock.SinceBoot()-time.Second, group.At(1, 4))
 		l := dial(dialer(nil, h.address()))
 		old := exchange(l, pool.Locate{MaxAge: 2 * time.Second})
@@ -376,7 +376,7 @@
 
 	ginkgo.It("lets a holder learn positions from the answers of the leader to other VMs", func() {
 		h := newHolder(1)
-		h.leads.Store(true)
+		h.leadership.Store(1)
 		h.pool.SetLeader(commonTarget.ID)
 		l := dial(dialer(nil, h.address()))
 		exchange(l, read("q1"))
@@ -385,6 +385,27 @@
 		gomega.Expect(h.refreshes.Load()).To(gomega.BeZero())
 	})
 
+	// Guards against reads that lack acknowledged commits, because a holder took a position
+	// for the leader's that a target answered while another one led.
+	ginkgo.It("does not let a holder learn a position from an answer to a statement that was sent before the present leadership", func() {
+		h := newHolder(1)
+		h.leadership.Store(1)
+		h.pool.SetLeader(commonTarget.ID)
+		l := dial(dialer(nil, h.address()))
+		h.fakeTarget.lock.Lock()
+		h.fakeTarget.block = make(chan struct{})
+		h.fakeTarget.lock.Unlock()
+		gomega.Expect(l.Send(read("q1"))).To(gomega.Succeed())
+		gomega.Eventually(h.orders).Should(gomega.Equal([][]string{{"q1 READ 1"}}))
+		h.leadership.Store(2)
+		close(h.fakeTarget.block)
+		_, err := l.Receive()
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		r := exchange(l, pool.Locate{MaxAge: time.Minute})
+		gomega.Expect(r.Position).To(gomega.Equal(group.At(1, 9)))
+		gomega.Expect(h.refreshes.Load()).To(gomega.Equal(int32(1)))
+	})
+
 	ginkgo.It("rolls back the open transaction when the link is lost", func() {
 		h := newHolder(1)
 		l := dial(dialer(nil, h.address()))
@@ -473,7 +494,7 @@
 		h.fakeTarget.block = make(chan struct{})
 		h.fakeTarget.lock.Unlock()
 		gomega.Expect(links[1].Send(read("q1"))).To(gomega.Succeed())
-		h.leads.Store(true)
+		h.leadership.Store(1)
 		h.pool.Sample(clock.SinceBoot(), group.At(1, 7))
 		gomega.Expect(exchange(links[2], pool.Locate{MaxAge: time.Hour}).Position).To(gomega.Equal(group.At(1, 7)))
 		links[1].Close()
