Release a leader's answers only for the leadership under which they were sent

Callers got a success for a write that a deposed target had executed, if that target led again when the answer was looked at. Two moves fit into a statement's time of up to 12 s, above all on a VM that was frozen or cut off and saw neither.

The cause: an answer was released if its target's ID was that of the leader. Now a leadership has an identity of its own. The record says since when each target leads, as the lowest revision that the write could get; writes are conditional on the revision they replace, so that no two leaderships share one. Grants gives each leadership that it learns of a number, an attempt takes the number when it has its connection, before it sends anything, and the answer is released only while the same leadership is confirmed. Otherwise a write is in doubt and a read is tried again.

A record that is renewed or written for another group keeps what it says of the others, so that their leaderships go on, also for VMs that were cut off. Former builds drop the field when they write. Then a leadership goes on if the grant was valid until the VM learned of the record, since no other target can have been recorded as the leader meanwhile; the next write of a present build names a beginning again.

Three specs compared a lead as a whole: they now also state its beginning. One named the lead of a former record by hand, and now takes it from that record.

--- a/front/attempt.go
+++ b/front/attempt.go
@@ -56,6 +56,9 @@
 	// are busy.
 	queueDeadline time.Duration
 	needsLeader   bool
+	// leadership is that of the acquired slot's target when it was acquired; zero if the
+	// target did not lead.
+	leadership pool.Leadership
 	// tried are the IDs of the targets that the attempt does not use again.
 	tried []string
 	tries int
@@ -230,11 +233,12 @@
 // if the need requires the leader. Without that, the answer could not be
 // returned to the caller.
 func (a *attempt) awaitLeader(ctx context.Context, slot *pool.Slot, n pool.Need) error {
-	l := a.session.server.Leaders
-	if !n.Leader || l.IsLeader(a.route.Group, slot.Target()) {
+	leaders, confirmed := a.session.server.Leaders, false
+	a.leadership, confirmed = leaders.Leadership(a.route.Group, slot.Target())
+	if !n.Leader || confirmed {
 		return nil
 	}
-	return l.AwaitLeader(ctx, a.route.Group, slot.Target(), a.dispatchDeadline)
+	return leaders.AwaitLeadership(ctx, a.route.Group, a.leadership, a.dispatchDeadline)
 }
 
 // allowRetry counts a try that gave no answer, with the reason, and reports
@@ -281,18 +285,14 @@
 // confirmStillLeads is called after the slot's target has answered. It returns
 // nil once the answer may be returned to the caller: at once if the need did
 // not require the leader, since the target itself checked that it has the
-// required position, and otherwise once the target is confirmed to lead the
-// group still. After an error the target may have been deposed before it
-// answered.
-func (a *attempt) confirmStillLeads(ctx context.Context, slot *pool.Slot, n pool.Need) error {
+// required position, and otherwise once it is confirmed that the target has led the
+// group since the slot was acquired. After an error the target may have been deposed
+// before it answered.
+func (a *attempt) confirmStillLeads(ctx context.Context, n pool.Need) error {
 	if !n.Leader {
 		return nil
 	}
-	l := a.session.server.Leaders
-	if l.IsLeader(a.route.Group, slot.Target()) {
-		return nil
-	}
-	return l.AwaitLeader(ctx, a.route.Group, slot.Target(), a.deadline)
+	return a.session.server.Leaders.AwaitLeadership(ctx, a.route.Group, a.leadership, a.deadline)
 }
 
 // runSingle runs a statement outside a transaction.
@@ -369,7 +369,7 @@
 	if f := answer.Failure; f != nil {
 		return a.failedOn(ctx, slot, need, st, answer.Reply)
 	}
-	if err := a.confirmStillLeads(ctx, slot, need); err != nil {
+	if err := a.confirmStillLeads(ctx, need); err != nil {
 		return a.leadershipLost(st, err)
 	}
 	a.recordPosition(slot, answer)
@@ -454,7 +454,7 @@
 // recordPosition records the position in an answer of the confirmed leader,
 // for later reads.
 func (a *attempt) recordPosition(slot *pool.Slot, answer pool.Answer) {
-	if slot.Leader() && a.session.server.Leaders.IsLeader(a.route.Group, slot.Target()) {
+	if _, confirmed := a.session.server.Leaders.Leadership(a.route.Group, slot.Target()); slot.Leader() && confirmed {
 		a.group.Sample(answer.Sent, answer.Position)
 	}
 }
--- a/front/bench_test.go
+++ b/front/bench_test.go
@@ -110,9 +110,11 @@
 // certainLeaders confirms every leader.
 type certainLeaders struct{}
 
-func (certainLeaders) IsLeader(string, string) bool { return true }
+func (certainLeaders) Leadership(string, string) (pool.Leadership, bool) { return 1, true }
 
-func (certainLeaders) AwaitLeader(context.Context, string, string, time.Duration) error { return nil }
+func (certainLeaders) AwaitLeadership(context.Context, string, pool.Leadership, time.Duration) error {
+	return nil
+}
 
 // limiter counts the operations that it is asked to admit.
 type limiter struct {
--- a/front/front.go
+++ b/front/front.go
@@ -54,12 +54,13 @@
 
 // Leaders confirms which target leads a group.
 type Leaders interface {
-	// IsLeader reports whether the target is confirmed as the group's leader now.
-	IsLeader(group, target string) bool
-	// AwaitLeader waits until the target is confirmed as the group's leader. It
-	// fails once the target does not lead any more, or at the deadline until,
-	// which is a reading of the clock Server.Now.
-	AwaitLeader(ctx context.Context, group, target string, until time.Duration) error
+	// Leadership returns a target's present leadership of the group, zero if it does not
+	// lead it as far as the VM knows, and whether that is confirmed now.
+	Leadership(group, target string) (pool.Leadership, bool)
+	// AwaitLeadership waits until a leadership of the group is confirmed. It fails
+	// once that is over, or at the deadline until, which is a reading of the clock
+	// Server.Now.
+	AwaitLeadership(ctx context.Context, group string, l pool.Leadership, until time.Duration) error
 }
 
 // Limiter admits operations under the customers' limits.
--- a/front/readindex.go
+++ b/front/readindex.go
@@ -107,7 +107,8 @@
 	if err != nil {
 		return fmt.Errorf("ask for leader's position: %w", err)
 	}
-	if err := n.server.Leaders.AwaitLeader(ctx, n.group.Name, slot.Target(), until); err != nil {
+	l, _ := n.server.Leaders.Leadership(n.group.Name, slot.Target())
+	if err := n.server.Leaders.AwaitLeadership(ctx, n.group.Name, l, until); err != nil {
 		return fmt.Errorf("confirm leader's position: %w", err)
 	}
 	if a.Position.IsZero() {
--- a/front/transaction.go
+++ b/front/transaction.go
@@ -210,7 +210,7 @@
 // target still led the group after it ran.
 func (t *transaction) confirmAnswer(ctx context.Context, st statement, answer pool.Answer, until time.Duration) query.Reply {
 	t.attempt.deadline = until
-	if err := t.attempt.confirmStillLeads(ctx, t.slot, t.need); err != nil {
+	if err := t.attempt.confirmStillLeads(ctx, t.need); err != nil {
 		return t.abort("the target was deposed")
 	}
 	t.attempt.recordPosition(t.slot, answer)
@@ -261,7 +261,7 @@
 		return s.failure(f.Code, f.Detail)
 	}
 	t.attempt.deadline = until
-	if err := t.attempt.confirmStillLeads(ctx, slot, t.need); err != nil {
+	if err := t.attempt.confirmStillLeads(ctx, t.need); err != nil {
 		return t.commitInDoubt(q, slot, "the target may have been deposed", err)
 	}
 	t.attempt.recordPosition(slot, answer)
--- a/succession/grants.go
+++ b/succession/grants.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"amaranthsill/pool"
 	"amaranthsill/store"
 )
 
@@ -15,7 +16,7 @@
 // promotion waits for VMs that cannot be asked.
 const GrantLength = 1100 * time.Millisecond
 
-// expiryTolerance is how long a grant may have been expired before AwaitLeader
+// expiryTolerance is how long a grant may have been expired before AwaitLeadership
 // fails at once: by then the store or a peer would have confirmed the record.
 const expiryTolerance = 400 * time.Millisecond
 
@@ -24,9 +25,9 @@
 // store. It covers the platform's outages of several seconds.
 const OutageLength = 7500 * time.Millisecond
 
-// The errors of Grants.AwaitLeader.
+// The errors of Grants.AwaitLeadership.
 var (
-	// ErrNotLeader reports that the target no longer leads its group.
+	// ErrNotLeader reports that the leadership is over.
 	ErrNotLeader = errors.New("target no longer leads its group")
 	// ErrUnconfirmed reports that the record could not be confirmed in time,
 	// or has been unconfirmed for so long that waiting is pointless.
@@ -46,6 +47,10 @@
 
 	lock   sync.Mutex
 	record Record
+	// leaderships holds the leaderships in the record by group, without those that are
+	// being moved; begun counts all that this VM learned of.
+	leaderships map[string]pool.Leadership
+	begun       pool.Leadership
 	// era is the highest era of the store that this VM knows of, and eraSince when
 	// it learned of it; losses counts how often the era has risen since.
 	era      uint64
@@ -78,11 +83,30 @@
 	if r.Revision <= g.record.Revision || ambiguous {
 		return false
 	}
+	g.updateLeaderships(r)
 	g.record = r
 	g.notifyWaiters()
 	return true
 }
 
+// updateLeaderships finds the leaderships in a record that replaces the known one. The
+// caller holds the lock.
+func (g *Grants) updateLeaderships(r Record) {
+	relied := g.valid()
+	next := make(map[string]pool.Leadership, len(r.Leads))
+	for group, l := range r.Leads {
+		switch {
+		case l.Moving():
+		case g.record.Leads[group].continuedBy(l, relied):
+			next[group] = g.leaderships[group]
+		default:
+			g.begun++
+			next[group] = g.begun
+		}
+	}
+	g.leaderships = next
+}
+
 // Confirm records that the store, in an era, found a lease alive when asked at or
 // after sent. This confirms the known record if it names that lease and was written
 // in that era: a lease that a store brings back from a copy, or gives out again,
@@ -267,7 +291,7 @@
 	g.notifyWaiters()
 }
 
-// notifyWaiters wakes the goroutines that wait in AwaitLeader. The caller holds
+// notifyWaiters wakes the goroutines that wait in AwaitLeadership. The caller holds
 // the lock.
 func (g *Grants) notifyWaiters() {
 	if g.changed != nil {
@@ -301,14 +325,21 @@
 
 // IsLeader reports whether the target certainly leads its group now.
 func (g *Grants) IsLeader(group, target string) bool {
-	g.lock.Lock()
-	defer g.lock.Unlock()
-	return g.leads(group, target) && g.valid()
+	_, certain := g.Leadership(group, target)
+	return certain
 }
 
-func (g *Grants) leads(group, target string) bool {
-	l := g.record.Leads[group]
-	return l.Target == target && !l.Moving()
+// Leadership returns a target's present leadership of its group; zero if the newest known
+// record does not name the target as the leader. It is certain while the VM may rely on
+// the record. If the same leadership is certain again later, no other target has led the
+// group in between.
+func (g *Grants) Leadership(group, target string) (l pool.Leadership, certain bool) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	if g.record.Leads[group].Target == target {
+		l = g.leaderships[group]
+	}
+	return l, l != 0 && g.valid()
 }
 
 func (g *Grants) valid() bool {
@@ -326,28 +357,28 @@
 	return max(g.Now()-g.confirmedAt-g.Length, 0)
 }
 
-// AwaitLeader waits until the target certainly leads its group, at most until a
-// time on the clock of Now. Its error wraps ErrNotLeader or ErrUnconfirmed.
-func (g *Grants) AwaitLeader(ctx context.Context, group, target string, until time.Duration) error {
+// AwaitLeadership waits until a leadership of a group is certain, at most until a time on
+// the clock of Now. Its error wraps ErrNotLeader or ErrUnconfirmed.
+func (g *Grants) AwaitLeadership(ctx context.Context, group string, l pool.Leadership, until time.Duration) error {
 	for {
 		g.lock.Lock()
-		leads, valid, changed := g.leads(group, target), g.valid(), g.changed
+		leads, valid, changed := l != 0 && g.leaderships[group] == l, g.valid(), g.changed
 		if changed == nil {
 			g.changed = make(chan struct{})
 			changed = g.changed
 		}
 		g.lock.Unlock()
 		if !leads {
-			return fmt.Errorf("await %s: %w", target, ErrNotLeader)
+			return fmt.Errorf("await leadership of %s: %w", group, ErrNotLeader)
 		}
 		if valid {
 			return nil
 		}
 		if g.ExpiredFor() > expiryTolerance {
-			return fmt.Errorf("await %s: %w", target, ErrUnconfirmed)
+			return fmt.Errorf("await leadership of %s: %w", group, ErrUnconfirmed)
 		}
 		if err := g.waitForChange(ctx, changed, until); err != nil {
-			return fmt.Errorf("await %s: %w", target, err)
+			return fmt.Errorf("await leadership of %s: %w", group, err)
 		}
 	}
 }
--- a/succession/record.go
+++ b/succession/record.go
@@ -52,11 +52,29 @@
 	// First is the Mover of the first of several unfinished moves in a row; empty
 	// if the writer does not tell.
 	First string `json:"first,omitempty"`
+	// Since tells the leadership from earlier ones of the same target: it is the lowest
+	// revision that the record in which it began could get. Zero during a move, and if
+	// the writer does not tell.
+	Since store.Revision `json:"since,omitempty"`
 }
 
 // Moving reports whether a move of the leadership is in progress.
 func (l Lead) Moving() bool { return l.Mover != "" }
 
+// continuedBy reports whether a later lead is of the same leadership. Relied states that
+// the VM could rely on the earlier one until it learned of the later one, so that no
+// other target led in between. That decides if a writer does not tell when a leadership
+// began.
+func (l Lead) continuedBy(next Lead, relied bool) bool {
+	if l.Target != next.Target || l.Moving() || next.Moving() {
+		return false
+	}
+	if l.Since == 0 || next.Since == 0 {
+		return relied
+	}
+	return l.Since == next.Since
+}
+
 // Row identifies a row of unfinished moves. Two leads with the same row had no leader
 // between them.
 func (l Lead) Row() string { return cmp.Or(l.First, l.Mover) }
@@ -109,6 +127,19 @@
 	return r
 }
 
+// withBeginnings returns a copy of the record in which the leaderships that name no
+// beginning name the given one.
+func (r Record) withBeginnings(since store.Revision) Record {
+	r.Leads = maps.Clone(r.Leads)
+	for group, l := range r.Leads {
+		if l.Since == 0 && !l.Moving() {
+			l.Since = since
+			r.Leads[group] = l
+		}
+	}
+	return r
+}
+
 // Encode returns the record as JSON, without Revision and Stored.
 func (r Record) Encode() ([]byte, error) {
 	b, err := json.Marshal(r)
--- a/succession/settle_test.go
+++ b/succession/settle_test.go
@@ -65,13 +65,15 @@
 		other := s.restart()
 		other.grants.Observe(s.grants.Record())
 		gomega.Expect(s.move("vm-0")).To(gomega.Succeed())
+		lead := s.grants.Lead("choir")
+		gomega.Expect(lead).To(gomega.Equal(succession.Lead{Target: "b", Since: s.grants.Record().Revision}))
 		s.memoryStore.restore(before)
 		other.fakeFleet.survey = func(context.Context) succession.Survey {
 			other.grants.Observe(s.grants.Record())
 			return succession.Survey{Complete: true, Remembers: true}
 		}
 		gomega.Expect(other.settle()).To(gomega.Succeed())
-		gomega.Expect(s.stored().Leads["choir"]).To(gomega.Equal(succession.Lead{Target: "b"}))
+		gomega.Expect(s.stored().Leads["choir"]).To(gomega.Equal(lead))
 	})
 
 	ginkgo.It("is not written to before all VMs answered or can promote no more", func() {
@@ -90,13 +92,13 @@
 
 	ginkgo.It("keeps a move in progress as one, and refuses new ones until the record was written again", func() {
 		s := newLossFixture()
-		before := s.memoryStore.copy()
+		before, lead := s.memoryStore.copy(), s.grants.Lead("choir")
 		s.fakePlatform.down["a"], s.fakePlatform.down["b"], s.fakePlatform.down["c"] = true, true, true
 		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 		defer cancel()
 		gomega.Expect(s.mover("vm-0").Move(ctx, "choir", s.grants.Lead("choir"), "test")).NotTo(gomega.Succeed())
 		s.memoryStore.restore(before)
-		err := s.mover("vm-1").Move(context.Background(), "choir", succession.Lead{Target: "a"}, "test")
+		err := s.mover("vm-1").Move(context.Background(), "choir", lead, "test")
 		gomega.Expect(errors.Is(err, succession.ErrOutdated)).To(gomega.BeTrue())
 		gomega.Expect(s.settle()).To(gomega.Succeed())
 		gomega.Expect(s.stored().Leads["choir"].Moving()).To(gomega.BeTrue())
--- a/succession/succession_test.go
+++ b/succession/succession_test.go
@@ -280,7 +280,7 @@
 			gomega.Expect(s.reports["a"].Role).To(gomega.Equal(pool.RoleReplica))
 		}
 		gomega.Expect(s.move("vm-0")).To(gomega.Succeed())
-		gomega.Expect(s.grants.Lead("choir")).To(gomega.Equal(succession.Lead{Target: "b"}))
+		gomega.Expect(s.grants.Lead("choir")).To(gomega.Equal(succession.Lead{Target: "b", Since: s.grants.Record().Revision}))
 	})
 
 	ginkgo.It("promotes the old leader again if it alone holds acknowledged commits", func() {
@@ -421,7 +421,7 @@
 		s.memoryStore.lock.Unlock()
 		s.fakeFleet.yields = 3
 		gomega.Expect(s.mover("vm-1").Move(context.Background(), "choir", s.grants.Lead("choir"), "test")).To(gomega.Succeed())
-		gomega.Expect(s.grants.Lead("choir")).To(gomega.Equal(succession.Lead{Target: "b"}))
+		gomega.Expect(s.grants.Lead("choir")).To(gomega.Equal(succession.Lead{Target: "b", Since: s.grants.Record().Revision}))
 	})
 
 	ginkgo.It("leaves a leader alone that serves most of the VMs", func() {
@@ -553,6 +553,69 @@
 	})
 })
 
+var _ = ginkgo.Describe("A leadership", func() {
+	// cutOff returns the grants of a VM that has the record confirmed once more, and then
+	// no more until its grant has expired.
+	cutOff := func(s *fixture) *succession.Grants {
+		g := &succession.Grants{Length: s.grants.Length, Now: clock.SinceBoot}
+		g.ConfirmRecord(s.grants.Record(), clock.SinceBoot())
+		time.Sleep(s.grants.Length)
+		return g
+	}
+
+	// Guards against answers of a target that count as given in its present leadership,
+	// although another one led in between.
+	ginkgo.It("is not that of a target which leads again after another one, also for a VM that missed this", func() {
+		s := newFixture()
+		g := cutOff(s)
+		before, certain := g.Leadership("choir", "a")
+		gomega.Expect(before).NotTo(gomega.BeZero())
+		gomega.Expect(certain).To(gomega.BeFalse())
+		s.reports["b"].Received = group.At(3, 9)
+		gomega.Expect(s.move("vm-0")).To(gomega.Succeed())
+		gomega.Expect(s.grants.Lead("choir").Target).To(gomega.Equal("b"))
+		s.reports["a"].Received = group.At(4, 12)
+		gomega.Expect(s.move("vm-1")).To(gomega.Succeed())
+		g.ConfirmRecord(s.grants.Record(), clock.SinceBoot())
+		after, certain := g.Leadership("choir", "a")
+		gomega.Expect(certain).To(gomega.BeTrue())
+		gomega.Expect(after).NotTo(gomega.Equal(before))
+		err := g.AwaitLeadership(context.Background(), "choir", before, clock.SinceBoot()+time.Second)
+		gomega.Expect(errors.Is(err, succession.ErrNotLeader)).To(gomega.BeTrue())
+	})
+
+	ginkgo.It("goes on when the record is written again, also for a VM that missed this", func() {
+		s := newFixture()
+		s.memoryStore.lock.Lock()
+		clear(s.memoryStore.leases)
+		s.memoryStore.lock.Unlock()
+		g := cutOff(s)
+		before, _ := g.Leadership("choir", "a")
+		revision := s.grants.Record().Revision
+		gomega.Expect(s.mover("vm-0").Renew(context.Background(), s.grants.Record().Lease)).To(gomega.Succeed())
+		gomega.Expect(s.mover("vm-1").Start(context.Background(), map[string]string{"guild": "z"})).To(gomega.Succeed())
+		gomega.Expect(s.grants.Record().Revision).To(gomega.BeNumerically(">", revision))
+		g.ConfirmRecord(s.grants.Record(), clock.SinceBoot())
+		after, certain := g.Leadership("choir", "a")
+		gomega.Expect(certain).To(gomega.BeTrue())
+		gomega.Expect(after).To(gomega.Equal(before))
+	})
+
+	ginkgo.It("gets a beginning when the record of a former build is written again", func() {
+		s := newFixture()
+		s.memoryStore.lock.Lock()
+		i := s.memoryStore.items[succession.RecordKey]
+		i.Value = []byte(`{"lease":1,"leads":{"choir":{"target":"a"},"guild":{"target":"z","mover":"vm-1/1/1"}}}`)
+		s.memoryStore.items[succession.RecordKey] = i
+		s.memoryStore.lock.Unlock()
+		gomega.Expect(s.mover("vm-0").Renew(context.Background(), 1)).To(gomega.Succeed())
+		r := s.grants.Record()
+		gomega.Expect(r.Leads).To(gomega.Equal(map[string]succession.Lead{
+			"choir": {Target: "a", Since: r.Revision}, "guild": {Target: "z", Mover: "vm-1/1/1"},
+		}))
+	})
+})
+
 var _ = ginkgo.Describe("Grants", func() {
 	const length = 100 * time.Millisecond
 	record := func(revision store.Revision, lease store.LeaseID, l succession.Lead) succession.Record {
--- a/succession/write.go
+++ b/succession/write.go
@@ -65,6 +65,7 @@
 	next.Former = m.unendedLeases(old, next.Era)
 	next.VMs = m.VMs()
 	next.Writer = m.nextWriterID()
+	next = next.withBeginnings(store.At(next.Era, old.Stored.Number()+1))
 	text, err := next.Encode()
 	if err != nil {
 		return Record{}, err
