Take positions only from the leadership under which they were asked for

Bounded and current reads could lack commits that were acknowledged too long ago. A position counted as one that the leader had reached when the order was sent, if the target led when the answer was looked at. A target that was deposed when the order was sent, and leads again, had answered without the commits of the leader in between.

An attempt now records a position only if the leadership that it took with the connection is confirmed still, and a question for the position takes the leadership before it is sent. What was sent before the VM knew of the present leadership is not recorded.

--- a/front/attempt.go
+++ b/front/attempt.go
@@ -451,10 +451,11 @@
 	return a.refuse(), true
 }
 
-// recordPosition records the position in an answer of the confirmed leader,
-// for later reads.
+// recordPosition records the position in an answer for later reads, if it is confirmed
+// that the target has led the group since before the order was sent.
 func (a *attempt) recordPosition(slot *pool.Slot, answer pool.Answer) {
-	if _, confirmed := a.session.server.Leaders.Leadership(a.route.Group, slot.Target()); slot.Leader() && confirmed {
+	l, confirmed := a.session.server.Leaders.Leadership(a.route.Group, slot.Target())
+	if confirmed && l == a.leadership {
 		a.group.Sample(answer.Sent, answer.Position)
 	}
 }
--- a/front/readindex.go
+++ b/front/readindex.go
@@ -94,7 +94,7 @@
 }
 
 // queryLeader asks for a position that the leader had reached at or after a time, and
-// records it in the group's pool once the target is confirmed as the leader.
+// records it in the group's pool once it is confirmed that the target led all the while.
 func (n *readIndex) queryLeader(ctx context.Context, from time.Duration) error {
 	until := n.server.Now() + readIndexTimeout
 	slot, err := n.group.Acquire(ctx, pool.Need{Leader: true, Locate: true, Until: until})
@@ -102,12 +102,12 @@
 		return fmt.Errorf("ask for leader's position: %w", err)
 	}
 	defer slot.Release()
+	l, _ := n.server.Leaders.Leadership(n.group.Name, slot.Target())
 	maxAge := max(n.server.Now()-from, 0)
 	a, err := slot.Run(pool.Locate{MaxAge: maxAge}, until)
 	if err != nil {
 		return fmt.Errorf("ask for leader's position: %w", err)
 	}
-	l, _ := n.server.Leaders.Leadership(n.group.Name, slot.Target())
 	if err := n.server.Leaders.AwaitLeadership(ctx, n.group.Name, l, until); err != nil {
 		return fmt.Errorf("confirm leader's position: %w", err)
 	}
