Have holders learn positions only of the present leadership

Reads of a whole zone could lack acknowledged commits: a holder answers its zone's questions for the leader's position from relayed answers, and took one that was asked for while another target led if its target leads again when the answer arrives.

A holder now takes the leadership before it sends an order, and records the position only if the same one is confirmed afterwards. What it answers from before a change of the leader stays true: it tells which commits were acknowledged before a time, and until that time the former leader led.

--- a/edge/vm.go
+++ b/edge/vm.go
@@ -237,13 +237,13 @@
 	}
 	v.directory.Changed = v.configurationChanged
 	v.relays = &relay.Server{
-		Group:    v.heldPool,
-		IsLeader: v.grants.IsLeader,
-		Customer: v.customerNamed,
-		Released: v.released,
-		Refresh:  v.front.RefreshPosition,
-		Now:      v.Now,
-		Log:      v.Log,
+		Group:      v.heldPool,
+		Leadership: v.grants.Leadership,
+		Customer:   v.customerNamed,
+		Released:   v.released,
+		Refresh:    v.front.RefreshPosition,
+		Now:        v.Now,
+		Log:        v.Log,
 
 		TransactionIdleTimeout: v.front.TransactionIdleTimeout,
 	}
--- a/pool/slot.go
+++ b/pool/slot.go
@@ -55,9 +55,6 @@
 // Target returns the ID of the slot's target.
 func (s *Slot) Target() string { return s.target }
 
-// Leader reports whether the target led the group when the slot was acquired.
-func (s *Slot) Leader() bool { return s.leader }
-
 // Broken reports whether the connection is lost or has to be closed.
 func (s *Slot) Broken() bool { return s.broken }
 
--- a/relay/doc.go
+++ b/relay/doc.go
@@ -18,7 +18,7 @@
 //
 // On a holder:
 //
-//	s := &relay.Server{Group: pools, IsLeader: isLeader, Refresh: refresh, TransactionIdleTimeout: idle, Now: clock.SinceBoot, Log: log}
+//	s := &relay.Server{Group: pools, Leadership: leadership, Refresh: refresh, TransactionIdleTimeout: idle, Now: clock.SinceBoot, Log: log}
 //	go s.Serve(ctx, listener)
 //
 // On the other VMs, in place of a dialer that connects to targets:
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -161,8 +161,11 @@
 	h.pool = &pool.Group{Name: "choir", Zone: "xela", Dialer: h.fakeTarget, Now: clock.SinceBoot, Log: logr.Discard()}
 	h.pool.Configure([]pool.Target{commonTarget}, connections)
 	h.server = &relay.Server{
-		Group:    func(string, string) (*pool.Group, bool) { return h.pool, !h.retired.Load() },
-		IsLeader: func(string, string) bool { return h.leadership.Load() != 0 },
+		Group: func(string, string) (*pool.Group, bool) { return h.pool, !h.retired.Load() },
+		Leadership: func(string, string) (pool.Leadership, bool) {
+			l := h.leadership.Load()
+			return pool.Leadership(l), l != 0
+		},
 		Refresh: func(context.Context, *pool.Group) error {
 			h.refreshes.Add(1)
 			h.pool.Sample(clock.SinceBoot(), group.At(1, 9))
--- a/relay/server.go
+++ b/relay/server.go
@@ -50,8 +50,9 @@
 	// recently that other VMs may not know. Links that are open are still served
 	// then, over a second hop. Nil means that it never did.
 	Released func(group, target string) bool
-	// IsLeader reports whether a target is confirmed as its group's leader now.
-	IsLeader func(group, target string) bool
+	// Leadership returns a target's present leadership of its group, zero if it does not
+	// lead it as far as the VM knows, and whether that is confirmed now.
+	Leadership func(group, target string) (pool.Leadership, bool)
 	// Refresh returns once the group's pool knows a position that the leader had
 	// reached after the call.
 	Refresh func(ctx context.Context, g *pool.Group) error
--- a/relay/serverlink.go
+++ b/relay/serverlink.go
@@ -79,19 +79,29 @@
 		slot.Release()
 		return busyReply(err.Error(), query.StateIdle), nil
 	}
+	before := r.leadership()
 	a, err := slot.Execute(q.order(), &r.state, q.plan(), until)
 	slot.Release()
 	if err != nil {
 		return query.Reply{}, fmt.Errorf("relay order: %w", err)
 	}
-	r.recordPosition(slot, a)
+	r.recordPosition(before, a)
 	return a.Reply, nil
 }
 
-// recordPosition records the position in an answer of the confirmed leader, so that
-// locate can answer for the VMs of the zone.
-func (r *serverLink) recordPosition(slot *pool.Slot, a pool.Answer) {
-	if slot.Leader() && r.server.IsLeader(r.hello.Group, slot.Target()) {
+// leadership returns the present leadership of the link's target, zero if the target
+// does not lead its group.
+func (r *serverLink) leadership() pool.Leadership {
+	l, _ := r.server.Leadership(r.hello.Group, r.hello.Target)
+	return l
+}
+
+// recordPosition records the position in an answer, so that locate can answer for the
+// VMs of the zone, if it is confirmed that the target led the group all the while since
+// before the order was sent.
+func (r *serverLink) recordPosition(before pool.Leadership, a pool.Answer) {
+	l, confirmed := r.server.Leadership(r.hello.Group, r.hello.Target)
+	if confirmed && l == before {
 		r.group.Sample(a.Sent, a.Position)
 	}
 }
@@ -106,12 +116,13 @@
 	if err != nil {
 		return busyReply(err.Error(), query.StateIdle), nil
 	}
+	before := r.leadership()
 	a, err := slot.Run(q.order(), until)
 	slot.Release()
 	if err != nil {
 		return query.Reply{}, fmt.Errorf("relay order: %w", err)
 	}
-	r.recordPosition(slot, a)
+	r.recordPosition(before, a)
 	return a.Reply, nil
 }
 
@@ -121,7 +132,7 @@
 // once for all links that wait. It returns false if the link's target does not lead,
 // or if the leader does not answer.
 func (r *serverLink) locate(ctx context.Context, maxAge time.Duration) (query.Reply, bool) {
-	if !r.server.IsLeader(r.hello.Group, r.hello.Target) {
+	if _, confirmed := r.server.Leadership(r.hello.Group, r.hello.Target); !confirmed {
 		return query.Reply{}, false
 	}
 	from := r.server.Now() - maxAge
@@ -180,11 +191,12 @@
 	if err := r.slot.Align(&r.state, until); err != nil {
 		return query.Reply{}, fmt.Errorf("align transaction: %w", err)
 	}
+	before := r.leadership()
 	a, err := r.slot.Execute(q.order(), &r.state, q.plan(), until)
 	if err != nil {
 		return query.Reply{}, fmt.Errorf("relay order: %w", err)
 	}
-	r.recordPosition(r.slot, a)
+	r.recordPosition(before, a)
 	if q.Kind == kindRollback || q.Commit {
 		slot := r.slot
 		r.slot = nil
