--- a/edge/supervisor.go
+++ b/edge/supervisor.go
@@ -103,6 +103,7 @@
 	// maybeLocal reports that the cause may lie in this VM or its network, so
 	// that other VMs are asked before the leader is replaced.
 	maybeLocal bool
+	conflicts
 }
 
 // run checks all groups at every interval and whenever the supervisor is woken,
@@ -140,7 +141,7 @@
 		}
 		g := s.pool(name)
 		s.configurePool(name, n.ConnectionLimit, g, targets)
-		s.updateLeader(ctx, name, g)
+		s.updateLeader(ctx, name, g, targets)
 	}
 	s.settleRecord(ctx, c.Groups)
 	s.recordFirstLeaders(ctx, c.Groups)
@@ -212,7 +213,7 @@
 
 // updateLeader passes the leader in the record to the group's pool, and starts to
 // replace the leader if there is a cause.
-func (s *supervisor) updateLeader(ctx context.Context, name string, g *pool.Group) {
+func (s *supervisor) updateLeader(ctx context.Context, name string, g *pool.Group, targets []pool.Target) {
 	lead := s.grants.Lead(name)
 	st := s.states[name]
 	now := s.Now()
@@ -224,11 +225,16 @@
 		if st != nil && st.lead.Moving() && lead.Moving() && st.lead.Row() == lead.Row() {
 			next.movingSince = cmp.Or(st.movingSince, now)
 		}
+		if st != nil {
+			next.conflicts = st.conflicts
+			s.logLead(name, st.lead, lead, g)
+		}
 		st = next
 		s.states[name] = st
 	}
+	s.checkConflicts(ctx, name, st, targets)
 	leader := lead.Target
-	if lead.Moving() {
+	if lead.Moving() || s.grants.Deposed(name, leader) {
 		leader = ""
 	}
 	g.SetLeader(leader)
@@ -248,6 +254,18 @@
 	s.replace(ctx, name, st, now)
 }
 
+// logLead logs that a group's lead has changed, with the last commit that this VM
+// acknowledged under the former one.
+func (s *supervisor) logLead(name string, old, lead succession.Lead, g *pool.Group) {
+	last := g.LastCommit()
+	ago := ""
+	if last.Request != "" {
+		ago = (s.Now() - last.At).String()
+	}
+	s.Log.Info("lead changed", "group", name, "from", old.Target, "to", lead.Target, "mover", lead.Mover, "record", s.grants.Record().Revision.String(),
+		"commit", last.Request, "executedby", last.Target, "position", last.Position.String(), "acknowledged", ago)
+}
+
 // cause returns why a group's leader has to be replaced; empty if it has not.
 func (s *supervisor) cause(name string, st *groupState, g *pool.Group, now time.Duration) string {
 	st.maybeLocal = false
@@ -260,6 +278,9 @@
 		}
 		return ""
 	}
+	if s.grants.Deposed(name, st.lead.Target) {
+		return causeDeposed
+	}
 	t, known := g.Target(st.lead.Target)
 	if !known {
 		return s.causeUnregistered(now)
@@ -310,6 +331,10 @@
 // either.
 func (s *supervisor) replace(ctx context.Context, name string, st *groupState, now time.Duration) {
 	delay := time.Duration(s.rank(name)) * rankDelay
+	if st.cause == causeDeposed {
+		// Until the move begins, VMs that have not heard acknowledge what will be lost.
+		delay = time.Duration(min(s.rank(name), deposedRanks)) * deposedRankDelay
+	}
 	if !s.established() {
 		delay += unestablishedDelay
 	}
--- a/succession/grants.go
+++ b/succession/grants.go
@@ -64,11 +64,45 @@
 	confirmedAt      time.Duration
 	storeConfirmedAt time.Duration
 	everConfirmed    bool
+	// deposed holds, by group, the leader that the record names although another target
+	// was seen to lead.
+	deposed map[string]deposedLeader
 	// confirmations counts how often confirmedAt has grown.
 	confirmations uint64
 	changed       chan struct{}
 }
 
+// deposedLeader is a target that does not lead until a time.
+type deposedLeader struct {
+	target string
+	until  time.Duration
+}
+
+// Depose records that a target does not lead its group until a time, on the clock of
+// Now, although the record may name it: the platform has promoted another one.
+func (g *Grants) Depose(group, target string, until time.Duration) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	if g.deposed == nil {
+		g.deposed = map[string]deposedLeader{}
+	}
+	g.deposed[group] = deposedLeader{target, until}
+	g.notifyWaiters()
+}
+
+// Deposed reports whether a target is known not to lead its group, whatever the record
+// says.
+func (g *Grants) Deposed(group, target string) bool {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	return g.isDeposed(group, target)
+}
+
+func (g *Grants) isDeposed(group, target string) bool {
+	d, ok := g.deposed[group]
+	return ok && d.target == target && g.Now() < d.until
+}
+
 // Observe takes in a record from any source, without confirming it. It reports
 // whether the record is newer than the known one; others are ignored.
 func (g *Grants) Observe(r Record) bool {
@@ -330,18 +364,23 @@
 }
 
 // Leadership returns a target's present leadership of its group; zero if the newest known
-// record does not name the target as the leader. It is certain while the VM may rely on
-// the record. If the same leadership is certain again later, no other target has led the
-// group in between.
+// record does not name the target as the leader, or if it was deposed. It is certain
+// while the VM may rely on the record. If the same leadership is certain again later, no
+// other target has led the group in between.
 func (g *Grants) Leadership(group, target string) (l pool.Leadership, certain bool) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
-	if g.record.Leads[group].Target == target {
+	if g.record.Leads[group].Target == target && !g.isDeposed(group, target) {
 		l = g.leaderships[group]
 	}
 	return l, l != 0 && g.valid()
 }
 
+// leads reports whether a leadership goes on. The caller holds the lock.
+func (g *Grants) leads(group string, l pool.Leadership) bool {
+	return l != 0 && g.leaderships[group] == l && !g.isDeposed(group, g.record.Leads[group].Target)
+}
+
 func (g *Grants) valid() bool {
 	return g.everConfirmed && g.Now()-g.confirmedAt < g.Length
 }
@@ -362,7 +401,7 @@
 func (g *Grants) AwaitLeadership(ctx context.Context, group string, l pool.Leadership, until time.Duration) error {
 	for {
 		g.lock.Lock()
-		leads, valid, changed := l != 0 && g.leaderships[group] == l, g.valid(), g.changed
+		leads, valid, changed := g.leads(group, l), g.valid(), g.changed
 		if changed == nil {
 			g.changed = make(chan struct{})
 			changed = g.changed
