Show that a finding that a leader was deposed is forgotten, or outlives its leadership

A leader that was found deposed is not used for a time. Once that is over, a caller would get a success for a write that was sent before and that the deposed leader executed: TestAnswerOfADeposedLeader fails with a success in place of INDOUBT. And a target that has been made the leader again meanwhile is not used for the rest of the time, so that callers are refused: the spec of Grants fails with no leader.

--- a/front/leadership_test.go
+++ b/front/leadership_test.go
@@ -212,6 +212,25 @@
 	}
 }
 
+// TestAnswerOfADeposedLeader guards against acknowledging what a deposed target executed,
+// because it counts as the leader again when the time for which it did not is over.
+func TestAnswerOfADeposedLeader(t *testing.T) {
+	runWithLeader(t, map[string]string{"a": "coban"}, func(n *leaderBench) {
+		s := n.session("STARTUP current u")
+		s.row("READ 1")
+		n.delayAnswers(2 * time.Second)
+		answer := make(chan string, 1)
+		go func() { answer <- s.row("WRITE 1 x") }()
+		time.Sleep(100 * time.Millisecond)
+		n.grants.Depose("choir", "a", n.Now()+time.Second)
+		time.Sleep(1800 * time.Millisecond)
+		n.confirm(n.grants.Record())
+		if got := <-answer; !strings.HasPrefix(got, "ERROR INDOUBT") {
+			t.Errorf("the caller got %q, want that the write is in doubt", got)
+		}
+	})
+}
+
 // TestPositionOfAnEarlierLeadership guards against reads on a replica that lacks
 // acknowledged commits, because a position counted as the leader's that a target had
 // answered while another one led, and leads again when the answer is looked at.
--- a/succession/succession_test.go
+++ b/succession/succession_test.go
@@ -636,6 +636,17 @@
 		now += 100 * time.Millisecond
 		gomega.Expect(g.IsLeader("choir", "a")).To(gomega.BeTrue())
 	})
+
+	ginkgo.It("name a leader that was found deposed and has been made the leader again", func() {
+		now := 10 * time.Second
+		g := &succession.Grants{Length: time.Second, Now: func() time.Duration { return now }}
+		g.ConfirmRecord(record(1, 5, succession.Lead{Target: "a", Since: 1}), now)
+		g.Depose("choir", "a", now+time.Second)
+		g.ConfirmRecord(record(2, 6, succession.Lead{Target: "a", Since: 1}), now)
+		gomega.Expect(g.IsLeader("choir", "a")).To(gomega.BeFalse())
+		g.ConfirmRecord(record(5, 7, succession.Lead{Target: "a", Since: 5}), now)
+		gomega.Expect(g.IsLeader("choir", "a")).To(gomega.BeTrue())
+	})
 	first, second := store.At(1, 90), store.At(2, 80)
 	stable := succession.Lead{Target: "a"}
 	moving := succession.Lead{Target: "a", Mover: "vm-1"}
