Tie the finding that a leader was deposed to its leadership

Callers could get a success for a write of a leader that the VM had found deposed: the finding holds for a time, and afterwards answers that had been on their way all the while passed. They were also refused statements on a target that a move had made the leader again, until that time was over.

Both because the finding was about a target's ID. It now ends the leadership under which statements were sent, and holds for the one that the record names from then on. A later leadership of the same target counts at once.

--- a/succession/grants.go
+++ b/succession/grants.go
@@ -64,29 +64,36 @@
 	confirmedAt      time.Duration
 	storeConfirmedAt time.Duration
 	everConfirmed    bool
-	// deposed holds, by group, the leader that the record names although another target
-	// was seen to lead.
+	// deposed holds, by group, the leadership that the record names although another
+	// target was seen to lead.
 	deposed map[string]deposedLeader
 	// confirmations counts how often confirmedAt has grown.
 	confirmations uint64
 	changed       chan struct{}
 }
 
-// deposedLeader is a target that does not lead until a time.
+// deposedLeader is a leadership that does not count until a time.
 type deposedLeader struct {
-	target string
-	until  time.Duration
+	leadership pool.Leadership
+	until      time.Duration
 }
 
 // Depose records that a target does not lead its group until a time, on the clock of
-// Now, although the record may name it: the platform has promoted another one.
+// Now, although the record may name it: the platform has promoted another one. If the
+// record names it still when the time is over, that is another leadership. One that
+// begins with a later record counts at once.
 func (g *Grants) Depose(group, target string, until time.Duration) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
+	if g.record.Leads[group].Target != target || g.leaderships[group] == 0 {
+		return
+	}
 	if g.deposed == nil {
 		g.deposed = map[string]deposedLeader{}
 	}
-	g.deposed[group] = deposedLeader{target, until}
+	g.begun++
+	g.leaderships[group] = g.begun
+	g.deposed[group] = deposedLeader{g.begun, until}
 	g.notifyWaiters()
 }
 
@@ -95,12 +102,14 @@
 func (g *Grants) Deposed(group, target string) bool {
 	g.lock.Lock()
 	defer g.lock.Unlock()
-	return g.isDeposed(group, target)
+	return g.record.Leads[group].Target == target && g.isDeposed(group)
 }
 
-func (g *Grants) isDeposed(group, target string) bool {
+// isDeposed reports whether the leader that the record names was found deposed. The
+// caller holds the lock.
+func (g *Grants) isDeposed(group string) bool {
 	d, ok := g.deposed[group]
-	return ok && d.target == target && g.Now() < d.until
+	return ok && d.leadership == g.leaderships[group] && g.Now() < d.until
 }
 
 // Observe takes in a record from any source, without confirming it. It reports
@@ -370,7 +379,7 @@
 func (g *Grants) Leadership(group, target string) (l pool.Leadership, certain bool) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
-	if g.record.Leads[group].Target == target && !g.isDeposed(group, target) {
+	if g.record.Leads[group].Target == target && !g.isDeposed(group) {
 		l = g.leaderships[group]
 	}
 	return l, l != 0 && g.valid()
@@ -378,7 +387,7 @@
 
 // leads reports whether a leadership goes on. The caller holds the lock.
 func (g *Grants) leads(group string, l pool.Leadership) bool {
-	return l != 0 && g.leaderships[group] == l && !g.isDeposed(group, g.record.Leads[group].Target)
+	return l != 0 && g.leaderships[group] == l && !g.isDeposed(group)
 }
 
 func (g *Grants) valid() bool {
