Record a target that leads already instead of having it promoted again

A move that finds that a target was promoted, by a call of an earlier move or of which it does not know, told it to step down and called for its promotion once more: a second or two without a leader for nothing.

The only primary of a group is recorded as it is now, if all targets of the group answer and no promotion can still take effect; a target that does not answer may have deposed it.

Tests: succession "is recorded by a move that finds the target leading" and "may have taken effect before the move is taken over", with a stricter check, failed before.

--- a/succession/candidate.go
+++ b/succession/candidate.go
@@ -12,13 +12,16 @@
 type candidateReport struct {
 	pool.Target
 	pool.Report
+	// leads reports that the platform has promoted the target already.
+	leads bool
 }
 
 // chooseCandidate returns the target to promote: the one whose log reaches
 // furthest. If the old leader has stepped down, it waits up to
 // catchUpTimeout for a target to reach the old leader's last position, unless the
 // old leader is gone from the store: it is cut off then, and can neither pass on its
-// log nor lead again.
+// log nor lead again. A target that leads already is taken as it is: the others have
+// nothing that it lacks for long, since they copy its log.
 func (v *move) chooseCandidate(ctx context.Context) (candidateReport, error) {
 	deadline := v.Now() + catchUpTimeout
 	for {
@@ -26,6 +29,9 @@
 		if len(reports) == 0 {
 			return candidateReport{}, ErrNoCandidate
 		}
+		if c, ok := v.presentPrimary(ctx, reports); ok {
+			return c, nil
+		}
 		best := slices.MaxFunc(reports, compareCandidates)
 		v.lock.Lock()
 		enough := !v.steppedDown || best.Received.Reaches(v.oldPosition)
@@ -42,6 +48,24 @@
 	}
 }
 
+// presentPrimary returns the target that a promotion made the primary which no move has
+// recorded: the only primary, if all targets of the group answer, and if no promotion that
+// was called for can still take effect.
+func (v *move) presentPrimary(ctx context.Context, reports []candidateReport) (candidateReport, bool) {
+	i := slices.IndexFunc(reports, func(r candidateReport) bool { return r.Report.Role == pool.RolePrimary })
+	if i < 0 || reports[i].ID == v.oldLeader || reports[i].Target.Draining || v.Now() < v.settledAt {
+		return candidateReport{}, false
+	}
+	others := slices.DeleteFunc(slices.Clone(v.Targets.Candidates(v.group)), func(t pool.Target) bool { return t.ID == reports[i].ID })
+	answers := v.collectReportsFrom(ctx, others)
+	if len(answers) < len(others) || slices.ContainsFunc(answers, func(r candidateReport) bool { return r.Report.Role != pool.RoleReplica }) {
+		return candidateReport{}, false
+	}
+	c := reports[i]
+	c.leads = true
+	return c, true
+}
+
 // compareCandidates orders targets that are not draining above those that are,
 // then by the length of the received log.
 func compareCandidates(a, b candidateReport) int {
--- a/succession/outstanding_test.go
+++ b/succession/outstanding_test.go
@@ -217,6 +217,30 @@
 		time.Sleep(2 * s.effectDelay)
 		gomega.Expect(s.move("vm-1")).To(gomega.Succeed())
 		gomega.Expect(s.grants.Lead("choir").Target).To(gomega.Equal("b"))
+		gomega.Expect(s.calledFor()).To(gomega.Equal([]string{"b"}))
+		s.expectLasting()
+	})
+
+	// Guards against a second promotion, and the time without a leader that it takes, when
+	// a target leads by a call of which the mover does not know.
+	ginkgo.It("is recorded by a move that finds the target leading", func() {
+		s := newFixture()
+		s.reports["c"].Received = group.At(3, 12)
+		gomega.Expect(s.fakePlatform.Promote(context.Background(), "choir", "b", 1)).To(gomega.Succeed())
+		gomega.Expect(s.move("vm-0")).To(gomega.Succeed())
+		gomega.Expect(s.grants.Lead("choir").Target).To(gomega.Equal("b"))
+		gomega.Expect(s.calledFor()).To(gomega.Equal([]string{"b"}))
+		s.expectLasting()
+	})
+
+	ginkgo.It("is not taken for granted while another target does not answer", func() {
+		// The target that does not answer may have deposed the one that does.
+		s := newFixture()
+		gomega.Expect(s.fakePlatform.Promote(context.Background(), "choir", "b", 1)).To(gomega.Succeed())
+		gomega.Expect(s.fakePlatform.Promote(context.Background(), "choir", "c", 1)).To(gomega.Succeed())
+		s.setDown(true, "c")
+		gomega.Expect(s.move("vm-0")).To(gomega.Succeed())
+		gomega.Expect(s.calledFor()[2:]).NotTo(gomega.BeEmpty())
 		s.expectLasting()
 	})
 })
--- a/succession/promote.go
+++ b/succession/promote.go
@@ -47,6 +47,10 @@
 			return "", err
 		}
 	}
+	if c.leads {
+		v.Log.Info("target leads already; recording it", "group", v.group, "target", c.ID, "term", c.Report.Term, "received", c.Received.String())
+		return c.ID, nil
+	}
 	if c.ID != v.prepared {
 		if err := v.prepare(ctx, c); err != nil {
 			return c.ID, err
