--- a/edge/directory_test.go
+++ b/edge/directory_test.go
@@ -18,7 +18,7 @@
 )
 
 var _ = ginkgo.Describe("A directory", func() {
-	const entry = `{"service":"choir","address":"10.1.0.9:80","zone":"coban","slots":3,"state":"ready","db_role":"replica"}`
+	const entry = `{"service":"choir","address":"10.1.0.9:80","zone":"coban","slots":3,"state":"ready","db_role":"replica","version":"v1","cold_left_ms":0,"seq":1,"born":1}`
 	newDirectory := func() (*edge.Directory, *time.Duration) {
 		now := time.Hour
 		s, err := edge.ParseSettings("vm.json", []byte(settings))
@@ -92,7 +92,7 @@
 	ginkgo.It("drops a draining target as soon as its entry is removed", func() {
 		d, _ := newDirectory()
 		i := target("a", 8)
-		i.Value = []byte(`{"service":"choir","address":"10.1.0.9:80","zone":"coban","slots":3,"state":"draining","db_role":"replica"}`)
+		i.Value = []byte(`{"service":"choir","address":"10.1.0.9:80","zone":"coban","slots":3,"state":"draining","db_role":"replica","version":"v1","cold_left_ms":0,"seq":1,"born":1}`)
 		d.Apply(i)
 		d.Apply(store.Item{Key: "servers/a", Revision: 9, Deleted: true})
 		gomega.Expect(d.Targets("choir")).To(gomega.BeEmpty())
