--- a/edge/follow.go
+++ b/edge/follow.go
@@ -113,7 +113,7 @@
 	sent := f.Now()
 	items, revision, err := f.Adapter.Store.Watch(ctx, "", f.directory.CompleteRevision(), followTimeout)
 	if errors.Is(err, store.ErrCompacted) {
-		f.Log.Info("store no longer keeps the changes after this revision; reading everything again", "after", f.directory.CompleteRevision().String(), "era", f.Adapter.Store.Era())
+		f.Log.Info("store no longer gives the changes after this revision; reading everything again", "after", f.directory.CompleteRevision().String(), "era", f.Adapter.Store.Era(), "reason", err.Error())
 		f.synced.Store(false)
 		return nil
 	}
