Count entries that cannot be used, and bound what they leave behind

An entry that another writer changed each second gave a log line on each VM each second, and one of 1 MB was kept and passed on to other VMs with its text, whose messages may have 8 MiB in all. No metric told of such entries. A panic while one is decoded was caught only in the VM's duties: changes that come from another VM are taken in by goroutines in which it would end the process, again and again since the entry stays.

The directory counts each state of an entry that it cannot use (amaranthsill_invalid_entries_total by kind: target, vm, configuration, record, and item for those that the store's client cannot read). It logs one line a minute for each key and 20 in all, with the beginning of the key and the reason, the length of the entry and the number of lines left out. The messages are the ones of before. The text of a target's entry that cannot be used is dropped from 16 KiB on. A panic in decoding makes the entry one that cannot be used; no entry is known that causes one.

The specs of the directory failed before: 90 lines instead of 2, an entry of 1 MB passed on, and the panic. A target whose entry becomes unusable stays in use for 2.5 s, as one whose entry was removed; this did not change and has a spec now.

--- a/edge/adapter.go
+++ b/edge/adapter.go
@@ -15,6 +15,9 @@
 type Adapter struct {
 	// Store is the platform's store.
 	Store store.TransactionalStore
+	// UnreadableItems returns how many items of the store's answers could not be read;
+	// nil if that is not counted.
+	UnreadableItems func() int
 	// Promoter promotes targets through the platform.
 	Promoter succession.Promoter
 	// Dialer opens links to targets.
--- a/edge/collector.go
+++ b/edge/collector.go
@@ -18,7 +18,7 @@
 	configurationVersion, recordRevision, vmCount, heldGroups *prometheus.Desc
 	waitingStatements, targetConnections, activeStatements    *prometheus.Desc
 	unreachableTargets, replicaLag, recordAge, movesUnderWay  *prometheus.Desc
-	storeEra, storeLosses                                     *prometheus.Desc
+	storeEra, storeLosses, invalidEntries                     *prometheus.Desc
 	confirmationAge, customers, customerSessions              *prometheus.Desc
 	connectionOpens, connectionEvictions, customerWaiting     *prometheus.Desc
 }
@@ -42,6 +42,7 @@
 		recordAge:            describe("record_age_seconds", "Time since the store confirmed the record of leaders."),
 		storeEra:             describe("store_era", "Era that the store told last; it rises when the store came back from an older copy."),
 		storeLosses:          describe("store_losses_total", "Times that the store came back from an older copy since the VM started."),
+		invalidEntries:       describe("invalid_entries_total", "States of entries in the store that could not be used, by kind; those of kind item were not even read.", "kind"),
 		vmCount:              describe("vms", "VMs that may be running, as far as this one knows."),
 		heldGroups:           describe("held_groups", "Groups to whose targets this VM holds connections."),
 		waitingStatements:    describe("waiting_statements", "Statements that wait for a target.", "group"),
@@ -71,6 +72,17 @@
 	}
 }
 
+// collectInvalidEntries reports the entries in the store that could not be used.
+func (c *collector) collectInvalidEntries(count func(*prometheus.Desc, int, ...string)) {
+	invalid := c.directory.InvalidEntries()
+	for kind := range invalidMessages {
+		count(c.invalidEntries, invalid[string(kind)], string(kind))
+	}
+	if c.Adapter.UnreadableItems != nil {
+		count(c.invalidEntries, c.Adapter.UnreadableItems(), "item")
+	}
+}
+
 // Collect implements prometheus.Collector.
 func (c *collector) Collect(m chan<- prometheus.Metric) {
 	gauge := func(d *prometheus.Desc, value float64, labels ...string) {
@@ -99,6 +111,7 @@
 	if confirmed {
 		gauge(c.recordAge, (c.Now() - confirmedAt).Seconds())
 	}
+	c.collectInvalidEntries(count)
 	gauge(c.vmCount, float64(c.directory.PeerCount()))
 	moving := 1.0
 	if c.mover.Idle() {
--- a/edge/configuration.go
+++ b/edge/configuration.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"amaranthsill/catalog"
 	"amaranthsill/peer/peerpb"
 	"amaranthsill/store"
 )
@@ -103,9 +104,9 @@
 
 // applyConfiguration puts a configuration in force if it is newer.
 func (d *Directory) applyConfiguration(i store.Item) {
-	c, err := d.Adapter.DecodeConfiguration(i.Value)
+	c, err := decodeEntry(func() (*catalog.Configuration, error) { return d.Adapter.DecodeConfiguration(i.Value) })
 	if err != nil {
-		d.Log.Error(err, "configuration cannot be decoded; the one in force stays", "revision", i.Revision.String())
+		d.entryInvalid(entryConfiguration, i, err)
 		return
 	}
 	if !d.Catalog.Update(c) {
--- a/edge/directory.go
+++ b/edge/directory.go
@@ -12,6 +12,7 @@
 	"github.com/go-logr/logr"
 
 	"amaranthsill/catalog"
+	"amaranthsill/logline"
 	"amaranthsill/pool"
 	"amaranthsill/store"
 	"amaranthsill/succession"
@@ -135,6 +136,10 @@
 	// selfSeen reports that this VM's own entry was read, and selfReturned that the
 	// entry of an earlier start was still there before.
 	selfSeen, selfReturned bool
+	// invalid counts the states of entries that could not be used by kind, and repeats
+	// limits the lines about them.
+	invalid map[string]int
+	repeats logline.Repeats
 	// quiet suppresses the log lines of single targets and VMs while everything is
 	// read, since they would grow with the fleet.
 	quiet bool
@@ -275,13 +280,15 @@
 // applyTarget records a target's entry, or its removal.
 func (d *Directory) applyTarget(id string, i store.Item) {
 	if i.Deleted {
-		d.targetRemoved(id, d.Now())
+		if d.targetRemoved(id, d.Now()) {
+			d.Log.Info("target's entry was removed from the store", "target", id)
+		}
 		return
 	}
-	t, err := d.Adapter.DecodeTarget(i)
+	t, err := decodeEntry(func() (pool.Target, error) { return d.Adapter.DecodeTarget(i) })
 	if err != nil {
-		// An entry that does not decode cannot be a target to use.
-		d.Log.Info("target's entry cannot be decoded; the target is not used", "key", i.Key, "reason", err.Error())
+		// It names no target to use. One that was named before may write its entry again.
+		d.entryInvalid(entryTarget, i, err)
 		d.targetRemoved(id, d.Now())
 		return
 	}
@@ -299,23 +306,24 @@
 
 // targetRemoved handles the removal of a target's entry. A draining target is
 // dropped at once; any other stays in use until Expire, since its entry may be
-// written again.
-func (d *Directory) targetRemoved(id string, now time.Duration) {
+// written again. It returns true if the target had an entry and stays in use.
+func (d *Directory) targetRemoved(id string, now time.Duration) bool {
 	t := d.targets[id]
 	if t == nil {
-		return
+		return false
 	}
 	if t.entry.Draining {
 		d.Log.Info("draining target left", "target", id)
 		delete(d.targets, id)
 		d.byGroup = nil
-		return
+		return false
 	}
-	if t.absentSince == 0 {
-		d.Log.Info("target's entry was removed from the store", "target", id)
-		t.absentSince = max(now, 1)
-		d.byGroup = nil
+	if t.absentSince != 0 {
+		return false
 	}
+	t.absentSince = max(now, 1)
+	d.byGroup = nil
+	return true
 }
 
 // applyPeer records a VM's entry, or its removal.
@@ -328,9 +336,9 @@
 		d.peerRemoved(name, d.Now())
 		return
 	}
-	p, err := decodePeer(i)
+	p, err := decodeEntry(func() (Peer, error) { return decodePeer(i) })
 	if err != nil {
-		d.Log.Info("VM's entry cannot be decoded; ignoring it", "key", i.Key, "reason", err.Error())
+		d.entryInvalid(entryVM, i, err)
 		return
 	}
 	if name == d.Self && !d.selfSeen {
@@ -388,9 +396,9 @@
 
 // applyRecord passes a leader record to Grants.
 func (d *Directory) applyRecord(i store.Item) {
-	r, err := succession.DecodeRecord(i)
+	r, err := decodeEntry(func() (succession.Record, error) { return succession.DecodeRecord(i) })
 	if err != nil {
-		d.Log.Error(err, "leader record cannot be decoded; ignoring it", "revision", i.Revision.String())
+		d.entryInvalid(entryRecord, i, err)
 		return
 	}
 	if d.Grants.Observe(r) {
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -275,7 +275,7 @@
 		}
 		r, err := succession.DecodeRecord(i)
 		if err != nil {
-			f.Log.Error(err, "leader record cannot be decoded; ignoring it", "revision", i.Revision.String())
+			// The directory has logged it.
 			return
 		}
 		f.grants.ConfirmRecord(r, sent)
