Cover a store in which an odd entry is changed many times

Three VMs follow the store while an entry of 1 MB is changed twelve times in a row, and one is nested too deep, has a port out of range, a number too large or lacks fields. The next configuration has to be in force within 4 s.

--- a/edge/entries_test.go
+++ b/edge/entries_test.go
@@ -39,4 +39,31 @@
 			f.vms[0].session("choir-own").must("WRITE bar 1")
 		})
 	}
+
+	// The VMs asked for the same changes again and again, since they were longer than an
+	// answer may be, and got no configuration any more.
+	ginkgo.It("does not keep the VMs from following the store while it is written again and again", func() {
+		f := openFixture(threeZones, 3)
+		for range 12 {
+			// All of this is over before the VMs ask for changes again.
+			f.site.Store.PutBytes("servers/stranger", []byte(strings.Repeat("9", 1<<20)))
+			time.Sleep(15 * time.Millisecond)
+		}
+		for name, entry := range foreignEntries {
+			f.site.Store.PutBytes("servers/stranger "+name, []byte(entry))
+		}
+		f.site.Configure([]site.Route{{
+			"name": "new", "host": "new", "kind": "read_your_writes", "service": "choir",
+			"timeout_ms": 1000, "target_latency_ms": 600, "priority": 1, "max_staleness_ms": 1500,
+		}})
+		for _, v := range f.vms {
+			gomega.Eventually(func() error {
+				_, err := v.connect("new")
+				return err
+			}, "4s", "50ms").Should(gomega.Succeed())
+			gomega.Expect(v.readMetrics()).To(gomega.MatchRegexp(`amaranthsill_invalid_entries_total.kind="target". [1-9]`))
+			gomega.Expect(v.readMetrics()).To(gomega.ContainSubstring(`amaranthsill_invalid_entries_total{kind="item"} 0`))
+		}
+		f.vms[1].session("choir-own").must("WRITE bar 1")
+	})
 })
