Refuse ages from other VMs that overflow a duration

The age of a document's version came as milliseconds, and its bound was checked after the conversion to a duration: an age of 18,446,744,073,710 ms passed for 448 us, and the largest for one that is unknown, so that a version passed for one that the platform had just confirmed. The bound is checked before now. TestAgeThatOverflows failed before in 3 of 4 cases. Only a faulty VM would have sent them.

--- a/peer/convert.go
+++ b/peer/convert.go
@@ -62,7 +62,7 @@
 		if d.Age >= 0 {
 			age = time.Duration(d.Age) * time.Millisecond
 		}
-		if d.Name == "" || len(d.Name) > maxNameBytes || age > maxAge {
+		if d.Name == "" || len(d.Name) > maxNameBytes || d.Age > maxAge.Milliseconds() {
 			return roster.Knowledge{}, fmt.Errorf("read document %q: %w", d.Name, ErrInvalidMessage)
 		}
 		out.Documents = append(out.Documents, roster.Document{Name: d.Name, Version: d.Version, Age: age})
--- a/peer/convert_test.go
+++ b/peer/convert_test.go
@@ -1,7 +1,10 @@
 package peer
 
 import (
+	"errors"
+	"math"
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -36,3 +39,21 @@
 		machine.Step(0, roster.Received{Knowledge: k})
 	})
 }
+
+// TestAgeThatOverflows guards against a document that passes for one that was confirmed just
+// now, since its age in milliseconds overflows the duration.
+func TestAgeThatOverflows(t *testing.T) {
+	for name, age := range map[string]int64{
+		"beyond the limit":         maxAge.Milliseconds() + 1,
+		"wraps to 448 us":          18446744073710,
+		"wraps to a negative time": math.MaxInt64/int64(time.Millisecond) + 1,
+		"largest":                  math.MaxInt64,
+	} {
+		t.Run(name, func(t *testing.T) {
+			k := &peerpb.Knowledge{From: "vm-1", Documents: []*peerpb.Document{{Name: "manifest", Version: 3, Age: age}}}
+			if got, err := DecodeKnowledge(k); !errors.Is(err, ErrInvalidMessage) {
+				t.Errorf("decoded as %+v, error %v", got.Documents, err)
+			}
+		})
+	}
+}
