Bound the times that other VMs tell

Ages of confirmations come from other VMs as milliseconds, and were multiplied without a bound: an age of 18,446,744,073,710 ms passed for 448 us, so that a VM with an old record or configuration was taken for current, and one that wraps to a negative time counted from a time to come. A VM that said it had waited for longer than the call took had the same effect. Grants rest on these times.

Ages are taken for a year at most, and an answer for one of now at the latest. TestAgesThatOverflow failed before in each case, and TestAnswerTime for the largest wait. Only a faulty VM would have sent such numbers; none was seen.

--- a/edge/configuration.go
+++ b/edge/configuration.go
@@ -68,9 +68,9 @@
 func configurationAgeOf(a *peerpb.RecallResponse) (time.Duration, bool) {
 	age := a.GetConfigurationAge()
 	if age == 0 {
-		return time.Duration(a.GetAge()) * time.Millisecond, a.GetAge() >= 0
+		return toldTime(a.GetAge()), a.GetAge() >= 0
 	}
-	return time.Duration(age) * time.Millisecond, age > 0
+	return toldTime(age), age > 0
 }
 
 // watchedUntil returns a time at which the store held what a watch returned, given when
--- a/edge/configuration_test.go
+++ b/edge/configuration_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -80,6 +81,43 @@
 	}
 }
 
+// TestAgesThatOverflow guards against a VM that another one takes for current, or whose
+// confirmations count from a later time than now, since a number that it tells overflows a
+// duration.
+func TestAgesThatOverflow(t *testing.T) {
+	for name, age := range map[string]int64{
+		"wraps to 448 us":          18446744073710,
+		"wraps to a negative time": math.MaxInt64/int64(time.Millisecond) + 1,
+		"largest":                  math.MaxInt64,
+	} {
+		t.Run(name, func(t *testing.T) {
+			if isCurrent(&peerpb.RecallResponse{Age: age, ConfigurationAge: 100}) {
+				t.Error("a VM with an old record is taken for current")
+			}
+			if isCurrent(&peerpb.RecallResponse{Age: 100, ConfigurationAge: age}) {
+				t.Error("a VM with an old configuration is taken for current")
+			}
+			if (&fleet{}).isFresh(&peerpb.RecallResponse{Age: age, Valid: uint64(age)}) {
+				t.Error("an old record is taken for fresh")
+			}
+			if got := toldTime(uint64(age) * 2); got < time.Hour {
+				t.Errorf("taken for %s", got)
+			}
+		})
+	}
+}
+
+// TestAnswerTime guards against a confirmation that counts from a later time than now, since
+// the VM that passed it on says that it waited for longer than the call took.
+func TestAnswerTime(t *testing.T) {
+	const sent, now = time.Hour, time.Hour + time.Second
+	for waited, want := range map[uint32]time.Duration{0: sent, 450: sent + 450*time.Millisecond, 1000: now, math.MaxUint32: now} {
+		if got := answerTime(sent, waited, now); got != want {
+			t.Errorf("waited %d ms: got %s, want %s", waited, got, want)
+		}
+	}
+}
+
 // TestWatchedUntil guards against a VM that was suspended between the store's answer and
 // its reading, and that takes what it read for the state of now.
 func TestWatchedUntil(t *testing.T) {
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -320,7 +320,22 @@
 	if age, known := configurationAgeOf(a); !known || age > maxFollowedAge {
 		return false
 	}
-	return a.GetAge() >= 0 && time.Duration(a.GetAge())*time.Millisecond <= storeStaleAfter
+	return a.GetAge() >= 0 && toldTime(a.GetAge()) <= storeStaleAfter
+}
+
+// answerTime returns a time at or before which a VM answered, given when the call was sent,
+// the milliseconds that the VM says it waited, and the time now.
+func answerTime(sent time.Duration, waited uint32, now time.Duration) time.Duration {
+	return min(sent+time.Duration(waited)*time.Millisecond, now)
+}
+
+// maxToldTime is the longest time that is taken in from another VM. A number of
+// milliseconds that is larger overflows a duration.
+const maxToldTime = 365 * 24 * time.Hour
+
+// toldTime returns the time for a number of milliseconds that another VM told.
+func toldTime[N int64 | uint64](n N) time.Duration {
+	return time.Duration(min(n, N(maxToldTime.Milliseconds()))) * time.Millisecond
 }
 
 // isFresh reports whether a response confirms the leader record as of at most
@@ -330,7 +345,7 @@
 	if a.GetValid() > 0 && (age < 0 || int64(a.GetValid()) < age) {
 		age = int64(a.GetValid())
 	}
-	return age >= 0 && time.Duration(age)*time.Millisecond <= storeStaleAfter
+	return age >= 0 && toldTime(age) <= storeStaleAfter
 }
 
 // recall calls Recall on one VM and applies the changes and the confirmations in its
@@ -353,15 +368,15 @@
 	f.directory.MarkComplete(store.At(a.GetCompleteEra(), a.GetComplete()))
 	f.observePeerEra(a.GetEra())
 	record := store.At(a.GetRecordEra(), a.GetRecord())
-	answeredAt := sent + time.Duration(a.GetWaited())*time.Millisecond
+	answeredAt := answerTime(sent, a.GetWaited(), f.Now())
 	if age, known := configurationAgeOf(a); known {
 		f.confirmConfiguration(answeredAt - age)
 	}
 	if a.GetAge() >= 0 {
-		f.grants.ConfirmRevision(record, answeredAt-time.Duration(a.GetAge())*time.Millisecond)
+		f.grants.ConfirmRevision(record, answeredAt-toldTime(a.GetAge()))
 	}
 	if a.GetValid() > 0 {
-		f.grants.Extend(record, answeredAt-time.Duration(a.GetValid())*time.Millisecond)
+		f.grants.Extend(record, answeredAt-toldTime(a.GetValid()))
 	}
 	return a
 }
