Quote only the beginning of what a target sends in errors

A status row or a position of up to 1 MiB was quoted in full in the error for it, which is logged: 524,381 bytes for a position of 512 KiB. The first 60 bytes are quoted now.

--- a/group/position.go
+++ b/group/position.go
@@ -57,15 +57,15 @@
 func ParsePosition(s string) (Position, error) {
 	term, offset, ok := strings.Cut(s, ".")
 	if !ok {
-		return Position{}, fmt.Errorf("read %q, want term.offset: %w", s, ErrPosition)
+		return Position{}, fmt.Errorf("read %.60q, want term.offset: %w", s, ErrPosition)
 	}
 	t, err := strconv.ParseUint(term, 10, 63)
 	if err != nil {
-		return Position{}, fmt.Errorf("read term of %q: %w", s, ErrPosition)
+		return Position{}, fmt.Errorf("read term of %.60q: %w", s, ErrPosition)
 	}
 	o, err := strconv.ParseUint(offset, 10, 63)
 	if err != nil {
-		return Position{}, fmt.Errorf("read offset of %q: %w", s, ErrPosition)
+		return Position{}, fmt.Errorf("read offset of %.60q: %w", s, ErrPosition)
 	}
 	return At(Term(t), o), nil
 }
