--- a/edge/configuration.go
+++ b/edge/configuration.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"amaranthsill/catalog"
 	"amaranthsill/peer/peerpb"
 	"amaranthsill/store"
 )
@@ -67,9 +68,9 @@
 func configurationAgeOf(a *peerpb.RecallResponse) (time.Duration, bool) {
 	age := a.GetConfigurationAge()
 	if age == 0 {
-		return time.Duration(a.GetAge()) * time.Millisecond, a.GetAge() >= 0
+		return toldTime(a.GetAge()), a.GetAge() >= 0
 	}
-	return time.Duration(age) * time.Millisecond, age > 0
+	return toldTime(age), age > 0
 }
 
 // watchedUntil returns a time at which the store held what a watch returned, given when
@@ -103,9 +104,9 @@
 
 // applyConfiguration puts a configuration in force if it is newer.
 func (d *Directory) applyConfiguration(i store.Item) {
-	c, err := d.Adapter.DecodeConfiguration(i.Value)
+	c, err := decodeEntry(func() (*catalog.Configuration, error) { return d.Adapter.DecodeConfiguration(i.Value) })
 	if err != nil {
-		d.Log.Error(err, "configuration cannot be decoded; the one in force stays", "revision", i.Revision.String())
+		d.entryInvalid(entryConfiguration, i, err)
 		return
 	}
 	if !d.Catalog.Update(c) {
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -113,7 +113,7 @@
 	sent := f.Now()
 	items, revision, err := f.Adapter.Store.Watch(ctx, "", f.directory.CompleteRevision(), followTimeout)
 	if errors.Is(err, store.ErrCompacted) {
-		f.Log.Info("store no longer keeps the changes after this revision; reading everything again", "after", f.directory.CompleteRevision().String(), "era", f.Adapter.Store.Era())
+		f.Log.Info("store no longer gives the changes after this revision; reading everything again", "after", f.directory.CompleteRevision().String(), "era", f.Adapter.Store.Era(), "reason", err.Error())
 		f.synced.Store(false)
 		return nil
 	}
@@ -275,7 +275,7 @@
 		}
 		r, err := succession.DecodeRecord(i)
 		if err != nil {
-			f.Log.Error(err, "leader record cannot be decoded; ignoring it", "revision", i.Revision.String())
+			// The directory has logged it.
 			return
 		}
 		f.grants.ConfirmRecord(r, sent)
