Show that a silent VM is unknown to VMs that start later

An entry that says Silent when it is first read is dropped, so that a VM that has just started asks the silent one for no yield. TestSilentVMIsCountedByVMsThatStartedLater fails: "silent VM: counted false, silent false; want true, true".

--- a/edge/silence_test.go
+++ b/edge/silence_test.go
@@ -191,3 +191,26 @@
 		t.Error("yield of a silent VM counts")
 	}
 }
+
+// TestSilentVMIsCountedByVMsThatStartedLater guards against a VM that moves a leadership
+// without one that still answers callers, because that one's entry said Silent already when
+// it was first read.
+func TestSilentVMIsCountedByVMsThatStartedLater(t *testing.T) {
+	d := newPeerDirectory()
+	d.write(Peer{Name: "x", Silent: true})
+	d.write(Peer{Name: "y", Left: true})
+	if p, ok := d.recentPeer("x"); !ok || !p.Silent {
+		t.Errorf("silent VM: counted %t, silent %t; want true, true", ok, p.Silent)
+	}
+	if d.votes("x") {
+		t.Error("silent VM votes")
+	}
+	if _, ok := d.recentPeer("y"); ok {
+		t.Error("stopped VM is asked to yield")
+	}
+	d.now += time.Second
+	d.write(Peer{Name: "x"})
+	if p, _ := d.recentPeer("x"); p.Silent || !p.returned || p.firstSeen != d.now {
+		t.Errorf("VM that is back: silent %t, returned %t, first seen %s; want false, true, %s", p.Silent, p.returned, p.firstSeen, d.now)
+	}
+}
