Count a VM whose entry says Silent when it is first read

Callers could get an acknowledgement of a write that the next leader lacks: a VM that has started after another one was marked as silent kept no trace of that one's entry. If it moved a leadership once it was known to all, its move went on as "all VMs yielded" although the silent VM had not been asked and could still release answers of the old leader, for 1.1 s from its last confirmation.

Such an entry now counts as that of a silent VM that was known before: it is asked to yield, its yield is no vote, and it is among the VMs that may hold connections until peerRetention has passed. A VM that has left serves nobody and is still ignored.

TestSilentVMIsCountedByVMsThatStartedLater failed before.

--- a/edge/directory.go
+++ b/edge/directory.go
@@ -375,10 +375,18 @@
 		delete(d.recent, p.Name)
 	}
 	old := d.peers[p.Name]
-	if old == nil {
+	if old == nil && p.Left {
 		return
 	}
-	d.Log.Info("VM has no vote any more", "peer", p.Name, "left", p.Left, "silent", p.Silent)
+	if old == nil {
+		// A silent VM may still answer callers, and hold connections to targets.
+		old = &registration[Peer]{}
+		d.peers[p.Name] = old
+		d.present = nil
+	}
+	if !d.quiet {
+		d.Log.Info("VM has no vote any more", "peer", p.Name, "left", p.Left, "silent", p.Silent)
+	}
 	old.entry = p
 	old.item = i
 	if old.absentSince == 0 {
