Show a VM that relies on a leader long after its entry expired

A VM that reaches no store but other VMs gets its confirmations from those. Once its entry has expired, a VM that starts knows nothing of it. TestNoVMReliesOnADeposedLeader fails: "vm-3 relies on a of record 5 after c was promoted".

--- a/edge/grants_test.go
+++ b/edge/grants_test.go
@@ -584,6 +584,15 @@
 			f.mover = "late"
 			f.moveOnce(20*time.Second, true)
 		},
+		"a VM is cut off whose entry had expired when the one that moves started": func(f *grantFleet) {
+			f.vms[3].refuse("")
+			time.Sleep(12 * time.Second)
+			f.start("late", 1, false)
+			time.Sleep(12 * time.Second)
+			f.cut(f.vms[3])
+			f.mover = "late"
+			f.moveOnce(20*time.Second, true)
+		},
 		"a VM starts again after it has yielded": func(f *grantFleet) {
 			for _, v := range f.vms {
 				v.refuse("end")
