Rely on the leader record only while moves count this VM

A VM released answers of a leader as soon as it had read the record, also before its entry was in the store, and for as long as other VMs confirmed the record to it, also long after its entry had expired. Who moved the leadership then had not asked it, and went on as "all VMs yielded": callers of that VM could get an acknowledgement of a write that the next leader lacks, for up to 1.1 s. The same held for a VM that started again after it had yielded, and got the older record and its confirmation from another VM.

A VM now relies on the record, and confirms it for others, only once its entry is in the store and it knows every change before that: from what it or others read of the store, or from one read of the record. A record that it does not know is then newer than the entry, so that its writer finds the VM in the store.

A VM that starts makes one call more, unless all start together, and accepts no callers while it cannot register.

--- a/edge/control.go
+++ b/edge/control.go
@@ -267,7 +267,7 @@
 }
 
 // checkReady lets the VM accept callers once it has the configuration, a record
-// that the store confirmed, and a leader for every route's group. With customers it
+// that the store confirmed, an entry that VMs that move a leadership find, and a leader for every route's group. With customers it
 // waits until the holders have settled: if all VMs start together, nobody holds
 // connections before that, and each would open one of its own to each target.
 func (s *supervisor) checkReady() {
@@ -278,7 +278,7 @@
 	if c == nil {
 		return
 	}
-	if _, _, ever := s.grants.StoreConfirmation(); !ever {
+	if _, _, ever := s.grants.StoreConfirmation(); !ever || !s.grants.Admitted() {
 		return
 	}
 	leads := s.grants.Record().Leads
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -247,7 +247,7 @@
 	waited := s.Now() - arrived
 	// The mover and the grants are read before the revision: a move that begins
 	// in between then began after the request arrived.
-	idle := s.mover.Idle() && s.grants.ConfirmedSinceStart()
+	idle := s.mayConfirm()
 	revision, confirmedAt, confirmed := s.grants.StoreConfirmation()
 	age := int64(-1)
 	if confirmed {
--- a/edge/gather.go
+++ b/edge/gather.go
@@ -36,7 +36,7 @@
 func (f *fleet) status() *peerpb.Status {
 	// The mover and the grants are read before the revision: a move that begins in
 	// between then began after the request arrived.
-	resting := f.mover.Idle() && f.grants.ConfirmedSinceStart() && !f.left.Load()
+	resting := f.mayConfirm() && !f.left.Load()
 	revision, _, _ := f.grants.StoreConfirmation()
 	era, _, _ := f.grants.Era()
 	return &peerpb.Status{Name: f.Settings.VM(), Record: revision.Number(), RecordEra: revision.Era(), Resting: resting, Era: era}
--- a/edge/leases.go
+++ b/edge/leases.go
@@ -29,6 +29,11 @@
 	// A VM whose entry expired is unknown to the others for at most this long once
 	// the store is back.
 	registerMaxBackoff = time.Second
+	// admissionLength is how long after the last renewal of its entry a VM may rely on the
+	// leader record. The entry expires after entryTTL. A VM that has not read it before
+	// moves a leadership establishedAfter later at the earliest, and those that have count
+	// the VM for longer.
+	admissionLength = entryTTL + establishedAfter
 	// leaseRepairJitter spreads the attempts of all VMs to replace an expired
 	// lease.
 	leaseRepairJitter = 250 * time.Millisecond
@@ -170,8 +175,12 @@
 	ended  chan struct{}
 	// lease is the lease of the entry; zero if there is none.
 	lease store.LeaseID
-	// revision is the store's revision at which the entry was written.
-	revision store.Revision
+	// revision is the store's revision at which the entry was written, and renewedAt the
+	// time of the last call that wrote or renewed it.
+	revision  store.Revision
+	renewedAt time.Duration
+	// counted reports that every change before the entry is known.
+	counted bool
 }
 
 // start runs the registrar until the context ends or deregister is called.
@@ -189,6 +198,10 @@
 	b := clock.Backoff{Min: minStoreBackoff, Max: registerMaxBackoff}
 	for ctx.Err() == nil {
 		err := r.step(ctx)
+		if err == nil {
+			r.registered.Store(true)
+			err = r.admit(ctx)
+		}
 		if ctx.Err() != nil {
 			return
 		}
@@ -198,11 +211,45 @@
 			continue
 		}
 		b.Reset()
-		r.registered.Store(true)
 		r.awaitRenewal(ctx)
 	}
 }
 
+// admit lets the VM rely on the leader record once it knows every change before its entry.
+func (r *registrar) admit(ctx context.Context) error {
+	if !r.counted {
+		if err := r.learnRecord(ctx); err != nil {
+			return err
+		}
+		r.counted = true
+		r.wakeSupervisor()
+	}
+	r.grants.Admit(r.renewedAt + admissionLength)
+	return nil
+}
+
+// learnRecord returns once the leader record that was current when the VM's entry was
+// written is known, or a later one. When the whole system starts, everything is read after
+// the registration.
+func (r *registrar) learnRecord(ctx context.Context) error {
+	for waited := time.Duration(0); r.directory.CompleteRevision() < r.revision; waited += registrationCheckInterval {
+		if !r.Settings.FirstStart() || r.synced.Load() || waited >= registrationTimeout {
+			return r.readFirstRecord(ctx)
+		}
+		sleep(ctx, registrationCheckInterval)
+	}
+	return nil
+}
+
+// readFirstRecord reads the leader record from the store, which need not have one.
+func (r *registrar) readFirstRecord(ctx context.Context) error {
+	err := r.readRecord(ctx)
+	if errors.Is(err, store.ErrAbsent) {
+		return nil
+	}
+	return err
+}
+
 // awaitRenewal returns when the entry is due for renewal or has been removed.
 func (r *registrar) awaitRenewal(ctx context.Context) {
 	for left := entryRenewInterval; left > 0 && ctx.Err() == nil; left -= superviseInterval {
@@ -252,13 +299,18 @@
 // step renews the entry's lease, or writes the entry under a new lease if there
 // is none.
 func (r *registrar) step(ctx context.Context) error {
+	sent := r.Now()
 	if r.lease != 0 {
 		_, err := r.Adapter.Store.Renew(ctx, r.lease)
+		if err == nil {
+			r.renewedAt = sent
+		}
 		if !errors.Is(err, store.ErrNoLease) {
 			return err
 		}
 		r.lease = 0
 	}
+	sent = r.Now()
 	l, err := r.Adapter.Store.Grant(ctx, entryTTL)
 	if err != nil {
 		return fmt.Errorf("grant lease for VM's entry: %w", err)
@@ -269,6 +321,7 @@
 	}
 	r.lease = l
 	r.revision = revision
+	r.renewedAt = sent
 	r.registeredAt.Store(int64(r.Now()))
 	r.registeredRevision.Store(uint64(revision))
 	return nil
--- a/edge/outage.go
+++ b/edge/outage.go
@@ -179,11 +179,17 @@
 			break
 		}
 	}
-	if c.enough() && o.mover.Idle() && o.grants.ConfirmedSinceStart() {
+	if c.enough() && o.mayConfirm() {
 		o.grants.ConfirmByPeers(revision, sent)
 	}
 }
 
+// mayConfirm reports whether this VM may confirm the leader record to other VMs: it is
+// moving no leadership, and does not forget one to which it yielded before it started.
+func (v *VM) mayConfirm() bool {
+	return v.mover.Idle() && v.grants.ConfirmedSinceStart() && v.grants.Admitted()
+}
+
 // gatherAll returns a channel with the states of the VMs that answer, zone by zone and
 // without this VM's own. It is closed when all zones have been gathered.
 func (f *fleet) gatherAll(ctx context.Context, q *peerpb.GatherRequest) <-chan []*peerpb.Status {
--- a/edge/vm.go
+++ b/edge/vm.go
@@ -196,7 +196,7 @@
 	v.wake = make(chan struct{}, 1)
 	v.moveEnded = make(chan string, moveEndedCapacity)
 	v.catalog = &catalog.Catalog{}
-	v.grants = &succession.Grants{Length: succession.GrantLength, Now: v.Now, Begun: v.startedAt}
+	v.grants = &succession.Grants{Length: succession.GrantLength, Now: v.Now, Begun: v.startedAt, Counted: true}
 	v.directory = &Directory{
 		Adapter:     v.Adapter,
 		Catalog:     v.catalog,
--- a/succession/grants.go
+++ b/succession/grants.go
@@ -43,9 +43,14 @@
 	Now func() time.Duration
 	// Begun is when this VM started, on the clock of Now.
 	Begun time.Duration
-
-	lock   sync.Mutex
-	record Record
+	// Counted reports that this VM may rely on the record only while VMs that move a
+	// leadership count it; see Admit.
+	Counted bool
+
+	lock sync.Mutex
+	// countedUntil is until when this VM is counted; zero if it never was.
+	countedUntil time.Duration
+	record       Record
 	// era is the highest era of the store that this VM knows of, and eraSince when
 	// it learned of it; losses counts how often the era has risen since.
 	era      uint64
@@ -64,6 +69,26 @@
 	changed       chan struct{}
 }
 
+// Admit lets this VM rely on the record until a time, on the clock of Now, if Counted is
+// set. By then it has an entry in the store, and has read the record after the entry was
+// written. So a record that it does not know is newer than the entry, and who wrote that
+// record finds this VM among those that have to yield.
+func (g *Grants) Admit(until time.Duration) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	g.countedUntil = until
+	g.notifyWaiters()
+}
+
+// Admitted reports whether this VM may rely on the record once that is confirmed.
+func (g *Grants) Admitted() bool {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	return g.admitted()
+}
+
+func (g *Grants) admitted() bool { return !g.Counted || g.Now() < g.countedUntil }
+
 // Observe takes in a record from any source, without confirming it. It reports
 // whether the record is newer than the known one; others are ignored.
 func (g *Grants) Observe(r Record) bool {
@@ -312,18 +337,22 @@
 }
 
 func (g *Grants) valid() bool {
-	return g.everConfirmed && g.Now()-g.confirmedAt < g.Length
+	return g.everConfirmed && g.Now()-g.confirmedAt < g.Length && g.admitted()
 }
 
-// ExpiredFor returns the time since the last confirmation expired; zero while it
-// is valid, and if there was none yet.
+// ExpiredFor returns the time since the last confirmation expired, or since this VM may
+// not rely on it any more; zero while it is valid, and if there was none yet.
 func (g *Grants) ExpiredFor() time.Duration {
 	g.lock.Lock()
 	defer g.lock.Unlock()
-	if !g.everConfirmed {
+	if !g.everConfirmed || g.Counted && g.countedUntil == 0 {
 		return 0
 	}
-	return max(g.Now()-g.confirmedAt-g.Length, 0)
+	end := g.confirmedAt + g.Length
+	if g.Counted {
+		end = min(end, g.countedUntil)
+	}
+	return max(g.Now()-end, 0)
 }
 
 // AwaitLeader waits until the target certainly leads its group, at most until a
--- a/succession/succession_test.go
+++ b/succession/succession_test.go
@@ -653,6 +653,26 @@
 			g.Confirm(5, 1, 0)
 		}, false},
 	}
+	ginkgo.It("are valid only while VMs that move a leadership count this one", func() {
+		now := time.Hour
+		g := &succession.Grants{Length: length, Now: func() time.Duration { return now }, Counted: true}
+		g.Observe(record(1, 5, stable))
+		g.Confirm(5, 0, now)
+		gomega.Expect(g.IsLeader("choir", "a")).To(gomega.BeFalse())
+		gomega.Expect(g.ExpiredFor()).To(gomega.BeZero())
+		g.Admit(now + time.Minute)
+		gomega.Expect(g.IsLeader("choir", "a")).To(gomega.BeTrue())
+		now += time.Minute
+		g.Confirm(5, 0, now)
+		gomega.Expect(g.IsLeader("choir", "a")).To(gomega.BeFalse())
+		now += time.Second
+		g.Confirm(5, 0, now)
+		gomega.Expect(g.ExpiredFor()).To(gomega.Equal(time.Second))
+		gomega.Expect(errors.Is(g.AwaitLeader(context.Background(), "choir", "a", now+time.Minute), succession.ErrUnconfirmed)).To(gomega.BeTrue())
+		g.Admit(now + time.Minute)
+		gomega.Expect(g.IsLeader("choir", "a")).To(gomega.BeTrue())
+	})
+
 	for name, c := range tests {
 		ginkgo.It(name, func() {
 			now := time.Duration(0)
