--- a/edge/silence_test.go
+++ b/edge/silence_test.go
@@ -143,6 +143,25 @@
 	}
 }
 
+// TestVMThatStartedAgainLearnsThatItsEntrySaysLeft guards against a VM that serves callers
+// while no other counts it, since the store wrote its entry of departure late.
+func TestVMThatStartedAgainLearnsThatItsEntrySaysLeft(t *testing.T) {
+	d := newPeerDirectory()
+	d.Incarnation = "2"
+	d.write(Peer{Name: "self", Incarnation: "1", Left: true})
+	if d.selfSilencedRevision() != 0 {
+		t.Error("VM takes itself for silenced when it starts")
+	}
+	d.write(Peer{Name: "self", Incarnation: "2"})
+	d.write(Peer{Name: "self", Incarnation: "1", Left: true})
+	if got := d.SelfRemovedRevision(); got != d.revision {
+		t.Errorf("removed at revision %s, want %s", got, d.revision)
+	}
+	if got := d.selfSilencedRevision(); got != d.revision {
+		t.Errorf("silenced at revision %s, want %s", got, d.revision)
+	}
+}
+
 func TestVMsOfWhichOnlyTheStoreKnewAreAsked(t *testing.T) {
 	d := newPeerDirectory()
 	d.write(Peer{Name: "known"})
