Write a VM's departure only while its entry is its own

The store may carry out a stopping VM's last write, that it has left, when the VM has started again and has registered. The others then counted the running VM no more, asked it for no yield, and it did not notice until the lease of its former entry expired, up to 8 s later. If it was cut off during a move meanwhile, its callers could get an acknowledgement of a write that the next leader lacks.

The write now has the condition that the entry is the one that this process wrote. A VM also takes an entry of its own that says Left for a removed one, and registers again at once, so that it is not lost beside builds that write without the condition.

--- a/edge/directory.go
+++ b/edge/directory.go
@@ -130,7 +130,8 @@
 	// name.
 	recent map[string]recentPeer
 	// selfRemoved is the revision at which this VM's entry was last removed or last
-	// began to say Silent, and selfSilenced the one at which it did the latter.
+	// began to say Silent or Left, and selfSilenced the one at which it did the latter. An
+	// entry of an earlier start that says Left when this VM starts is no silence.
 	selfRemoved, selfSilenced store.Revision
 	// selfSeen reports that this VM's own entry was read, and selfReturned that the
 	// entry of an earlier start was still there before.
@@ -368,13 +369,16 @@
 // peerDiscounted records that a VM has stopped, or that it answers nobody. Its entry
 // expires later.
 func (d *Directory) peerDiscounted(p Peer, i store.Item) {
-	if p.Name == d.Self && p.Silent {
-		d.selfRemoved, d.selfSilenced = i.Revision, i.Revision
+	old := d.peers[p.Name]
+	if p.Name == d.Self {
+		d.selfRemoved = i.Revision
+		if p.Silent || old != nil && old.entry.Incarnation == d.Incarnation {
+			d.selfSilenced = i.Revision
+		}
 	}
 	if p.Left {
 		delete(d.recent, p.Name)
 	}
-	old := d.peers[p.Name]
 	if old == nil && p.Left {
 		return
 	}
@@ -574,7 +578,7 @@
 }
 
 // SelfRemovedRevision returns the store's revision at which this VM's entry was
-// last removed or last began to say Silent; zero if it never was.
+// last removed or last began to say Silent or Left; zero if it never was.
 func (d *Directory) SelfRemovedRevision() store.Revision {
 	d.lock.Lock()
 	defer d.lock.Unlock()
@@ -590,7 +594,7 @@
 }
 
 // selfSilencedRevision returns the store's revision at which this VM's entry last began
-// to say Silent; zero if it never did.
+// to say Silent, or Left after it had registered; zero if it never did.
 func (d *Directory) selfSilencedRevision() store.Revision {
 	d.lock.Lock()
 	defer d.lock.Unlock()
--- a/edge/leases.go
+++ b/edge/leases.go
@@ -282,14 +282,14 @@
 	}
 }
 
-// write writes an entry of this VM under a lease.
-func (r *registrar) write(ctx context.Context, p Peer, l store.LeaseID) (store.Revision, error) {
+// write writes an entry of this VM under a lease, if the conditions hold.
+func (r *registrar) write(ctx context.Context, p Peer, l store.LeaseID, conditions ...store.Condition) (store.Revision, error) {
 	encoded, err := json.Marshal(p)
 	if err != nil {
 		return 0, fmt.Errorf("encode VM's entry: %w", err)
 	}
 	put := store.Put{Key: vmPrefix + r.Settings.VM(), Value: encoded, Lease: l}
-	revision, err := r.Adapter.Store.Apply(ctx, store.Transaction{Puts: []store.Put{put}})
+	revision, err := r.Adapter.Store.Apply(ctx, store.Transaction{Conditions: conditions, Puts: []store.Put{put}})
 	if err != nil {
 		return 0, fmt.Errorf("write VM's entry: %w", err)
 	}
@@ -341,7 +341,9 @@
 		r.left.Store(true)
 		p := r.entry()
 		p.Left = true
-		_, err = r.write(ctx, p, r.lease)
+		// The write may be carried out when this VM has started again.
+		unchanged := store.Condition{Key: vmPrefix + r.Settings.VM(), Revision: r.revision}
+		_, err = r.write(ctx, p, r.lease, unchanged)
 	} else {
 		err = r.Adapter.Store.End(ctx, r.lease)
 	}
