Count VMs that a newcomer does not know when it confirms the record

A VM that started when the entries of all others had lapsed knew itself alone, took its own vote for most of the VMs, and confirmed the leader record for up to 7.5 s without the store. If it was cut off then, the others moved the leadership with their yields and after 1.15 s: callers of that VM could get an acknowledgement of a write that the next leader lacks.

In the first 18.5 s after its start a VM now counts as many VMs as the writer of the record did, and those that it does not know have not agreed. 18.5 s after its start it has heard of all that the others count, or its last confirmation by the store is too long ago.

TestNoVMReliesOnADeposedLeader failed before for a VM that started when all entries had lapsed: "late relies on a of record 5 after b was promoted".

--- a/edge/confirmation.go
+++ b/edge/confirmation.go
@@ -12,6 +12,9 @@
 	// awaited holds the VMs that have not agreed.
 	awaited map[string]bool
 	agreed  int
+	// known is how many VMs this one knows, itself included, and unknown how many more
+	// there may be.
+	known, unknown int
 	// thirds reports that a VM may be running whose build moves a leadership once a
 	// third of the VMs have yielded, so that two thirds have to agree.
 	thirds bool
@@ -19,7 +22,7 @@
 
 // newConfirmation returns a confirmation to which only this VM has agreed.
 func newConfirmation(others []recentPeer) *confirmation {
-	c := &confirmation{awaited: map[string]bool{}, agreed: 1}
+	c := &confirmation{awaited: map[string]bool{}, agreed: 1, known: len(others) + 1}
 	silence := true
 	for _, p := range others {
 		c.thirds = c.thirds || !p.Majority
@@ -33,6 +36,10 @@
 	return c
 }
 
+// expect makes the confirmation count VMs that this one does not know, if there may be as
+// many VMs in all.
+func (c *confirmation) expect(vms int) { c.unknown = max(vms-c.known, 0) }
+
 // agree records that a VM agrees.
 func (c *confirmation) agree(name string) {
 	if c.awaited[name] {
@@ -43,7 +50,7 @@
 
 // enough reports whether the record is confirmed.
 func (c *confirmation) enough() bool {
-	vms := c.agreed + len(c.awaited)
+	vms := c.agreed + len(c.awaited) + c.unknown
 	if c.thirds {
 		return 3*c.agreed > 2*vms
 	}
--- a/edge/confirmation_test.go
+++ b/edge/confirmation_test.go
@@ -67,3 +67,34 @@
 		t.Errorf("%d VMs agreed, enough: %t; want 2 of 4, not enough", c.agreed, c.enough())
 	}
 }
+
+// TestConfirmationCountsVMsThatAreNotKnown guards against a VM that confirms the record
+// alone, since the entries of all others had lapsed when it started.
+func TestConfirmationCountsVMsThatAreNotKnown(t *testing.T) {
+	cases := map[string]struct {
+		others []recentPeer
+		vms    int
+		agree  int
+		want   bool
+	}{
+		"the record counts no VMs":           {nil, 0, 0, true},
+		"the only VM":                        {nil, 1, 0, true},
+		"one of four, no other is known":     {nil, 4, 0, false},
+		"two of four, two are not known":     {voters(1), 4, 1, false},
+		"three of four, one is not known":    {voters(2), 4, 2, true},
+		"two of four, one of them is silent": {voters(3, 2), 4, 1, true},
+		"more than the record counts":        {voters(4), 4, 2, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			n := newConfirmation(c.others)
+			n.expect(c.vms)
+			for i := range c.agree {
+				n.agree(fmt.Sprint(i))
+			}
+			if got := n.enough(); got != c.want {
+				t.Errorf("confirmed: %t, want %t", got, c.want)
+			}
+		})
+	}
+}
--- a/edge/outage.go
+++ b/edge/outage.go
@@ -8,6 +8,7 @@
 
 	"amaranthsill/peer/peerpb"
 	"amaranthsill/store"
+	"amaranthsill/succession"
 )
 
 // Timing of calls between VMs while the store does not confirm the leader record.
@@ -38,6 +39,9 @@
 	// orphanTimeout is how long no VM that a VM follows may answer before it polls
 	// itself, like a zone watcher. It polls at once if none is left that answers.
 	orphanTimeout = 2 * time.Second
+	// newcomerPeriod is the time after its start in which a VM may lack others whose
+	// entries had lapsed when it read them, and with which it has had no contact since.
+	newcomerPeriod = establishedAfter + succession.OutageLength
 )
 
 // outagePoller asks other VMs for changes and confirmations of the leader record
@@ -158,6 +162,9 @@
 	sent := o.Now()
 	revision, _, _ := o.grants.StoreConfirmation()
 	c := newConfirmation(o.directory.recentPeers())
+	if sent-o.startedAt < newcomerPeriod {
+		c.expect(o.grants.Record().VMs)
+	}
 	q := &peerpb.GatherRequest{}
 	if !o.grants.Record().Moving() {
 		// A move that cannot end, since most VMs are split from the one that makes it,
