Wait for the old lease to end before relying on an expired outage

A move went on 9.5 s after the leadership was first seen being moved, since VMs confirm a record for one another for at most 7.5 s after the store last did. But the store confirms an older record to whoever renews its lease until that has ended, which takes a call of the one that moves. If the store did not answer that call, and a VM that renewed the lease got no changes, callers of that VM could get an acknowledgement of a write that the next leader lacks, for as long as it renewed the lease.

That time now counts only once the leases of older records have ended, and not before a grant that was renewed until then has expired.

--- a/succession/fence.go
+++ b/succession/fence.go
@@ -83,10 +83,8 @@
 	// commit can be lost.
 	stepDownTimer := time.NewTimer(stepDownTimeout)
 	defer stepDownTimer.Stop()
-	outageTimer := time.NewTimer(v.outageRemaining())
-	defer outageTimer.Stop()
 	stepped := v.stepped
-	var grantsExpired <-chan time.Time
+	var grantsExpired, outageOver <-chan time.Time
 	var yields <-chan string
 	c := &yieldCount{}
 	for {
@@ -110,9 +108,10 @@
 		case <-leasesEnded:
 			c.leasesEnded = true
 			leasesEnded = nil
+			outageOver = time.After(v.outageRemaining())
 		case <-grantsExpired:
 			return "grants of VMs that did not yield expired", true
-		case <-outageTimer.C:
+		case <-outageOver:
 			return "last confirmation of an older record by peers expired", true
 		case <-ctx.Done():
 			return "", false
@@ -124,10 +123,11 @@
 }
 
 // outageRemaining returns the time until any confirmation by peers of a record in which
-// the old leader leads has certainly expired. Unfinished moves before this one count:
-// since the first of them no record names the old leader as leading.
+// the old leader leads has certainly expired, once the leases of older records have ended.
+// Unfinished moves before this one count: since the first of them no record names the old
+// leader as leading. A VM that renewed an older lease until it ended holds a grant still.
 func (v *move) outageRemaining() time.Duration {
-	return max(min(v.movingSince, v.startedAt)+OutageLength+writeMargin-v.Now(), 0)
+	return max(min(v.movingSince, v.startedAt)+OutageLength+writeMargin-v.Now(), v.Grants.Length+clockRateMargin)
 }
 
 // closeBacked closes backed unless it is closed.
