Move leaderships under random faults in virtual time

TestGrantsUnderFaults plays fleets of VMs for a minute each while VMs start, stop, are cut off from one another or from the store, and while writes take effect late. Eight seeds run by default, more with -grants.seeds and -grants.first.

--- a/edge/grants_test.go
+++ b/edge/grants_test.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"flag"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -593,6 +594,21 @@
 			f.mover = "late"
 			f.moveOnce(20*time.Second, true)
 		},
+		"a VM is cut off whose entry lapsed before the others knew of it": func(f *grantFleet) {
+			for _, v := range f.vms {
+				v.refuse("watch", "list")
+			}
+			late := f.start("late", 1, false)
+			time.Sleep(time.Second)
+			late.refuse("grant", "apply")
+			f.store.lapse()
+			time.Sleep(3500 * time.Millisecond)
+			f.cut(late)
+			for _, v := range f.vms[:4] {
+				v.refuse("watch")
+			}
+			f.moveOnce(20*time.Second, true)
+		},
 		"a VM starts again after it has yielded": func(f *grantFleet) {
 			for _, v := range f.vms {
 				v.refuse("end")
@@ -615,3 +631,112 @@
 		t.Run(name, func(t *testing.T) { withGrantFleet(t, 4, test) })
 	}
 }
+
+// grantSeeds is how many seeds TestGrantsUnderFaults plays, and firstGrantSeed the first.
+var (
+	grantSeeds     = flag.Int("grants.seeds", 8, "how many random fleets are played")
+	firstGrantSeed = flag.Uint64("grants.first", 1, "seed of the first one")
+)
+
+// TestGrantsUnderFaults moves leaderships while VMs start, stop, are cut off from one
+// another and lose calls to the store, at random.
+func TestGrantsUnderFaults(t *testing.T) {
+	for i := range *grantSeeds {
+		seed := *firstGrantSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			r := rand.New(rand.NewPCG(seed, 0))
+			withGrantFleet(t, 3+r.IntN(4), func(f *grantFleet) { (&grantFaults{f, r}).play(time.Minute) })
+		})
+	}
+}
+
+// grantFaults disturbs a fleet.
+type grantFaults struct {
+	*grantFleet
+	rand *rand.Rand
+}
+
+func (g *grantFaults) play(length time.Duration) {
+	g.setMoving(true)
+	for begun := time.Now(); time.Since(begun) < length; time.Sleep(time.Duration(20+g.rand.IntN(1200)) * time.Millisecond) {
+		v := g.vms[g.rand.IntN(len(g.vms))]
+		switch n := g.rand.IntN(100); {
+		case n < 15:
+			g.split()
+		case n < 40:
+			g.refuseSome(v)
+		case n < 50:
+			g.heal()
+		case n < 60:
+			g.restart(v, false)
+		case n < 68:
+			g.restart(v, true)
+		case n < 73:
+			g.store.lapse()
+		case n < 78:
+			g.outage()
+		case n < 82 && len(g.vms) < 9:
+			g.start(fmt.Sprintf("late-%d", g.rand.Uint32()), g.rand.IntN(3), false)
+		default:
+			g.setMoving(g.rand.IntN(4) > 0)
+		}
+	}
+}
+
+// split puts each VM on one of two sides.
+func (g *grantFaults) split() {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	for _, v := range g.vms {
+		v.side = g.rand.IntN(2)
+	}
+}
+
+// refuseSome refuses some kinds of a VM's calls to the store, whose writes may take effect
+// later.
+func (g *grantFaults) refuseSome(v *grantVM) {
+	kinds := []string{}
+	for _, kind := range []string{"read", "list", "watch", "apply", "grant", "renew", "end"} {
+		if g.rand.IntN(2) == 0 {
+			kinds = append(kinds, kind)
+		}
+	}
+	v.refuse(kinds...)
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	v.late = time.Duration(g.rand.IntN(3000)) * time.Millisecond * time.Duration(g.rand.IntN(2))
+}
+
+// outage refuses all calls to the store.
+func (g *grantFaults) outage() {
+	for _, v := range g.vms {
+		v.refuse("")
+	}
+}
+
+// heal ends all cuts.
+func (g *grantFaults) heal() {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	for _, v := range g.vms {
+		v.side, v.refused = 0, map[string]bool{}
+	}
+}
+
+// restart stops a VM, which may write that it has left, and starts it again where it was.
+func (g *grantFaults) restart(v *grantVM, leaves bool) {
+	if leaves {
+		ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
+		v.registrar.deregister(ctx)
+		cancel()
+	}
+	v.kill()
+	time.Sleep(time.Duration(g.rand.IntN(2000)) * time.Millisecond)
+	again := g.start(v.Settings.VM(), g.rand.IntN(3), false)
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	again.side = v.side
+	if g.rand.IntN(2) == 0 {
+		again.refused, again.late = v.refused, v.late
+	}
+}
