Stop relying on the record when an entry that others may not know is lost

A VM relied on the leader record for up to 19 s after the last renewal of its entry, also if the entry had lasted for a second. Others that did not follow the store in that second never learn of the VM, and one of them may move the leadership without asking it: callers could get an acknowledgement of a write that the next leader lacks.

In the first 11 s of its entry a VM now relies on the record until the entry may have expired, 8 s after its renewal, and not at all from when it learns that the entry is gone until it has registered again. When all VMs start together, all know one another as before.

--- a/edge/leases.go
+++ b/edge/leases.go
@@ -29,10 +29,10 @@
 	// A VM whose entry expired is unknown to the others for at most this long once
 	// the store is back.
 	registerMaxBackoff = time.Second
-	// admissionLength is how long after the last renewal of its entry a VM may rely on the
-	// leader record. The entry expires after entryTTL. A VM that has not read it before
-	// moves a leadership establishedAfter later at the earliest, and those that have count
-	// the VM for longer.
+	// admissionLength is how long after the last renewal of its entry a VM that all others
+	// know may rely on the leader record. The entry expires after entryTTL. A VM that has
+	// not read it before moves a leadership establishedAfter later at the earliest, and
+	// those that have count the VM for longer. entryTTL replaces it for other VMs.
 	admissionLength = entryTTL + establishedAfter
 	// leaseRepairJitter spreads the attempts of all VMs to replace an expired
 	// lease.
@@ -179,8 +179,10 @@
 	// time of the last call that wrote or renewed it.
 	revision  store.Revision
 	renewedAt time.Duration
-	// counted reports that every change before the entry is known.
-	counted bool
+	// counted reports that every change before the entry is known, and countedSince is
+	// when the first entry was written of which that holds.
+	counted      bool
+	countedSince time.Duration
 }
 
 // start runs the registrar until the context ends or deregister is called.
@@ -222,12 +224,32 @@
 			return err
 		}
 		r.counted = true
+		r.countedSince = r.renewedAt
 		r.wakeSupervisor()
 	}
-	r.grants.Admit(r.renewedAt + admissionLength)
+	length := entryTTL
+	if r.isKnown() {
+		length = admissionLength
+	}
+	r.grants.Admit(r.renewedAt + length)
 	return nil
 }
 
+// isKnown reports whether all other VMs know this one.
+func (r *registrar) isKnown() bool {
+	return r.Settings.FirstStart() || r.Now()-r.countedSince > establishedAfter
+}
+
+// loseEntry records that the VM's entry is gone or counts no more. Others may have missed it
+// unless it was there for long.
+func (r *registrar) loseEntry() {
+	r.lease = 0
+	if r.counted && !r.isKnown() {
+		r.counted = false
+		r.grants.Admit(r.Now())
+	}
+}
+
 // learnRecord returns once the leader record that was current when the VM's entry was
 // written is known, or a later one. When the whole system starts, everything is read after
 // the registration.
@@ -256,12 +278,12 @@
 		sleep(ctx, superviseInterval)
 		if r.directory.SelfRemovedRevision() > r.revision {
 			r.Log.Info("this VM's entry was removed from the store; registering again")
-			r.lease = 0
+			r.loseEntry()
 			return
 		}
 		if r.Adapter.Store.Era() != r.revision.Era() {
 			r.Log.Info("store is in another era; registering again", "era", r.Adapter.Store.Era(), "before", r.revision.Era())
-			r.lease = 0
+			r.loseEntry()
 			sleep(ctx, rand.N(leaseRepairJitter))
 			return
 		}
@@ -308,7 +330,7 @@
 		if !errors.Is(err, store.ErrNoLease) {
 			return err
 		}
-		r.lease = 0
+		r.loseEntry()
 	}
 	sent = r.Now()
 	l, err := r.Adapter.Store.Grant(ctx, entryTTL)
