Take a VM whose entry was gone for long for one that others do not know

A VM that was cut off from the store for over 34 s is dropped by the others, but took itself for one that they all count: for ever if it belonged to the first start of the system, and else until it had registered again. As soon as it reached the store it could move a leadership with its own yield and that of half of the others, while the rest, cut off from it, confirmed the older record with more than half of those that they still counted: callers of these could get an acknowledgement of a write that the next leader lacks.

Such a VM now counts as unknown while its entry was not renewed for 20 s, and after that until its new entry is 11 s old, as one that has just started. Shorter gaps change nothing, since the others count a VM for 26 s after its entry is gone.

--- a/edge/leases.go
+++ b/edge/leases.go
@@ -175,10 +175,8 @@
 	ended  chan struct{}
 	// lease is the lease of the entry; zero if there is none.
 	lease store.LeaseID
-	// revision is the store's revision at which the entry was written, and renewedAt the
-	// time of the last call that wrote or renewed it.
-	revision  store.Revision
-	renewedAt time.Duration
+	// revision is the store's revision at which the entry was written.
+	revision store.Revision
 	// counted reports that every change before the entry is known, and countedSince is
 	// when the first entry was written of which that holds.
 	counted      bool
@@ -224,14 +222,14 @@
 			return err
 		}
 		r.counted = true
-		r.countedSince = r.renewedAt
+		r.countedSince = time.Duration(r.renewedAt.Load())
 		r.wakeSupervisor()
 	}
 	length := entryTTL
 	if r.isKnown() {
 		length = admissionLength
 	}
-	r.grants.Admit(r.renewedAt + length)
+	r.grants.Admit(time.Duration(r.renewedAt.Load()) + length)
 	return nil
 }
 
@@ -325,7 +323,7 @@
 	if r.lease != 0 {
 		_, err := r.Adapter.Store.Renew(ctx, r.lease)
 		if err == nil {
-			r.renewedAt = sent
+			r.renewedAt.Store(int64(sent))
 		}
 		if !errors.Is(err, store.ErrNoLease) {
 			return err
@@ -343,7 +341,10 @@
 	}
 	r.lease = l
 	r.revision = revision
-	r.renewedAt = sent
+	if r.registered.Load() && r.mayBeForgotten() {
+		r.forgotten.Store(true)
+	}
+	r.renewedAt.Store(int64(sent))
 	r.registeredAt.Store(int64(r.Now()))
 	r.registeredRevision.Store(uint64(revision))
 	return nil
--- a/edge/vm.go
+++ b/edge/vm.go
@@ -111,6 +111,11 @@
 	registeredAt atomic.Int64
 	// registeredRevision is the store's revision at which it was written.
 	registeredRevision atomic.Uint64
+	// renewedAt is when the VM last wrote its entry or renewed its lease, in nanoseconds
+	// since the machine's boot, and forgotten reports that others may have dropped the VM
+	// since its start because that was too long ago.
+	renewedAt atomic.Int64
+	forgotten atomic.Bool
 	// configurationConfirmedAt is when the configuration in force was last known to be
 	// the newest, in nanoseconds since the machine's boot; zero if it never was.
 	configurationConfirmedAt atomic.Int64
@@ -416,10 +421,17 @@
 // the first start of the whole system no VM can have older state.
 func (v *VM) established() bool {
 	silenced := v.directory.selfSilencedRevision()
-	if !v.registered.Load() || uint64(silenced) > v.registeredRevision.Load() {
+	if !v.registered.Load() || uint64(silenced) > v.registeredRevision.Load() || v.mayBeForgotten() {
 		return false
 	}
-	return v.Settings.FirstStart() && silenced == 0 || v.Now()-time.Duration(v.registeredAt.Load()) > establishedAfter
+	knownFromStart := v.Settings.FirstStart() && silenced == 0 && !v.forgotten.Load()
+	return knownFromStart || v.Now()-time.Duration(v.registeredAt.Load()) > establishedAfter
+}
+
+// mayBeForgotten reports whether this VM's entry was renewed so long ago that it may have
+// been gone for recentPeerRetention, after which others count the VM no more.
+func (v *VM) mayBeForgotten() bool {
+	return v.Now()-time.Duration(v.renewedAt.Load()) > recentPeerRetention
 }
 
 // wakeSupervisor makes the supervisor check all groups at once.
