--- a/edge/silence_test.go
+++ b/edge/silence_test.go
@@ -233,3 +233,27 @@
 		t.Errorf("VM that is back: silent %t, returned %t, first seen %s; want false, true, %s", p.Silent, p.returned, p.firstSeen, d.now)
 	}
 }
+
+// TestYieldOfAVMWithoutAnEntryNeverCounts guards against a move that counts the yield of a
+// VM that others, who learned of the end of its entry before, have dropped.
+func TestYieldOfAVMWithoutAnEntryNeverCounts(t *testing.T) {
+	d := newPeerDirectory()
+	f := &fleet{VM: &VM{Now: d.Now}}
+	d.write(Peer{Name: "x"})
+	d.now += time.Minute
+	d.recentPeers()
+	d.revision++
+	d.Apply(store.Item{Key: vmPrefix + "x", Revision: d.revision, Deleted: true})
+	if p, ok := d.recentPeer("x"); !ok || f.member(p).Silent {
+		t.Errorf("VM whose entry has just expired: counted %t, silent %t; want true, false", ok, f.member(p).Silent)
+	}
+	d.now += peerRetention + time.Second
+	d.Expire()
+	if p, ok := d.recentPeer("x"); !ok || !f.member(p).Silent {
+		t.Errorf("VM whose entry is gone for long: counted %t, silent %t; want true, true", ok, f.member(p).Silent)
+	}
+	d.write(Peer{Name: "x"})
+	if p, ok := d.recentPeer("x"); !ok || f.member(p).Silent {
+		t.Errorf("VM that is back: counted %t, silent %t; want true, false", ok, f.member(p).Silent)
+	}
+}
