Take no vote of a VM whose entry is gone

Who moves a leadership counted the yield of a VM whose entry had expired for as long as it remembered the VM, 26 s. Others, which learned of the end of the entry some seconds before, had dropped the VM and confirmed the older record with more than half of the rest: callers could get an acknowledgement of a write that the next leader lacks.

Such a VM is still asked to yield, and counts as one that has not, as one that is marked as silent. If it returns, it is new to the others for 11 s. VMs whose entries expire in an outage of the store register again within peerRetention and keep their votes.

--- a/edge/directory.go
+++ b/edge/directory.go
@@ -143,7 +143,7 @@
 
 // recentPeer is a VM that counts or recently counted as running, and the times at which
 // it was first and last seen as a peer. A VM that returns after its entry said Silent
-// or Left is seen for the first time again.
+// or Left, or was gone for peerRetention, is seen for the first time again.
 type recentPeer struct {
 	Peer
 	firstSeen, lastSeen time.Duration
@@ -152,6 +152,8 @@
 	// unheard reports that the VM's entry says Silent, and that this VM knows every
 	// change up to that one.
 	unheard bool
+	// dropped reports that the VM no longer counts as running, since its entry is gone.
+	dropped bool
 }
 
 // registration is an entry and the time since which it has been absent from the
@@ -346,7 +348,8 @@
 	if old == nil && !d.quiet {
 		d.Log.Info("VM joined", "peer", name, "zone", p.Zone, "address", p.Address)
 	}
-	if r := d.recent[name]; r.Silent || old != nil && (old.entry.Silent || old.entry.Left) {
+	r, dropped := d.recent[name]
+	if old == nil && dropped || r.Silent || old != nil && (old.entry.Silent || old.entry.Left) {
 		// VMs that do not know of the new entry yet do not count this VM.
 		now := d.Now()
 		d.recent[name] = recentPeer{Peer: p, firstSeen: now, lastSeen: now, returned: true}
@@ -542,6 +545,7 @@
 			continue
 		}
 		// The entry of a silent VM expires; what it said is known from before.
+		p.dropped = d.peers[name] == nil
 		p.unheard = p.Silent && d.items[vmPrefix+name].Revision <= d.completeRevision
 		list = append(list, p)
 	}
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -163,11 +163,12 @@
 
 // member returns a VM as a member of the succession. It is established, and so
 // counted in quorums, once it has been registered for establishedAfter. On the
-// first start of the whole system all VMs are established from the beginning.
+// first start of the whole system all VMs are established from the beginning. Others may
+// have dropped a VM whose entry is gone, so that its yield is no vote.
 func (f *fleet) member(p recentPeer) succession.Member {
 	return succession.Member{
 		Name:        p.Name,
-		Silent:      p.Silent,
+		Silent:      p.Silent || p.dropped,
 		Established: f.Settings.FirstStart() && !p.returned && f.Now()-f.startedAt < establishedAfter || f.Now()-p.firstSeen > establishedAfter,
 	}
 }
--- a/edge/silence_test.go
+++ b/edge/silence_test.go
@@ -253,7 +253,7 @@
 		t.Errorf("VM whose entry is gone for long: counted %t, silent %t; want true, true", ok, f.member(p).Silent)
 	}
 	d.write(Peer{Name: "x"})
-	if p, ok := d.recentPeer("x"); !ok || f.member(p).Silent {
-		t.Errorf("VM that is back: counted %t, silent %t; want true, false", ok, f.member(p).Silent)
+	if p, ok := d.recentPeer("x"); !ok || f.member(p).Silent || !p.returned || p.firstSeen != d.now {
+		t.Errorf("VM that is back: counted %t, silent %t, returned %t, first seen %s; want true, false, true, %s", ok, f.member(p).Silent, p.returned, p.firstSeen, d.now)
 	}
 }
--- a/succession/mover.go
+++ b/succession/mover.go
@@ -141,8 +141,8 @@
 	// Established reports that every VM has known this one for long enough to
 	// count it in the majority that confirms a record without the store.
 	Established bool
-	// Silent reports that the VM's entry says that it answers nobody. Others may not
-	// count it any more, so its yield is no vote.
+	// Silent reports that the VM's entry says that it answers nobody, or is gone. Others
+	// may not count the VM any more, so its yield is no vote.
 	Silent bool
 }
 
