--- a/edge/grants_test.go
+++ b/edge/grants_test.go
@@ -635,6 +635,14 @@
 			f.mover = "vm-0"
 			f.moveOnce(20*time.Second, true)
 		},
+		"VMs that most of the others do not know have joined soon after the first start": func(f *grantFleet) {
+			f.cut(f.vms[1], f.vms[2], f.vms[3])
+			f.start("late-1", 0, false)
+			f.start("late-2", 1, false)
+			time.Sleep(500 * time.Millisecond)
+			f.mover = "vm-0"
+			f.moveOnce(5*time.Second, false)
+		},
 		"a VM starts again after it has yielded": func(f *grantFleet) {
 			for _, v := range f.vms {
 				v.refuse("end")
