Count only VMs of the first start as known from the beginning

In the first 11 s after the first start of the whole system, a VM that moved a leadership took all VMs for ones that every other knows, also those that had joined since. If most of the former VMs were cut off from it and from the store when two had joined, it went on with its own yield and theirs as half of all, and after 1.15 s had another target promoted, while the rest, more than half of those that they knew, confirmed the older record for one another for up to 7.5 s: callers of these could get an acknowledgement of a write that the next leader lacks.

A VM now writes to its entry that it belongs to the first start, and only such VMs are known from the beginning.

--- a/edge/directory.go
+++ b/edge/directory.go
@@ -56,6 +56,9 @@
 	Cores float64 `json:"cores,omitempty"`
 	// Incarnation differs for each start of the VM.
 	Incarnation string `json:"incarnation"`
+	// First reports that the VM started with the whole system, so that the others that did
+	// know it from the beginning.
+	First bool `json:"first,omitempty"`
 	// Majority reports that the VM moves a leadership only once half of the VMs
 	// have yielded, and not a third as builds that do not write it.
 	Majority bool `json:"majority,omitempty"`
@@ -73,6 +76,7 @@
 // a restart alone does not change the membership.
 func (p Peer) position() Peer {
 	p.Incarnation = ""
+	p.First = false
 	p.Silent = false
 	p.Left = false
 	return p
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -163,16 +163,22 @@
 
 // member returns a VM as a member of the succession. It is established, and so
 // counted in quorums, once it has been registered for establishedAfter. On the
-// first start of the whole system all VMs are established from the beginning. Others may
+// first start of the whole system all VMs that are part of it are established from the
+// beginning. Others may
 // have dropped a VM whose entry is gone, so that its yield is no vote.
 func (f *fleet) member(p recentPeer) succession.Member {
 	return succession.Member{
 		Name:        p.Name,
 		Silent:      p.Silent || p.dropped,
-		Established: f.Settings.FirstStart() && !p.returned && f.Now()-f.startedAt < establishedAfter || f.Now()-p.firstSeen > establishedAfter,
+		Established: f.isFromStart(p) || f.Now()-p.firstSeen > establishedAfter,
 	}
 }
 
+// isFromStart reports whether a VM started with the whole system, as this one did lately.
+func (f *fleet) isFromStart(p recentPeer) bool {
+	return f.Settings.FirstStart() && p.First && !p.returned && f.Now()-f.startedAt < establishedAfter
+}
+
 // requestYield calls Yield on a VM until it succeeds, and then sends the VM's name to
 // yields.
 func (f *fleet) requestYield(ctx context.Context, p recentPeer, q *peerpb.YieldRequest, yields chan<- string) {
--- a/edge/leases.go
+++ b/edge/leases.go
@@ -297,6 +297,7 @@
 		Relay:       r.Settings.RelayAddress(),
 		Cores:       r.Settings.Cores(),
 		Incarnation: r.incarnation,
+		First:       r.Settings.FirstStart(),
 		Majority:    true,
 		Silence:     true,
 	}
