--- a/edge/directory.go
+++ b/edge/directory.go
@@ -57,6 +57,9 @@
 	Cores float64 `json:"cores,omitempty"`
 	// Incarnation differs for each start of the VM.
 	Incarnation string `json:"incarnation"`
+	// First reports that the VM started with the whole system, so that the others that did
+	// know it from the beginning.
+	First bool `json:"first,omitempty"`
 	// Majority reports that the VM moves a leadership only once half of the VMs
 	// have yielded, and not a third as builds that do not write it.
 	Majority bool `json:"majority,omitempty"`
@@ -74,6 +77,7 @@
 // a restart alone does not change the membership.
 func (p Peer) position() Peer {
 	p.Incarnation = ""
+	p.First = false
 	p.Silent = false
 	p.Left = false
 	return p
@@ -131,7 +135,8 @@
 	// name.
 	recent map[string]recentPeer
 	// selfRemoved is the revision at which this VM's entry was last removed or last
-	// began to say Silent, and selfSilenced the one at which it did the latter.
+	// began to say Silent or Left, and selfSilenced the one at which it did the latter. An
+	// entry of an earlier start that says Left when this VM starts is no silence.
 	selfRemoved, selfSilenced store.Revision
 	// selfSeen reports that this VM's own entry was read, and selfReturned that the
 	// entry of an earlier start was still there before.
@@ -147,7 +152,7 @@
 
 // recentPeer is a VM that counts or recently counted as running, and the times at which
 // it was first and last seen as a peer. A VM that returns after its entry said Silent
-// or Left is seen for the first time again.
+// or Left, or was gone for peerRetention, is seen for the first time again.
 type recentPeer struct {
 	Peer
 	firstSeen, lastSeen time.Duration
@@ -156,6 +161,8 @@
 	// unheard reports that the VM's entry says Silent, and that this VM knows every
 	// change up to that one.
 	unheard bool
+	// dropped reports that the VM no longer counts as running, since its entry is gone.
+	dropped bool
 }
 
 // registration is an entry and the time since which it has been absent from the
@@ -353,7 +360,8 @@
 	if old == nil && !d.quiet {
 		d.Log.Info("VM joined", "peer", name, "zone", p.Zone, "address", p.Address)
 	}
-	if r := d.recent[name]; r.Silent || old != nil && (old.entry.Silent || old.entry.Left) {
+	r, dropped := d.recent[name]
+	if old == nil && dropped || r.Silent || old != nil && (old.entry.Silent || old.entry.Left) {
 		// VMs that do not know of the new entry yet do not count this VM.
 		now := d.Now()
 		d.recent[name] = recentPeer{Peer: p, firstSeen: now, lastSeen: now, returned: true}
@@ -376,17 +384,28 @@
 // peerDiscounted records that a VM has stopped, or that it answers nobody. Its entry
 // expires later.
 func (d *Directory) peerDiscounted(p Peer, i store.Item) {
-	if p.Name == d.Self && p.Silent {
-		d.selfRemoved, d.selfSilenced = i.Revision, i.Revision
+	old := d.peers[p.Name]
+	if p.Name == d.Self {
+		d.selfRemoved = i.Revision
+		if p.Silent || old != nil && old.entry.Incarnation == d.Incarnation {
+			d.selfSilenced = i.Revision
+		}
 	}
 	if p.Left {
 		delete(d.recent, p.Name)
 	}
-	old := d.peers[p.Name]
-	if old == nil {
+	if old == nil && p.Left {
 		return
 	}
-	d.Log.Info("VM has no vote any more", "peer", p.Name, "left", p.Left, "silent", p.Silent)
+	if old == nil {
+		// A silent VM may still answer callers, and hold connections to targets.
+		old = &registration[Peer]{}
+		d.peers[p.Name] = old
+		d.present = nil
+	}
+	if !d.quiet {
+		d.Log.Info("VM has no vote any more", "peer", p.Name, "left", p.Left, "silent", p.Silent)
+	}
 	old.entry = p
 	old.item = i
 	if old.absentSince == 0 {
@@ -538,6 +557,7 @@
 			continue
 		}
 		// The entry of a silent VM expires; what it said is known from before.
+		p.dropped = d.peers[name] == nil
 		p.unheard = p.Silent && d.items[vmPrefix+name].Revision <= d.completeRevision
 		list = append(list, p)
 	}
@@ -574,7 +594,7 @@
 }
 
 // SelfRemovedRevision returns the store's revision at which this VM's entry was
-// last removed or last began to say Silent; zero if it never was.
+// last removed or last began to say Silent or Left; zero if it never was.
 func (d *Directory) SelfRemovedRevision() store.Revision {
 	d.lock.Lock()
 	defer d.lock.Unlock()
@@ -590,7 +610,7 @@
 }
 
 // selfSilencedRevision returns the store's revision at which this VM's entry last began
-// to say Silent; zero if it never did.
+// to say Silent, or Left after it had registered; zero if it never did.
 func (d *Directory) selfSilencedRevision() store.Revision {
 	d.lock.Lock()
 	defer d.lock.Unlock()
--- a/edge/leases.go
+++ b/edge/leases.go
@@ -29,6 +29,11 @@
 	// A VM whose entry expired is unknown to the others for at most this long once
 	// the store is back.
 	registerMaxBackoff = time.Second
+	// admissionLength is how long after the last renewal of its entry a VM that all others
+	// know may rely on the leader record. The entry expires after entryTTL. A VM that has
+	// not read it before moves a leadership establishedAfter later at the earliest, and
+	// those that have count the VM for longer. entryTTL replaces it for other VMs.
+	admissionLength = entryTTL + establishedAfter
 	// leaseRepairJitter spreads the attempts of all VMs to replace an expired
 	// lease.
 	leaseRepairJitter = 250 * time.Millisecond
@@ -172,6 +177,10 @@
 	lease store.LeaseID
 	// revision is the store's revision at which the entry was written.
 	revision store.Revision
+	// counted reports that every change before the entry is known, and countedSince is
+	// when the first entry was written of which that holds.
+	counted      bool
+	countedSince time.Duration
 }
 
 // start runs the registrar until the context ends or deregister is called.
@@ -189,6 +198,10 @@
 	b := clock.Backoff{Min: minStoreBackoff, Max: registerMaxBackoff}
 	for ctx.Err() == nil {
 		err := r.step(ctx)
+		if err == nil {
+			r.registered.Store(true)
+			err = r.admit(ctx)
+		}
 		if ctx.Err() != nil {
 			return
 		}
@@ -198,23 +211,77 @@
 			continue
 		}
 		b.Reset()
-		r.registered.Store(true)
 		r.awaitRenewal(ctx)
 	}
 }
 
+// admit lets the VM rely on the leader record once it knows every change before its entry.
+func (r *registrar) admit(ctx context.Context) error {
+	if !r.counted {
+		if err := r.learnRecord(ctx); err != nil {
+			return err
+		}
+		r.counted = true
+		r.countedSince = time.Duration(r.renewedAt.Load())
+		r.wakeSupervisor()
+	}
+	length := entryTTL
+	if r.isKnown() {
+		length = admissionLength
+	}
+	r.grants.Admit(time.Duration(r.renewedAt.Load()) + length)
+	return nil
+}
+
+// isKnown reports whether all other VMs know this one.
+func (r *registrar) isKnown() bool {
+	return r.Settings.FirstStart() || r.Now()-r.countedSince > establishedAfter
+}
+
+// loseEntry records that the VM's entry is gone or counts no more. Others may have missed it
+// unless it was there for long.
+func (r *registrar) loseEntry() {
+	r.lease = 0
+	if r.counted && !r.isKnown() {
+		r.counted = false
+		r.grants.Admit(r.Now())
+	}
+}
+
+// learnRecord returns once the leader record that was current when the VM's entry was
+// written is known, or a later one. When the whole system starts, everything is read after
+// the registration.
+func (r *registrar) learnRecord(ctx context.Context) error {
+	for waited := time.Duration(0); r.directory.CompleteRevision() < r.revision; waited += registrationCheckInterval {
+		if !r.Settings.FirstStart() || r.synced.Load() || waited >= registrationTimeout {
+			return r.readFirstRecord(ctx)
+		}
+		sleep(ctx, registrationCheckInterval)
+	}
+	return nil
+}
+
+// readFirstRecord reads the leader record from the store, which need not have one.
+func (r *registrar) readFirstRecord(ctx context.Context) error {
+	err := r.readRecord(ctx)
+	if errors.Is(err, store.ErrAbsent) {
+		return nil
+	}
+	return err
+}
+
 // awaitRenewal returns when the entry is due for renewal or has been removed.
 func (r *registrar) awaitRenewal(ctx context.Context) {
 	for left := entryRenewInterval; left > 0 && ctx.Err() == nil; left -= superviseInterval {
 		sleep(ctx, superviseInterval)
 		if r.directory.SelfRemovedRevision() > r.revision {
 			r.Log.Info("this VM's entry was removed from the store; registering again")
-			r.lease = 0
+			r.loseEntry()
 			return
 		}
 		if r.Adapter.Store.Era() != r.revision.Era() {
 			r.Log.Info("store is in another era; registering again", "era", r.Adapter.Store.Era(), "before", r.revision.Era())
-			r.lease = 0
+			r.loseEntry()
 			sleep(ctx, rand.N(leaseRepairJitter))
 			return
 		}
@@ -230,19 +297,20 @@
 		Relay:       r.Settings.RelayAddress(),
 		Cores:       r.Settings.Cores(),
 		Incarnation: r.incarnation,
+		First:       r.Settings.FirstStart(),
 		Majority:    true,
 		Silence:     true,
 	}
 }
 
-// write writes an entry of this VM under a lease.
-func (r *registrar) write(ctx context.Context, p Peer, l store.LeaseID) (store.Revision, error) {
+// write writes an entry of this VM under a lease, if the conditions hold.
+func (r *registrar) write(ctx context.Context, p Peer, l store.LeaseID, conditions ...store.Condition) (store.Revision, error) {
 	encoded, err := json.Marshal(p)
 	if err != nil {
 		return 0, fmt.Errorf("encode VM's entry: %w", err)
 	}
 	put := store.Put{Key: vmPrefix + r.Settings.VM(), Value: encoded, Lease: l}
-	revision, err := r.Adapter.Store.Apply(ctx, store.Transaction{Puts: []store.Put{put}})
+	revision, err := r.Adapter.Store.Apply(ctx, store.Transaction{Conditions: conditions, Puts: []store.Put{put}})
 	if err != nil {
 		return 0, fmt.Errorf("write VM's entry: %w", err)
 	}
@@ -252,13 +320,18 @@
 // step renews the entry's lease, or writes the entry under a new lease if there
 // is none.
 func (r *registrar) step(ctx context.Context) error {
+	sent := r.Now()
 	if r.lease != 0 {
 		_, err := r.Adapter.Store.Renew(ctx, r.lease)
+		if err == nil {
+			r.renewedAt.Store(int64(sent))
+		}
 		if !errors.Is(err, store.ErrNoLease) {
 			return err
 		}
-		r.lease = 0
+		r.loseEntry()
 	}
+	sent = r.Now()
 	l, err := r.Adapter.Store.Grant(ctx, entryTTL)
 	if err != nil {
 		return fmt.Errorf("grant lease for VM's entry: %w", err)
@@ -269,6 +342,10 @@
 	}
 	r.lease = l
 	r.revision = revision
+	if r.registered.Load() && r.mayBeForgotten() {
+		r.forgotten.Store(true)
+	}
+	r.renewedAt.Store(int64(sent))
 	r.registeredAt.Store(int64(r.Now()))
 	r.registeredRevision.Store(uint64(revision))
 	return nil
@@ -288,7 +365,9 @@
 		r.left.Store(true)
 		p := r.entry()
 		p.Left = true
-		_, err = r.write(ctx, p, r.lease)
+		// The write may be carried out when this VM has started again.
+		unchanged := store.Condition{Key: vmPrefix + r.Settings.VM(), Revision: r.revision}
+		_, err = r.write(ctx, p, r.lease, unchanged)
 	} else {
 		err = r.Adapter.Store.End(ctx, r.lease)
 	}
--- a/edge/silence_test.go
+++ b/edge/silence_test.go
@@ -143,6 +143,25 @@
 	}
 }
 
+// TestVMThatStartedAgainLearnsThatItsEntrySaysLeft guards against a VM that serves callers
+// while no other counts it, since the store wrote its entry of departure late.
+func TestVMThatStartedAgainLearnsThatItsEntrySaysLeft(t *testing.T) {
+	d := newPeerDirectory()
+	d.Incarnation = "2"
+	d.write(Peer{Name: "self", Incarnation: "1", Left: true})
+	if d.selfSilencedRevision() != 0 {
+		t.Error("VM takes itself for silenced when it starts")
+	}
+	d.write(Peer{Name: "self", Incarnation: "2"})
+	d.write(Peer{Name: "self", Incarnation: "1", Left: true})
+	if got := d.SelfRemovedRevision(); got != d.revision {
+		t.Errorf("removed at revision %s, want %s", got, d.revision)
+	}
+	if got := d.selfSilencedRevision(); got != d.revision {
+		t.Errorf("silenced at revision %s, want %s", got, d.revision)
+	}
+}
+
 func TestVMsOfWhichOnlyTheStoreKnewAreAsked(t *testing.T) {
 	d := newPeerDirectory()
 	d.write(Peer{Name: "known"})
@@ -191,3 +210,50 @@
 		t.Error("yield of a silent VM counts")
 	}
 }
+
+// TestSilentVMIsCountedByVMsThatStartedLater guards against a VM that moves a leadership
+// without one that still answers callers, because that one's entry said Silent already when
+// it was first read.
+func TestSilentVMIsCountedByVMsThatStartedLater(t *testing.T) {
+	d := newPeerDirectory()
+	d.write(Peer{Name: "x", Silent: true})
+	d.write(Peer{Name: "y", Left: true})
+	if p, ok := d.recentPeer("x"); !ok || !p.Silent {
+		t.Errorf("silent VM: counted %t, silent %t; want true, true", ok, p.Silent)
+	}
+	if d.votes("x") {
+		t.Error("silent VM votes")
+	}
+	if _, ok := d.recentPeer("y"); ok {
+		t.Error("stopped VM is asked to yield")
+	}
+	d.now += time.Second
+	d.write(Peer{Name: "x"})
+	if p, _ := d.recentPeer("x"); p.Silent || !p.returned || p.firstSeen != d.now {
+		t.Errorf("VM that is back: silent %t, returned %t, first seen %s; want false, true, %s", p.Silent, p.returned, p.firstSeen, d.now)
+	}
+}
+
+// TestYieldOfAVMWithoutAnEntryNeverCounts guards against a move that counts the yield of a
+// VM that others, who learned of the end of its entry before, have dropped.
+func TestYieldOfAVMWithoutAnEntryNeverCounts(t *testing.T) {
+	d := newPeerDirectory()
+	f := &fleet{VM: &VM{Now: d.Now}}
+	d.write(Peer{Name: "x"})
+	d.now += time.Minute
+	d.recentPeers()
+	d.revision++
+	d.Apply(store.Item{Key: vmPrefix + "x", Revision: d.revision, Deleted: true})
+	if p, ok := d.recentPeer("x"); !ok || f.member(p).Silent {
+		t.Errorf("VM whose entry has just expired: counted %t, silent %t; want true, false", ok, f.member(p).Silent)
+	}
+	d.now += peerRetention + time.Second
+	d.Expire()
+	if p, ok := d.recentPeer("x"); !ok || !f.member(p).Silent {
+		t.Errorf("VM whose entry is gone for long: counted %t, silent %t; want true, true", ok, f.member(p).Silent)
+	}
+	d.write(Peer{Name: "x"})
+	if p, ok := d.recentPeer("x"); !ok || f.member(p).Silent || !p.returned || p.firstSeen != d.now {
+		t.Errorf("VM that is back: counted %t, silent %t, returned %t, first seen %s; want true, false, true, %s", ok, f.member(p).Silent, p.returned, p.firstSeen, d.now)
+	}
+}
--- a/succession/succession_test.go
+++ b/succession/succession_test.go
@@ -557,6 +557,24 @@
 		gomega.Expect(clock.SinceBoot() - begun).To(gomega.BeNumerically("<", time.Second))
 	})
 
+	ginkgo.It("does not count that time while VMs may renew the old lease", func() {
+		// The store ends no lease for this VM, and one that this VM does not reach renews it.
+		s := newFixture()
+		s.fakePlatform.down["a"] = true
+		s.fakeFleet.members = []succession.Member{{Name: "x", Established: true}, {Name: "y", Established: true}, {Name: "z", Established: true}}
+		s.memoryStore.keepLeases = true
+		since := clock.SinceBoot() - time.Minute
+		begun := clock.SinceBoot()
+		time.AfterFunc(500*time.Millisecond, func() {
+			s.memoryStore.lock.Lock()
+			defer s.memoryStore.lock.Unlock()
+			s.memoryStore.keepLeases = false
+		})
+		err := s.mover("vm-0").MoveIf(context.Background(), "choir", s.grants.Lead("choir"), since, "test", func(context.Context) bool { return true })
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(clock.SinceBoot() - begun).To(gomega.BeNumerically(">=", 500*time.Millisecond+s.grants.Length))
+	})
+
 	ginkgo.It("names the first of several unfinished moves, but not one that another leader followed", func() {
 		s := newFixture()
 		s.reports["b"].Received = group.At(3, 9)
@@ -848,6 +866,27 @@
 			g.Confirm(5, 1, 0)
 		}, false},
 	}
+	ginkgo.It("are valid only while VMs that move a leadership count this one", func() {
+		now := time.Hour
+		g := &succession.Grants{Length: length, Now: func() time.Duration { return now }, Counted: true}
+		g.Observe(record(1, 5, stable))
+		g.Confirm(5, 0, now)
+		gomega.Expect(g.IsLeader("choir", "a")).To(gomega.BeFalse())
+		gomega.Expect(g.ExpiredFor()).To(gomega.BeZero())
+		g.Admit(now + time.Minute)
+		gomega.Expect(g.IsLeader("choir", "a")).To(gomega.BeTrue())
+		now += time.Minute
+		g.Confirm(5, 0, now)
+		gomega.Expect(g.IsLeader("choir", "a")).To(gomega.BeFalse())
+		now += time.Second
+		g.Confirm(5, 0, now)
+		gomega.Expect(g.ExpiredFor()).To(gomega.Equal(time.Second))
+		l, _ := g.Leadership("choir", "a")
+		gomega.Expect(errors.Is(g.AwaitLeadership(context.Background(), "choir", l, now+time.Minute), succession.ErrUnconfirmed)).To(gomega.BeTrue())
+		g.Admit(now + time.Minute)
+		gomega.Expect(g.IsLeader("choir", "a")).To(gomega.BeTrue())
+	})
+
 	for name, c := range tests {
 		ginkgo.It(name, func() {
 			now := time.Duration(0)
