--- a/edge/grants_test.go
+++ b/edge/grants_test.go
@@ -23,7 +23,6 @@
 
 	"amaranthsill/pool"
 	"amaranthsill/store"
-	"amaranthsill/succession"
 )
 
 // grantFleet is VMs that confirm and move the leadership of one group, choir, in virtual
