Pin down that positions below an earlier one are not taken

After a change of the leader the new one may answer with a position of the old term and below those that the former leader reached, until its first commit. Samples ignores these, so that no read lacks commits because of them; reads that find no position run on the leader. The spec passes as the code is.

--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -321,6 +321,21 @@
 		gomega.Expect(s.Age(group.At(1, 6), time.Second)).To(gomega.Equal(300 * time.Millisecond))
 	})
 
+	// Guards against reads that lack acknowledged commits: after a change of the leader the
+	// first positions may be of the old term, and below those of the former leader.
+	ginkgo.It("ignore a position below an earlier one", func() {
+		s := &pool.Samples{}
+		s.Add(time.Second, group.At(1, 95))
+		s.Add(2*time.Second, group.At(1, 93))
+		_, _, ok := s.Covering(1500 * time.Millisecond)
+		gomega.Expect(ok).To(gomega.BeFalse())
+		s.Add(3*time.Second, group.At(2, 94))
+		p, at, ok := s.Covering(1500 * time.Millisecond)
+		gomega.Expect(ok).To(gomega.BeTrue())
+		gomega.Expect(p).To(gomega.Equal(group.At(2, 94)))
+		gomega.Expect(at).To(gomega.Equal(3 * time.Second))
+	})
+
 	ginkgo.It("ignore an answer without a position", func() {
 		s := &pool.Samples{}
 		s.Add(time.Second, query.Position{})
