Model a VM whose entry the one that moves may not find

With JOIN, VM 1 of spec/leaders.pml has no entry in the store at first, and the failover asks it to yield only if the entry is there when the entries are read. The mutants JOIN_LATE (no entry needed) and JOIN_EARLY (the entry alone is enough) violate it, and so does NO_WAIT.

--- a/scripts/spec.sh
+++ b/scripts/spec.sh
@@ -52,6 +52,10 @@
 for mutant in SILENT_VOTE SILENT_EARLY ALONE EARLY_WAIT; do
   check "silent-$mutant" leaders.pml violated -DSILENT -D$mutant
 done
+check join leaders.pml holds -DJOIN
+for mutant in JOIN_EARLY JOIN_LATE NO_WAIT; do
+  check "join-$mutant" leaders.pml violated -DJOIN -D$mutant
+done
 check loss leaders.pml holds -DLOSS
 for mutant in CONFIRM_LOST VOUCH_LOST SETTLE_EARLY SETTLE_BLIND; do
   check "loss-$mutant" leaders.pml violated -DLOSS -D$mutant
--- a/spec/leaders.pml
+++ b/spec/leaders.pml
@@ -20,6 +20,10 @@
  * VMs. VM 0 reads the entries after it has written its record, and does not take the
  * yield of a VM that is said to be silent for one of the half that it needs.
  *
+ * With JOIN, VM 1 has no entry in the store at first, and knows the record all the same.
+ * VM 0 asks VM 1 to yield only if the entry is there when it reads the entries. VM 1 relies
+ * on the record only once it has read it after its entry was written.
+ *
  * With LOSS, the store comes back once from a copy in which the record names the old
  * leader, under a lease that lives. It then confirms no record until VM 3 has written
  * the newest that the VMs know again. Before that, VM 3 has VM 0's answer, or waits
@@ -51,6 +55,11 @@
  *   SILENT_EARLY VM 1 counts a silent VM no more although it lacks an earlier change of
  *                the record
  *
+ * With JOIN also:
+ *
+ *   JOIN_EARLY   VM 1 relies on the record as soon as its entry is in the store
+ *   JOIN_LATE    VM 1 relies on the record before it has an entry
+ *
  * With LOSS also:
  *
  *   CONFIRM_LOST the store confirms the record that the copy holds
@@ -100,6 +109,25 @@
 byte silentSince = 0;
 bit  unheard = 0;
 
+/* Whether the store has an entry of VM 1, and whether VM 1 may rely on the record. */
+#ifdef JOIN
+bit  entry = 0;
+bit  admitted = 0;
+#else
+#define entry 1
+#define admitted 1
+#endif
+
+#ifdef JOIN_LATE
+#define counted 1
+#else
+#ifdef JOIN_EARLY
+#define counted (entry)
+#else
+#define counted (admitted)
+#endif
+#endif
+
 /* Whether the old target still accepts writes, and whether the new one was
  * promoted. */
 bit  leads = 1;
@@ -136,7 +164,7 @@
 #endif
 
 #define namesOld (known == 1 || known == 4)
-#define holds (now - confirmed < GRANT && namesOld)
+#define holds (now - confirmed < GRANT && namesOld && counted)
 
 active proctype clock() {
 	do
@@ -169,6 +197,16 @@
 		fi;
 		sent = 0
 	:: atomic { known < revision -> known = revision } /* learn the current revision */
+#ifdef JOIN
+	:: atomic { now < HORIZON && !entry -> entry = 1 }
+	:: atomic { now < HORIZON && entry && !admitted -> /* read the record */
+		if
+		:: known < revision -> known = revision
+		:: else
+		fi;
+		admitted = 1
+		}
+#endif
 #ifdef SILENT
 	:: atomic { silent && !unheard -> /* learn of it, with all changes before */
 		unheard = 1;
@@ -245,6 +283,7 @@
 	byte ended;
 	byte begun;
 	bit  votes;
+	bit  asked;
 	now >= 1;
 	atomic {
 		/* the record of a copy is refused as a base */
@@ -257,7 +296,7 @@
 		revision = 2;
 		mine = 2
 	};
-	votes = !silent; /* read the entries of the VMs */
+	atomic { votes = !silent; asked = entry }; /* read the entries of the VMs */
 #ifdef SILENT_VOTE
 	votes = 1;
 #endif
@@ -288,7 +327,13 @@
 	:: promoted
 #endif
 	:: true -> /* every VM yields */
-		atomic { known = 2; other = 2 }
+		atomic {
+			if
+			:: asked -> known = 2
+			:: else
+			fi;
+			other = 2
+		}
 	:: votes -> /* only VM 2 yields, and the grants expire */
 #ifndef ALONE
 		other = 2;
