--- a/edge/follow.go
+++ b/edge/follow.go
@@ -257,6 +257,11 @@
 	f.observeEra(revision.Era())
 	f.directory.Reset(items, revision)
 	f.confirmRecord(items, sent)
+	if f.directory.Returned() {
+		// All VMs that may move a leadership know the entry of the earlier start, and count
+		// it for longer than it takes to write the present one.
+		f.grants.Admit(sent + entryTTL)
+	}
 	f.directory.MarkComplete(revision)
 	f.confirmConfiguration(sent)
 	f.synced.Store(true)
