Show a VM that relies on a leader after its entry lapsed early

Random fleets now also have quiet times, in which entries expire, and networks in three parts. A VM went on for 19 s after its last renewal although its entry had lapsed long before its time was over, as in an outage of the store, when a VM started that moved the leadership 11 s later. A case of TestNoVMReliesOnADeposedLeader shows that and fails.

--- a/edge/grants_test.go
+++ b/edge/grants_test.go
@@ -54,7 +54,7 @@
 	fleet     *grantFleet
 	registrar *registrar
 	stop      context.CancelFunc
-	// side is the side of a network partition on which the VM is, and down reports that
+	// side is the part of a split network in which the VM is, and down reports that
 	// its process has ended.
 	side int
 	down bool
@@ -643,6 +643,15 @@
 			f.mover = "vm-0"
 			f.moveOnce(5*time.Second, false)
 		},
+		"a VM is cut off whose entry lapsed when the one that moves started": func(f *grantFleet) {
+			f.vms[3].refuse("")
+			f.store.lapse()
+			f.start("late", 1, false)
+			time.Sleep(11200 * time.Millisecond)
+			f.cut(f.vms[3])
+			f.mover = "late"
+			f.moveOnce(20*time.Second, true)
+		},
 		"a VM starts again after it has yielded": func(f *grantFleet) {
 			for _, v := range f.vms {
 				v.refuse("end")
@@ -679,7 +688,7 @@
 		seed := *firstGrantSeed + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			r := rand.New(rand.NewPCG(seed, 0))
-			withGrantFleet(t, 3+r.IntN(4), func(f *grantFleet) { (&grantFaults{f, r}).play(time.Minute) })
+			withGrantFleet(t, 3+r.IntN(4), func(f *grantFleet) { (&grantFaults{f, r}).play(90 * time.Second) })
 		})
 	}
 }
@@ -709,7 +718,10 @@
 			g.store.lapse()
 		case n < 78:
 			g.outage()
-		case n < 82 && len(g.vms) < 9:
+		case n < 80:
+			// Entries expire meanwhile, and VMs forget others.
+			time.Sleep(time.Duration(10+g.rand.IntN(30)) * time.Second)
+		case n < 84 && len(g.vms) < 9:
 			g.start(fmt.Sprintf("late-%d", g.rand.Uint32()), g.rand.IntN(3), false)
 		default:
 			g.setMoving(g.rand.IntN(4) > 0)
@@ -717,12 +729,13 @@
 	}
 }
 
-// split puts each VM on one of two sides.
+// split puts each VM on one of several sides.
 func (g *grantFaults) split() {
 	g.lock.Lock()
 	defer g.lock.Unlock()
+	sides := 2 + g.rand.IntN(2)
 	for _, v := range g.vms {
-		v.side = g.rand.IntN(2)
+		v.side = g.rand.IntN(sides)
 	}
 }
 
