Rely on the record for 11 s after the last renewal of a VM's entry

A VM relied on the leader record for 19 s after the last renewal of its entry: for the 8 s of the entry, and the 11 s that a VM that starts later has to wait before it moves a leadership. But an outage of the store may end the entry at any time. A VM that started just after that moved the leadership after 11 s without asking the former one, whose callers could get an acknowledgement of a write that the next leader lacks.

It now does so for those 11 s alone. A VM that cannot reach the store for over 8.5 to 11 s then refuses statements for the leader and reports itself not ready, although others could confirm the record to it.

--- a/edge/leases.go
+++ b/edge/leases.go
@@ -30,10 +30,11 @@
 	// the store is back.
 	registerMaxBackoff = time.Second
 	// admissionLength is how long after the last renewal of its entry a VM that all others
-	// know may rely on the leader record. The entry expires after entryTTL. A VM that has
-	// not read it before moves a leadership establishedAfter later at the earliest, and
-	// those that have count the VM for longer. entryTTL replaces it for other VMs.
-	admissionLength = entryTTL + establishedAfter
+	// know may rely on the leader record. The store may lose the entry at any time after
+	// that. A VM that has not read it before moves a leadership establishedAfter later at
+	// the earliest, and those that have count the VM for longer. entryTTL replaces it for
+	// other VMs.
+	admissionLength = establishedAfter
 	// leaseRepairJitter spreads the attempts of all VMs to replace an expired
 	// lease.
 	leaseRepairJitter = 250 * time.Millisecond
