Call for the same target again where another has an equal log

A move that got no answer to its call chose among targets with equal logs by which answered first, and so could call for another one than before: a second promotion beside the first, for which it had to wait until the first could take effect no more.

--- a/succession/candidate.go
+++ b/succession/candidate.go
@@ -32,7 +32,7 @@
 		if c, ok := v.presentPrimary(ctx, reports); ok {
 			return c, nil
 		}
-		best := slices.MaxFunc(reports, compareCandidates)
+		best := v.bestOf(reports)
 		v.lock.Lock()
 		enough := !v.steppedDown || best.Received.Reaches(v.oldPosition)
 		v.lock.Unlock()
@@ -48,6 +48,17 @@
 	}
 }
 
+// bestOf returns the report of the target to promote. Among equals it is the one that was
+// called for before, so that no other is promoted beside it.
+func (v *move) bestOf(reports []candidateReport) candidateReport {
+	best := slices.MaxFunc(reports, compareCandidates)
+	i := slices.IndexFunc(reports, func(r candidateReport) bool { return r.ID == v.called })
+	if i >= 0 && compareCandidates(reports[i], best) == 0 {
+		return reports[i]
+	}
+	return best
+}
+
 // presentPrimary returns the target that a promotion made the primary which no move has
 // recorded: the only primary, if all targets of the group answer, and if no promotion that
 // was called for can still take effect.
--- a/succession/outstanding_test.go
+++ b/succession/outstanding_test.go
@@ -84,6 +84,26 @@
 		s.expectLasting()
 	})
 
+	// Guards against calls for different targets in one move: of targets with equal logs,
+	// each attempt took the one that answered first.
+	ginkgo.It("is called for again, and not that of another target with an equal log", func() {
+		s := newFixture()
+		s.reports["b"].Received = group.At(3, 12)
+		s.reports["c"].Received = group.At(3, 12)
+		s.lostPromotions = 1
+		s.slow = "c"
+		s.fakePlatform.beforePromotion = func() {
+			s.fakePlatform.lock.Lock()
+			defer s.fakePlatform.lock.Unlock()
+			s.slow = "b"
+		}
+		gomega.Expect(s.move("vm-0")).To(gomega.Succeed())
+		calls := s.calledFor()
+		gomega.Expect(calls).To(gomega.HaveLen(2))
+		gomega.Expect(calls[1]).To(gomega.Equal(calls[0]))
+		s.expectLasting()
+	})
+
 	ginkgo.It("does not depose the leader that another VM has recorded meanwhile", func() {
 		// The VM that called for it is gone, and the next one gets no answer of the target.
 		s := newFixture()
--- a/succession/succession_test.go
+++ b/succession/succession_test.go
@@ -175,6 +175,8 @@
 	effectDelay, zombieTime time.Duration
 	// outstanding counts the promotions by target that have not taken effect yet.
 	outstanding map[string]int
+	// slow is a target that answers orders 20 ms late.
+	slow string
 	// lostPromotions is the number of next promotions that never take effect.
 	lostPromotions int
 	// unansweredPromotions is the number of next promotions that take effect
@@ -302,6 +304,12 @@
 }
 
 func (p *fakePlatform) Order(ctx context.Context, _, target string, o pool.Order) (pool.Report, error) {
+	p.lock.Lock()
+	late := target == p.slow
+	p.lock.Unlock()
+	if late {
+		time.Sleep(20 * time.Millisecond)
+	}
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	if p.down[target] {
