Show a forgotten VM that relies on the record without reading it

TestForgottenVMReadsTheRecordAgain fails: "VM may rely on the record before it has read it: true, error <nil>". Seed 7063 of TestGrantsUnderFaults failed that way, once, of 7030 to 7079: a VM without an entry for 29 s registered again and relied on record 133 while record 135 had been written and the next leader promoted.

--- a/edge/grants_test.go
+++ b/edge/grants_test.go
@@ -675,6 +675,32 @@
 	}
 }
 
+// TestForgottenVMReadsTheRecordAgain guards against a VM that relies on the record that it
+// knew before the others forgot it, as soon as it has registered again.
+func TestForgottenVMReadsTheRecordAgain(t *testing.T) {
+	withGrantFleet(t, 4, func(f *grantFleet) {
+		v := f.vms[3]
+		v.registrar.cancel()
+		<-v.registrar.ended
+		time.Sleep(40 * time.Second)
+		if v.relies() {
+			t.Error("VM without an entry relies on the record")
+		}
+		f.cut(v)
+		v.refuse("read", "list", "watch")
+		if err := v.registrar.step(t.Context()); err != nil {
+			t.Error(err)
+		}
+		if err := v.registrar.admit(t.Context()); err == nil || v.grants.Admitted() {
+			t.Errorf("VM may rely on the record before it has read it: %t, error %v", v.grants.Admitted(), err)
+		}
+		v.refuse()
+		if err := v.registrar.admit(t.Context()); err != nil || !v.grants.Admitted() {
+			t.Errorf("VM may rely on the record after it has read it: %t, error %v", v.grants.Admitted(), err)
+		}
+	})
+}
+
 // grantSeeds is how many seeds TestGrantsUnderFaults plays, and firstGrantSeed the first.
 var (
 	grantSeeds     = flag.Int("grants.seeds", 4, "how many random fleets are played")
