--- a/edge/grants_test.go
+++ b/edge/grants_test.go
@@ -223,6 +223,20 @@
 	f.moving = moving
 }
 
+// setMover lets only one VM try to move the leadership.
+func (f *grantFleet) setMover(name string) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.mover = name
+}
+
+// delayWrites makes refused writes of a VM take effect after a time.
+func (v *grantVM) delayWrites(late time.Duration) {
+	v.fleet.lock.Lock()
+	defer v.fleet.lock.Unlock()
+	v.late = late
+}
+
 // moveOnce has the leadership moved, and waits until a target was promoted, which it has
 // to be if done is true, or until the limit has passed.
 func (f *grantFleet) moveOnce(limit time.Duration, done bool) {
@@ -586,11 +600,11 @@
 		"a VM is cut off that started again before its entry of departure was written": func(f *grantFleet) {
 			v := f.vms[3]
 			v.refuse("apply")
-			v.late = 2 * time.Second
+			v.delayWrites(2 * time.Second)
 			v.registrar.deregister(f.t.Context())
 			v.kill()
 			again := f.start(v.Settings.VM(), 0, false)
-			time.Sleep(v.late + 200*time.Millisecond)
+			time.Sleep(2200 * time.Millisecond)
 			f.cut(again)
 			f.moveOnce(20*time.Second, true)
 		},
@@ -600,7 +614,7 @@
 			time.Sleep(4 * time.Second)
 			f.start("late", 1, false)
 			time.Sleep(12 * time.Second)
-			f.mover = "late"
+			f.setMover("late")
 			f.moveOnce(20*time.Second, true)
 		},
 		"a VM is cut off whose entry had expired when the one that moves started": func(f *grantFleet) {
@@ -609,7 +623,7 @@
 			f.start("late", 1, false)
 			time.Sleep(12 * time.Second)
 			f.cut(f.vms[3])
-			f.mover = "late"
+			f.setMover("late")
 			f.moveOnce(20*time.Second, true)
 		},
 		"a VM is cut off whose entry lapsed before the others knew of it": func(f *grantFleet) {
@@ -632,7 +646,7 @@
 			time.Sleep(40 * time.Second)
 			f.cut(f.vms[2], f.vms[3])
 			f.vms[0].refuse()
-			f.mover = "vm-0"
+			f.setMover("vm-0")
 			f.moveOnce(20*time.Second, true)
 		},
 		"VMs that most of the others do not know have joined soon after the first start": func(f *grantFleet) {
@@ -640,7 +654,7 @@
 			f.start("late-1", 0, false)
 			f.start("late-2", 1, false)
 			time.Sleep(500 * time.Millisecond)
-			f.mover = "vm-0"
+			f.setMover("vm-0")
 			f.moveOnce(5*time.Second, false)
 		},
 		"a VM is cut off whose entry lapsed when the one that moves started": func(f *grantFleet) {
@@ -649,14 +663,14 @@
 			f.start("late", 1, false)
 			time.Sleep(11200 * time.Millisecond)
 			f.cut(f.vms[3])
-			f.mover = "late"
+			f.setMover("late")
 			f.moveOnce(20*time.Second, true)
 		},
 		"a VM starts again after it has yielded": func(f *grantFleet) {
 			for _, v := range f.vms {
 				v.refuse("end")
 			}
-			f.mover = "vm-0"
+			f.setMover("vm-0")
 			last := f.vms[2]
 			f.cut(last)
 			last.refuse("read", "list", "watch", "apply", "grant", "end")
