Show a primary of an earlier term recorded as the leader

A target that led before the old leader and was cut off reports itself as the primary until it reaches its successor. Once the old leader has stepped down, a move takes it for a target that a promotion made the primary, and records it without one. Callers would lose every commit of the leadership in between.

--- a/succession/outstanding_test.go
+++ b/succession/outstanding_test.go
@@ -243,4 +243,18 @@
 		gomega.Expect(s.calledFor()[2:]).NotTo(gomega.BeEmpty())
 		s.expectLasting()
 	})
+
+	// Guards against the loss of every commit of a leadership: a target that led before it,
+	// and has not learned of its end, was recorded as the leader without a promotion.
+	ginkgo.It("is not seen in a primary of an earlier term", func() {
+		// Another target led the group before the old leader, and was cut off since.
+		s := newFixture()
+		s.reports["b"].Role = pool.RolePrimary
+		s.fakePlatform.term = 4
+		s.reports["a"].Term, s.reports["a"].Received = 4, group.At(4, 5)
+		s.reports["c"].Term, s.reports["c"].Received = 4, group.At(4, 5)
+		gomega.Expect(s.move("vm-0")).To(gomega.Succeed())
+		gomega.Expect(s.grants.Lead("choir").Target).To(gomega.Equal("c"))
+		s.expectLasting()
+	})
 })
