Take no primary of an earlier term for the present one

A move that found a target which reports itself as the only primary recorded it without a promotion. That target may have led before the old leader, which has just stepped down: then it lacks all commits of the old leader, and callers would lose them. Now its term has to reach those of all others. A target that was promoted has such a term, and an order to step down raises that of a replica by one at most, to the term of the next promotion.

--- a/succession/candidate.go
+++ b/succession/candidate.go
@@ -49,8 +49,9 @@
 }
 
 // presentPrimary returns the target that a promotion made the primary which no move has
-// recorded: the only primary, if all targets of the group answer, and if no promotion that
-// was called for can still take effect.
+// recorded: the only primary, if all targets of the group answer and none knows of a higher
+// term, and if no promotion that was called for can still take effect. A primary of a lower
+// term was deposed, even if the target that deposed it has stepped down since.
 func (v *move) presentPrimary(ctx context.Context, reports []candidateReport) (candidateReport, bool) {
 	i := slices.IndexFunc(reports, func(r candidateReport) bool { return r.Report.Role == pool.RolePrimary })
 	if i < 0 || reports[i].ID == v.oldLeader || reports[i].Target.Draining || v.Now() < v.settledAt {
@@ -58,10 +59,18 @@
 	}
 	others := slices.DeleteFunc(slices.Clone(v.Targets.Candidates(v.group)), func(t pool.Target) bool { return t.ID == reports[i].ID })
 	answers := v.collectReportsFrom(ctx, others)
-	if len(answers) < len(others) || slices.ContainsFunc(answers, func(r candidateReport) bool { return r.Report.Role != pool.RoleReplica }) {
+	c := reports[i]
+	conflicts := func(r candidateReport) bool {
+		return r.Report.Role != pool.RoleReplica || r.Report.Term > c.Report.Term
+	}
+	if len(answers) < len(others) || slices.ContainsFunc(answers, conflicts) {
+		return candidateReport{}, false
+	}
+	v.lock.Lock()
+	defer v.lock.Unlock()
+	if c.Report.Term < v.highestTerm {
 		return candidateReport{}, false
 	}
-	c := reports[i]
 	c.leads = true
 	return c, true
 }
