Show an old leader that was found deposed recorded again

A VM has seen that another target was promoted without a move. The move away from the recorded leader finds the others overloaded, and records the old leader again as one that leads on, before the call for its promotion takes effect. Callers would lose the writes that it acknowledges until then.

Fails with: the primary that was promoted last, expected b to equal a.

--- a/succession/outstanding_test.go
+++ b/succession/outstanding_test.go
@@ -257,4 +257,22 @@
 		gomega.Expect(s.grants.Lead("choir").Target).To(gomega.Equal("c"))
 		s.expectLasting()
 	})
+
+	// Guards against acknowledged writes that are rolled back: an old leader that was found
+	// deposed was recorded again as one that leads on.
+	ginkgo.It("leads to no record of an old leader that was found deposed", func() {
+		// A VM has seen the successor, which is overloaded now, as is the third target.
+		// Nobody else knows of the call that promoted it.
+		s := newFixture()
+		gomega.Expect(s.fakePlatform.Promote(context.Background(), "choir", "b", 1)).To(gomega.Succeed())
+		s.effectDelay = time.Second
+		s.setBusy(true, "b", "c")
+		time.AfterFunc(3*time.Second, func() { s.setBusy(false, "b", "c") })
+		// The order to step down reaches the old leader too late.
+		s.setDown(true, "a")
+		time.AfterFunc(300*time.Millisecond, func() { s.setDown(false, "a") })
+		s.grants.Depose("choir", "a", clock.SinceBoot()+2*time.Second)
+		gomega.Expect(s.move("vm-0")).To(gomega.Succeed())
+		s.expectLasting()
+	})
 })
