Depose a leader again that a move finds deposed already

A move away from a leader that another target has deposed without a move took the old leader for one that leads on if no other target answered: the call for its promotion changed nothing yet, and its old term passed. It was recorded, and callers would lose the writes that it acknowledged until the promotion took effect and rolled them back. Now such a move, and those of its VM that go on with it, treat the old leader like one of an earlier call: it has to step down first and to lead under a higher term.

The test "leads to no record of an old leader that was found deposed" failed before.

--- a/succession/move.go
+++ b/succession/move.go
@@ -21,6 +21,9 @@
 	// moved, which may be by earlier moves that did not finish.
 	movingSince time.Duration
 	oldLeader   string
+	// deposed reports that another target was promoted although the record names the old
+	// leader.
+	deposed bool
 	// oldPosition is the old leader's last log position, valid if steppedDown
 	// is true.
 	oldPosition query.Position
@@ -38,7 +41,8 @@
 	// prepared is the target that the next calls may be for; see prepare.
 	prepared string
 	// settledAt is when all promotions that this move or earlier ones of its row called
-	// for have taken effect, or do so no more; zero if none was called for.
+	// for have taken effect, or do so no more; zero if none was called for. The calls
+	// include that which deposed the old leader without a move.
 	settledAt time.Duration
 	// leadsOn reports that the target called for is the old leader, and that it leads
 	// unless the call deposes it.
@@ -141,7 +145,11 @@
 // takes over the move from if that is one. At least TakeOver has passed since that one
 // began, unless it was this VM's own and called for nothing.
 func (v *move) earlierCallsSettledAt(from Lead) time.Duration {
-	if !from.Moving() {
+	switch {
+	case !from.Moving() && v.deposed:
+		// A call that no record tells of has taken effect.
+		return v.startedAt
+	case !from.Moving():
 		return 0
 	}
 	v.lock.Lock()
--- a/succession/mover.go
+++ b/succession/mover.go
@@ -247,7 +247,7 @@
 func (m *Mover) MoveIf(ctx context.Context, group string, from Lead, movingSince time.Duration, reason string, needed func(context.Context) bool) error {
 	m.addMoves(1)
 	defer m.addMoves(-1)
-	v := &move{Mover: m, group: group, oldLeader: from.Target, movingSince: movingSince}
+	v := &move{Mover: m, group: group, oldLeader: from.Target, movingSince: movingSince, deposed: m.Grants.Deposed(group, from.Target)}
 	err := v.claim(ctx, from, needed)
 	if err != nil {
 		return fmt.Errorf("claim leadership of %s: %w", group, err)
