Take a leader that stepped down for deposed when terms are compared

A group whose recorded leader is a replica while another target is the primary kept that leader until callers' writes had been refused for half a second, if the order to step down, or the successor, had raised the replica's term to that of the primary. The comparison after a loss of the store had the same fault. Only a primary's term counts now.

--- a/edge/conflict.go
+++ b/edge/conflict.go
@@ -101,11 +101,15 @@
 	}
 }
 
-// termOf returns the term of a target's report. That of a target which did not answer is
-// the term of its last known log position, which is never above it; false if this VM knows
-// none, and so has had no answer that depends on it.
+// termOf returns the term in which a target reports that it leads, zero if it does not: an
+// order to step down may have raised the term of a replica to that of its successor. The
+// term of a target which did not answer is that of its last known log position, which is
+// never above it; false if this VM knows none, and so has had no answer that depends on it.
 func (s *supervisor) termOf(group, target string, reports map[string]pool.Report) (uint64, bool) {
 	if r, ok := reports[target]; ok {
+		if r.Role != pool.RolePrimary {
+			return 0, true
+		}
 		return r.Term, true
 	}
 	g, ok := s.existingPool(group)
