Show a VM that relies on the leader record under an entry that it does not renew

The write of a VM's entry gets no answer, the VM writes it again under another lease, and the first write takes effect after that. The VM goes on to renew the second lease, while the entry expires with the first one. If it does not learn of the removal, a VM that starts later moves a leadership without counting it: callers of the forgotten VM get their writes acknowledged by the old leader, and later reads lack them.

--- a/edge/grants_test.go
+++ b/edge/grants_test.go
@@ -626,6 +626,26 @@
 			}
 			f.moveOnce(20*time.Second, true)
 		},
+		// The entry expires with the lease of the earlier write, while the VM renews that of
+		// the later one.
+		"a VM is cut off whose entry was replaced by an earlier write of its own": func(f *grantFleet) {
+			late := f.start("late", 1, false)
+			late.refuse("apply")
+			f.lock.Lock()
+			late.late = 3 * time.Second
+			f.lock.Unlock()
+			time.Sleep(500 * time.Millisecond)
+			late.refuse()
+			time.Sleep(3500 * time.Millisecond)
+			f.cut(late)
+			late.refuse("watch", "list")
+			time.Sleep(9 * time.Second)
+			f.start("new", 1, false)
+			time.Sleep(12 * time.Second)
+			f.cut(late)
+			f.mover = "new"
+			f.moveOnce(20*time.Second, true)
+		},
 		"half of the VMs count the one that moves no more": func(f *grantFleet) {
 			f.vms[0].refuse("")
 			time.Sleep(40 * time.Second)
