Write a VM's entry again under the lease of the write before

A write of a VM's entry that got no answer was taken for one that did not happen: the next one was under another lease. If the first took effect after the second, the entry was under a lease that nobody renews, while the VM took the renewals of the other one for a sign that it is counted, and went on to rely on the leader record after its entry had expired. A move that did not know the VM promoted another target: callers would lose writes that the VM acknowledged. Now both writes are under the same lease, so that it does not matter which one is the last.

The test "a VM is cut off whose entry was replaced by an earlier write of its own" failed before.

--- a/edge/leases.go
+++ b/edge/leases.go
@@ -175,6 +175,11 @@
 	ended  chan struct{}
 	// lease is the lease of the entry; zero if there is none.
 	lease store.LeaseID
+	// granted is the lease under which the entry was last written, or is to be, in
+	// grantedEra. A write without an answer may take effect after the next one, so that
+	// both have to be under the same lease.
+	granted    store.LeaseID
+	grantedEra uint64
 	// revision is the store's revision at which the entry was written.
 	revision store.Revision
 	// counted reports that every change before the entry is known, and countedSince is
@@ -332,15 +337,17 @@
 		r.loseEntry()
 	}
 	sent = r.Now()
-	l, err := r.Adapter.Store.Grant(ctx, entryTTL)
-	if err != nil {
+	if err := r.grant(ctx); err != nil {
 		return fmt.Errorf("grant lease for VM's entry: %w", err)
 	}
-	revision, err := r.write(ctx, r.entry(), l)
+	revision, err := r.write(ctx, r.entry(), r.granted)
+	if errors.Is(err, store.ErrNoLease) {
+		r.granted = 0
+	}
 	if err != nil {
 		return err
 	}
-	r.lease = l
+	r.lease = r.granted
 	r.revision = revision
 	if r.registered.Load() && r.mayBeForgotten() {
 		r.forgotten.Store(true)
@@ -351,6 +358,27 @@
 	return nil
 }
 
+// grant makes sure that there is a lease for a write of the entry: that of the last write if
+// it is alive, otherwise a new one. In another era of the store the number of that lease may
+// be another one's.
+func (r *registrar) grant(ctx context.Context) error {
+	if r.granted != 0 {
+		era, err := r.Adapter.Store.Renew(ctx, r.granted)
+		if err == nil && era == r.grantedEra {
+			return nil
+		}
+		if err != nil && !errors.Is(err, store.ErrNoLease) {
+			return err
+		}
+	}
+	l, err := r.Adapter.Store.Grant(ctx, entryTTL)
+	if err != nil {
+		return err
+	}
+	r.granted, r.grantedEra = l, r.Adapter.Store.Era()
+	return nil
+}
+
 // deregister stops the registrar. It writes to this VM's entry that the VM has left,
 // which takes it out of all quorums at once; the entry then expires. While the VM still
 // has sessions, which may rely on the leader record, it removes the entry instead.
