Show a move that its VM does not go on with after a lost answer

The write that begins a move gets no answer and takes effect after the VM has given it up. The VM does not know the move for its own, so that all VMs wait for six seconds before one takes it over. Callers of the group find no leader meanwhile.

Fails with: expected false to be true (Abandoned).

--- a/succession/succession_test.go
+++ b/succession/succession_test.go
@@ -387,6 +387,37 @@
 		gomega.Expect(s.grants.Lead("choir")).To(gomega.Equal(succession.Lead{Target: "b", Since: s.grants.Record().Revision}))
 	})
 
+	// Guards against a group that has no leader until other VMs take the move over, since
+	// the VM that began it does not know that it did.
+	ginkgo.It("may begin again at once if its write took effect after it was given up", func() {
+		s := newFixture()
+		m, from := s.mover("vm-0"), s.grants.Lead("choir")
+		s.memoryStore.delayedWrites = 1
+		gomega.Expect(m.Move(context.Background(), "choir", from, "test")).NotTo(gomega.Succeed())
+		time.Sleep(400 * time.Millisecond)
+		lead := s.stored().Leads["choir"]
+		gomega.Expect(lead.Moving()).To(gomega.BeTrue())
+		gomega.Expect(m.Abandoned("choir", lead)).To(gomega.BeTrue())
+		s.grants.ConfirmRecord(s.stored(), clock.SinceBoot())
+		begun := clock.SinceBoot()
+		gomega.Expect(m.Move(context.Background(), "choir", lead, "test")).To(gomega.Succeed())
+		gomega.Expect(clock.SinceBoot() - begun).To(gomega.BeNumerically("<", 1400*time.Millisecond))
+	})
+
+	ginkgo.It("may begin again after a write that never took effect", func() {
+		s := newFixture()
+		s.setDown(true, "a", "b", "c")
+		m := s.mover("vm-0")
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		defer cancel()
+		gomega.Expect(m.Move(ctx, "choir", s.grants.Lead("choir"), "test")).NotTo(gomega.Succeed())
+		first := s.stored().Leads["choir"]
+		gomega.Expect(m.Abandoned("choir", first)).To(gomega.BeTrue())
+		s.memoryStore.delayedWrites = 1
+		gomega.Expect(m.Move(context.Background(), "choir", first, "test")).NotTo(gomega.Succeed())
+		gomega.Expect(m.Abandoned("choir", first)).To(gomega.BeTrue())
+	})
+
 	ginkgo.It("promotes the old leader again if it alone holds acknowledged commits", func() {
 		s := newFixture()
 		gomega.Expect(s.move("vm-0")).To(gomega.Succeed())
