--- a/succession/outstanding_test.go
+++ b/succession/outstanding_test.go
@@ -263,4 +263,36 @@
 		gomega.Expect(s.calledFor()[2:]).NotTo(gomega.BeEmpty())
 		s.expectLasting()
 	})
+
+	// Guards against the loss of every commit of a leadership: a target that led before it,
+	// and has not learned of its end, was recorded as the leader without a promotion.
+	ginkgo.It("is not seen in a primary of an earlier term", func() {
+		// Another target led the group before the old leader, and was cut off since.
+		s := newFixture()
+		s.reports["b"].Role = pool.RolePrimary
+		s.fakePlatform.term = 4
+		s.reports["a"].Term, s.reports["a"].Received = 4, group.At(4, 5)
+		s.reports["c"].Term, s.reports["c"].Received = 4, group.At(4, 5)
+		gomega.Expect(s.move("vm-0")).To(gomega.Succeed())
+		gomega.Expect(s.grants.Lead("choir").Target).To(gomega.Equal("c"))
+		s.expectLasting()
+	})
+
+	// Guards against acknowledged writes that are rolled back: an old leader that was found
+	// deposed was recorded again as one that leads on.
+	ginkgo.It("leads to no record of an old leader that was found deposed", func() {
+		// A VM has seen the successor, which is overloaded now, as is the third target.
+		// Nobody else knows of the call that promoted it.
+		s := newFixture()
+		gomega.Expect(s.fakePlatform.Promote(context.Background(), "choir", "b", 1)).To(gomega.Succeed())
+		s.effectDelay = time.Second
+		s.setBusy(true, "b", "c")
+		time.AfterFunc(3*time.Second, func() { s.setBusy(false, "b", "c") })
+		// The order to step down reaches the old leader too late.
+		s.setDown(true, "a")
+		time.AfterFunc(300*time.Millisecond, func() { s.setDown(false, "a") })
+		s.grants.Depose("choir", "a", clock.SinceBoot()+2*time.Second)
+		gomega.Expect(s.move("vm-0")).To(gomega.Succeed())
+		s.expectLasting()
+	})
 })
