Go on with a move whose first write took effect late

A write that began a move and got no answer was taken for one that did not happen. If it took effect after that, the record showed a move that nobody went on with: callers of the group had no leader until another VM took the move over after six seconds. Now the VM remembers all moves that it may have begun and that called for no promotion, until the record shows a later one, and goes on at once.

The test "may begin again at once if its write took effect after it was given up" failed before. go test -race ./succession passed.

--- a/succession/move.go
+++ b/succession/move.go
@@ -13,8 +13,10 @@
 // move is one attempt to move the leadership of a group.
 type move struct {
 	*Mover
-	group     string
-	record    Record
+	group  string
+	record Record
+	// mover is the Lead.Mover that this move writes; empty before that.
+	mover     string
 	token     uint64
 	startedAt time.Duration
 	// movingSince is when this VM first saw that the old leader's lead is being
@@ -127,7 +129,8 @@
 	v.startedAt = v.Now()
 	v.movingSince = cmp.Or(v.movingSince, v.startedAt)
 	v.settledAt = v.earlierCallsSettledAt(from)
-	lead := Lead{Target: from.Target, Mover: v.nextWriterID()}
+	v.mover = v.nextWriterID()
+	lead := Lead{Target: from.Target, Mover: v.mover}
 	lead.First = cmp.Or(from.Row(), lead.Mover)
 	v.record, err = v.writeRecord(ctx, r, r.WithLead(v.group, lead), &d.item)
 	if err != nil {
@@ -154,7 +157,7 @@
 	}
 	v.lock.Lock()
 	defer v.lock.Unlock()
-	if a := v.abandoned[v.group]; a.mover == from.Mover {
+	if a, found := v.findAbandoned(v.group, from.Mover); found {
 		return a.settledAt
 	}
 	return v.startedAt + promotionWindow + promoteTimeout + effectTime - TakeOver
--- a/succession/mover.go
+++ b/succession/mover.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -180,9 +181,10 @@
 	moves int
 	// endedLeases holds the leases that this VM has ended.
 	endedLeases map[store.LeaseID]bool
-	// abandoned holds, by group, this VM's last attempt that ended without a call for
-	// a promotion.
-	abandoned map[string]abandonedMove
+	// abandoned holds, by group, this VM's attempts that ended without a call for a
+	// promotion and that the record may show, or come to show: the last one that is known
+	// to have been written, and those since then whose write may take effect late.
+	abandoned map[string][]abandonedMove
 }
 
 // abandonedMove is a move that ended without a call for a promotion.
@@ -250,25 +252,56 @@
 	v := &move{Mover: m, group: group, oldLeader: from.Target, movingSince: movingSince, deposed: m.Grants.Deposed(group, from.Target)}
 	err := v.claim(ctx, from, needed)
 	if err != nil {
+		if v.mover != "" && !errors.Is(err, ErrConcurrentUpdate) {
+			m.abandon(group, abandonedMove{mover: v.mover, settledAt: v.settledAt})
+		}
 		return fmt.Errorf("claim leadership of %s: %w", group, err)
 	}
+	m.forgetAbandoned(group)
 	m.Log.Info("leadership is being moved", "group", group, "from", from.Target, "reason", reason, "token", v.token, "record", v.record.Revision.String())
 	if err := v.run(ctx, from); err != nil {
 		if v.called == "" {
-			m.abandon(group, abandonedMove{mover: v.record.Leads[group].Mover, settledAt: v.settledAt})
+			m.abandon(group, abandonedMove{mover: v.mover, settledAt: v.settledAt})
 		}
 		return fmt.Errorf("move leadership of %s: %w", group, err)
 	}
 	return nil
 }
 
+// maxAbandoned bounds the attempts that are remembered for a group. A write takes effect
+// some seconds late at most.
+const maxAbandoned = 64
+
 func (m *Mover) abandon(group string, a abandonedMove) {
 	m.lock.Lock()
 	defer m.lock.Unlock()
 	if m.abandoned == nil {
-		m.abandoned = map[string]abandonedMove{}
+		m.abandoned = map[string][]abandonedMove{}
+	}
+	list := append(m.abandoned[group], a)
+	if len(list) > maxAbandoned {
+		// The first one may be the one in the record.
+		list = slices.Delete(list, 1, 2)
+	}
+	m.abandoned[group] = list
+}
+
+// forgetAbandoned forgets the abandoned attempts for a group, once the record shows a
+// later one: what they wrote was on the condition of an earlier record.
+func (m *Mover) forgetAbandoned(group string) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	delete(m.abandoned, group)
+}
+
+// findAbandoned returns this VM's abandoned attempt with the given Lead.Mover. The caller
+// holds the lock.
+func (m *Mover) findAbandoned(group, mover string) (abandonedMove, bool) {
+	i := slices.IndexFunc(m.abandoned[group], func(a abandonedMove) bool { return a.mover == mover })
+	if i < 0 {
+		return abandonedMove{}, false
 	}
-	m.abandoned[group] = a
+	return m.abandoned[group][i], true
 }
 
 // Abandoned reports whether the move that the record shows for a group was this VM's
@@ -277,7 +310,8 @@
 func (m *Mover) Abandoned(group string, l Lead) bool {
 	m.lock.Lock()
 	defer m.lock.Unlock()
-	return l.Moving() && m.abandoned[group].mover == l.Mover
+	_, found := m.findAbandoned(group, l.Mover)
+	return l.Moving() && found
 }
 
 func (m *Mover) addMoves(n int) {
