Show a promotion called for again although the target leads

A target that leads by a call of this move is called for once more if it did not tell so in time. If the platform carries out that call later, it may depose a leader that was recorded meanwhile.

Fails with: calls for b and b, expected one for b.

--- a/succession/outstanding_test.go
+++ b/succession/outstanding_test.go
@@ -275,4 +275,22 @@
 		gomega.Expect(s.move("vm-0")).To(gomega.Succeed())
 		s.expectLasting()
 	})
+
+	// Guards against a call that takes effect after the move, when the group may have
+	// another leader: the target led already by the first call when the second was made.
+	ginkgo.It("is not called for again once the target leads", func() {
+		s := newFixture()
+		s.reports["b"].Received = group.At(3, 12)
+		s.effectDelay = 100 * time.Millisecond
+		s.fakePlatform.beforePromotion = func() {
+			if len(s.calledFor()) > 0 {
+				return
+			}
+			s.setBusy(true, "b")
+			time.AfterFunc(1550*time.Millisecond, func() { s.setBusy(false, "b") })
+		}
+		gomega.Expect(s.move("vm-0")).To(gomega.Succeed())
+		gomega.Expect(s.calledFor()).To(gomega.Equal([]string{"b"}))
+		s.expectLasting()
+	})
 })
