Record a target that leads by the call of a move without another call

A move whose target was slow to report that it leads called for the promotion once more although the target's next report showed that it leads. The second call serves nothing, and may take effect when the target was replaced already: it would depose the next leader, and callers would lose the writes acknowledged until VMs notice.

The test "is not called for again once the target leads" failed before. go test -race ./succession passed.

--- a/succession/promote.go
+++ b/succession/promote.go
@@ -51,6 +51,9 @@
 		v.Log.Info("target leads already; recording it", "group", v.group, "target", c.ID, "term", c.Report.Term, "received", c.Received.String())
 		return c.ID, nil
 	}
+	if v.pending && c.ID == v.called && v.isPromoted(c.Report) {
+		return c.ID, nil
+	}
 	if c.ID != v.prepared {
 		if err := v.prepare(ctx, c); err != nil {
 			return c.ID, err
