--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -100,7 +100,7 @@
 		return
 	}
 	if leader := k.site.LeaderAt(s.Group.Name, at); leader != s.ID {
-		k.reportViolation("ONE: %s was committed at %s through %s over route %s at %s, when %s led, and acknowledged at %s", q.id, s.ID, q.vmName, q.route, at.Format(timeFormat), leader, q.ended.Format(timeFormat))
+		k.reportViolation("deposed leader: %s was committed at %s through %s over route %s at %s, when %s led, and acknowledged at %s", q.id, s.ID, q.vmName, q.route, at.Format(timeFormat), leader, q.ended.Format(timeFormat))
 	}
 }
 
@@ -175,7 +175,7 @@
 			if !q.mustShow(w) || onFinalLog && kept && i < length || entries[w.id] {
 				continue
 			}
-			k.reportViolation("STALE: %s ran on server %s through %s over route %s (transaction %t, begun %s) without the write %s of server %s through %s, acknowledged %v before it began", q.id, s.ID, q.vmName, q.route, q.transaction, q.begun.Format(timeFormat), w.id, w.serverID, w.vmName, q.begun.Sub(w.ended))
+			k.reportViolation("stale read: %s ran on server %s through %s over route %s (transaction %t, begun %s) without the write %s of server %s through %s, acknowledged %v before it began", q.id, s.ID, q.vmName, q.route, q.transaction, q.begun.Format(timeFormat), w.id, w.serverID, w.vmName, q.begun.Sub(w.ended))
 			break
 		}
 	}
