Promote in synchronous groups only what has every acknowledged commit

Callers saw acknowledged commits vanish: with sync_replicas 1, a replica that had received nothing for some seconds was promoted when the primary crashed, since the one with the commits was busy and its answer to STATUS came later than 150 ms after the other.

Cause: the choice took the longest log among the first answers, as is right where commits are acknowledged by the primary alone. SyncReplicas was decoded and never used. A replica that was late, answered BUSY, was silent or no longer registered did not count, and one that drained ranked below the others.

A commit is in the logs of at least SyncReplicas replicas. The move now promotes only once fewer replicas than that have not told, after the old leader was fenced, how far their logs reach, and then the longest log, also of one that drains; or what has all that the old leader had when it stepped down; or the old leader. Targets that left, and former starts of those that started again, count as silent until their logs certainly matter no more. If too few tell, the move waits, its error says for whom, and it may begin again at once; callers are refused at once after 2.5 s without a leader, as before. Groups with 0 choose as before.

--- a/edge/control.go
+++ b/edge/control.go
@@ -23,6 +23,26 @@
 	return c.directory.Targets(group)
 }
 
+// Departed implements succession.Targets.
+func (c *controlClient) Departed(group string) []pool.Target {
+	committedAt := time.Duration(0)
+	if g, ok := c.existingPool(group); ok {
+		committedAt = g.LastCommit().At
+	}
+	return c.directory.Departed(group, committedAt)
+}
+
+// SyncReplicas implements succession.Targets. A group that the configuration has no more
+// counts as one of which a single replica may have a commit.
+func (c *controlClient) SyncReplicas(group string) int {
+	if current := c.catalog.Current(); current != nil {
+		if g, ok := current.Groups[group]; ok {
+			return g.SyncReplicas
+		}
+	}
+	return 1
+}
+
 // relayDelay is how long a target may take to answer an order before other VMs are
 // asked to relay it. It is longer than a round trip between regions and the opening of
 // a connection.
--- a/edge/directory.go
+++ b/edge/directory.go
@@ -125,6 +125,11 @@
 	advanced         chan struct{}
 	targets          map[string]*registration[pool.Target]
 	peers            map[string]*registration[Peer]
+	// departed holds the targets that are registered no more, as long as their logs may
+	// matter; see Departed.
+	departed map[departureKey]departure
+	// leads are those of the newest leader record that was read.
+	leads map[string]succession.Lead
 	// byGroup holds the targets of each group, and present the membership; nil
 	// after a change, until they are used again.
 	byGroup map[string][]pool.Target
@@ -179,6 +184,7 @@
 		d.targets = map[string]*registration[pool.Target]{}
 		d.peers = map[string]*registration[Peer]{}
 		d.recent = map[string]recentPeer{}
+		d.departed = map[departureKey]departure{}
 	}
 }
 
@@ -301,6 +307,7 @@
 	}
 	old := d.targets[id]
 	d.byGroup = nil
+	d.returned(t)
 	if old == nil && d.quiet {
 		d.targets[id] = &registration[pool.Target]{entry: t, item: i}
 		return
@@ -321,8 +328,7 @@
 	}
 	if t.entry.Draining {
 		d.Log.Info("draining target left", "target", id)
-		delete(d.targets, id)
-		d.byGroup = nil
+		d.dropTarget(id)
 		return false
 	}
 	if t.absentSince != 0 {
@@ -420,6 +426,7 @@
 		d.entryInvalid(entryRecord, i, err)
 		return
 	}
+	d.forgetBefore(r, i.Revision)
 	if d.Grants.Observe(r) {
 		d.Log.Info("newer leader record received", "revision", r.Revision.String(), "writer", r.Writer)
 	}
@@ -457,8 +464,7 @@
 	for id, t := range d.targets {
 		if t.absentSince != 0 && now-t.absentSince > targetRetention {
 			d.Log.Info("target was absent for too long; dropping it", "target", id)
-			delete(d.targets, id)
-			d.byGroup = nil
+			d.dropTarget(id)
 		}
 	}
 	d.pruneTombstones()
--- a/edge/grants_test.go
+++ b/edge/grants_test.go
@@ -127,6 +127,12 @@
 	return []pool.Target{{ID: "a"}, {ID: "b"}, {ID: "c"}}
 }
 
+// Departed implements succession.Targets.
+func (f *grantFleet) Departed(string) []pool.Target { return nil }
+
+// SyncReplicas implements succession.Targets.
+func (f *grantFleet) SyncReplicas(string) int { return 0 }
+
 // Order implements succession.Targets.
 func (f *grantFleet) Order(ctx context.Context, _, target string, o pool.Order) (pool.Report, error) {
 	time.Sleep(5 * time.Millisecond)
--- a/edge/supervisor.go
+++ b/edge/supervisor.go
@@ -100,6 +100,9 @@
 	// lastAttempt is when this VM last began or ended such an attempt; zero if
 	// it has made none.
 	lastAttempt time.Duration
+	// departedCheckedAt is when this VM last began to find out whether targets of the group
+	// that departed still matter.
+	departedCheckedAt time.Duration
 	// maybeLocal reports that the cause may lie in this VM or its network, so
 	// that other VMs are asked before the leader is replaced.
 	maybeLocal bool
@@ -233,6 +236,7 @@
 		s.states[name] = st
 	}
 	s.checkConflicts(ctx, name, st, targets)
+	s.checkDeparted(ctx, name, st)
 	leader := lead.Target
 	if lead.Moving() || s.grants.Deposed(name, leader) {
 		leader = ""
--- /dev/null
+++ b/edge/synchronous_test.go
@@ -0,0 +1,106 @@
+package edge_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"amaranthsill/internal/site"
+)
+
+// syncedZones is a site whose commits are acknowledged once one replica has received them.
+var syncedZones = site.Options{Groups: []string{"choir"}, Zones: zones, Lag: 10 * time.Millisecond, StatementDelay: time.Millisecond, Slots: 3, SyncReplicas: 1}
+
+// writeUnheard writes while replica 2 receives nothing, so that replica 1 alone has the
+// commits, and returns the IDs of these.
+func (f *fixture) writeUnheard() []string {
+	c := f.vms[1].session("choir-own")
+	c.must("WRITE bar before")
+	time.Sleep(50 * time.Millisecond)
+	f.site.Servers("choir")[2].SetReplicationPaused(true)
+	acknowledged := []string{}
+	for i := range 5 {
+		acknowledged = append(acknowledged, c.must(fmt.Sprintf("WRITE bar %d", i)).id)
+	}
+	return acknowledged
+}
+
+// expectWaiting expects that no server is promoted for a time in which callers write, and
+// that they are refused at once at its end. Writes that were under way at a crash are in
+// doubt.
+func (f *fixture) expectWaiting(d time.Duration) {
+	c := f.vms[2].session("choir-own")
+	code, took := "", time.Duration(0)
+	for begun := time.Now(); time.Since(begun) < d; time.Sleep(50 * time.Millisecond) {
+		asked := time.Now()
+		a, err := c.ask("WRITE bar waiting")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		code, took = a.code, time.Since(asked)
+	}
+	gomega.Expect(f.site.Promotions("choir")).To(gomega.BeEmpty())
+	gomega.Expect(code).To(gomega.Equal("BUSY"))
+	gomega.Expect(took).To(gomega.BeNumerically("<", 100*time.Millisecond))
+}
+
+// expectKept expects that the leader has all commits.
+func (f *fixture) expectKept(acknowledged []string) {
+	f.vms[1].session("choir-own").retry("WRITE bar after")
+	for _, id := range acknowledged {
+		gomega.Expect(f.site.Leader("choir").HasEntry(id)).To(gomega.BeTrue())
+	}
+}
+
+var _ = ginkgo.Describe("A group that commits synchronously", func() {
+	// Guards against acknowledged commits that are lost when the primary crashes: a replica
+	// that had received nothing was promoted, since the one with the commits was busy.
+	ginkgo.It("keeps its commits if the primary crashes while the replica that has them is busy", func() {
+		f := openFixture(syncedZones, 3)
+		acknowledged := f.writeUnheard()
+		servers := f.site.Servers("choir")
+		servers[1].SetBusy(true)
+		servers[0].Crash()
+		f.expectWaiting(4 * time.Second)
+		servers[1].SetBusy(false)
+		f.awaitLeaderOtherThan(servers[0])
+		servers[2].SetReplicationPaused(false)
+		f.expectKept(acknowledged)
+	})
+
+	// Guards against the same loss through a replica whose entry is gone for longer than
+	// it is kept in use.
+	ginkgo.It("keeps its commits if the replica that has them has left, and its primary comes back", func() {
+		f := openFixture(syncedZones, 3)
+		acknowledged := f.writeUnheard()
+		servers := f.site.Servers("choir")
+		servers[1].Crash()
+		f.site.Store.Delete("servers/" + servers[1].ID)
+		servers[0].Crash()
+		f.expectWaiting(5 * time.Second)
+		servers[0].Restart()
+		gomega.Eventually(func() int { return len(f.site.Promotions("choir")) }, 2*recoveryTimeout, "20ms").Should(gomega.Equal(1))
+		servers[2].SetReplicationPaused(false)
+		f.expectKept(acknowledged)
+	})
+
+	ginkgo.It("does not wait for a replica that left while the others went on", func() {
+		f := openFixture(syncedZones, 3)
+		c := f.vms[1].session("choir-own")
+		c.must("WRITE bar before")
+		servers := f.site.Servers("choir")
+		servers[1].Crash()
+		f.site.Store.Delete("servers/" + servers[1].ID)
+		// The entry is kept in use for 2.5 s, and then the logs are compared.
+		time.Sleep(6 * time.Second)
+		last := c.must("WRITE bar 1")
+		servers[0].Crash()
+		gomega.Eventually(func() *site.Server {
+			_, err := c.ask("WRITE bar 2")
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			return f.site.Leader("choir")
+		}, recoveryTimeout, "20ms").Should(gomega.Equal(servers[2]))
+		servers[0].Restart()
+		f.expectKept([]string{last.id})
+	})
+})
--- a/internal/site/server.go
+++ b/internal/site/server.go
@@ -259,7 +259,10 @@
 	// plain reports that the open transaction may write.
 	plain         bool
 	pendingWrites []entry
-	settings      map[string]string
+	// unsynced is the length of the log up to the last commit, until SyncReplicas have
+	// received it; zero if there is none.
+	unsynced int
+	settings map[string]string
 	// prepared maps the name of a prepared statement to its access: READ or WRITE.
 	prepared map[string]string
 }
@@ -364,6 +367,9 @@
 	if acquired {
 		errorCode = c.execute(id, text)
 	}
+	if !c.awaitReplicas() {
+		return false
+	}
 	if c.dropsAnswer(id) {
 		time.Sleep(5 * time.Second)
 		return false
@@ -526,9 +532,54 @@
 		c.log = append(c.log, e)
 		c.committedAt[e.requestID] = time.Now()
 	}
+	if len(c.pendingWrites) > 0 {
+		c.unsynced = len(c.log)
+	}
 	c.pendingWrites = nil
 }
 
+// syncInterval is the time between two checks whether replicas have received a commit.
+const syncInterval = 2 * time.Millisecond
+
+// awaitReplicas waits until as many replicas as the site requires have received the last
+// commit. It returns false if the server crashes before that.
+func (c *connection) awaitReplicas() bool {
+	n := c.unsynced
+	c.unsynced = 0
+	required := c.Group.site.options.SyncReplicas
+	if n == 0 || required == 0 {
+		return true
+	}
+	c.lock.Lock()
+	last := c.log[n-1]
+	c.lock.Unlock()
+	for c.Group.countReceived(c.Server, n, last) < required {
+		time.Sleep(syncInterval)
+		if c.isCrashed() || c.Group.site.isClosed() {
+			return false
+		}
+	}
+	return true
+}
+
+// countReceived returns how many servers other than one have an entry at a place of their
+// log.
+func (g *Group) countReceived(primary *Server, place int, e entry) int {
+	count := 0
+	for _, v := range g.servers {
+		if v != primary && v.hasAt(place, e) {
+			count++
+		}
+	}
+	return count
+}
+
+func (s *Server) hasAt(place int, e entry) bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return len(s.log) >= place && s.log[place-1] == e
+}
+
 func (c *connection) resetTransaction() {
 	c.inTransaction, c.plain = false, false
 	c.transactionFailed = false
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -47,6 +47,8 @@
 	// Slots is how many statements, statuses and new connections each server works on at
 	// a time. Twice as many may wait; more are answered with BUSY. Zero means no limit.
 	Slots int
+	// SyncReplicas is how many replicas receive a commit before it is acknowledged.
+	SyncReplicas int
 	// Rewrite changes what a VM writes to a key of the store; nil leaves it as it is.
 	Rewrite func(key string, value []byte) []byte
 }
@@ -160,6 +162,15 @@
 	}
 }
 
+func (s *Site) isClosed() bool {
+	select {
+	case <-s.closed:
+		return true
+	default:
+		return false
+	}
+}
+
 // Servers returns the group's servers in the order of the zones.
 func (s *Site) Servers(group string) []*Server { return s.groups[group].servers }
 
@@ -220,7 +231,7 @@
 	routes := append([]Route{}, extra...)
 	services := []map[string]any{}
 	for _, g := range s.options.Groups {
-		services = append(services, map[string]any{"name": g, "max_conns": s.options.ConnectionLimit, "sync_replicas": 0})
+		services = append(services, map[string]any{"name": g, "max_conns": s.options.ConnectionLimit, "sync_replicas": s.options.SyncReplicas})
 		for suffix, kind := range map[string]string{"current": "primary", "bounded": "bounded_staleness", "own": "read_your_writes"} {
 			routes = append(routes, Route{
 				"name": g + "-" + suffix, "host": g + "-" + suffix, "kind": kind, "service": g,
--- a/scripts/spec.sh
+++ b/scripts/spec.sh
@@ -64,6 +64,13 @@
 for mutant in SWITCH ROLE HASTY STEP_EARLY NO_REFENCE SAME_TERM; do
   check "calls-$mutant" calls.pml violated -D$mutant
 done
+check commits commits.pml holds
+check commits-faults commits.pml holds -DFAULTS=3
+check commits-two commits.pml holds -DSYNC=2
+for mutant in FIRST SKIP_MUTE SKIP_GONE SKIP_FORMER DRAIN_LAST EARLY_ASK STALE FORGET_EARLY BLIND; do
+  check "commits-$mutant" commits.pml violated -D$mutant
+done
+check commits-FORGET_ONE commits.pml violated -DSYNC=2 -DFORGET_ONE
 check limits limits.pml holds
 check limits-burst limits.pml holds -DBURST=3 -DVALID=1
 for mutant in OWN_EARLY TWICE SWITCH_EARLY NO_REST NO_FLIGHT; do
--- a/succession/candidate.go
+++ b/succession/candidate.go
@@ -1,6 +1,7 @@
 package succession
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -22,38 +23,64 @@
 // old leader is gone from the store: it is cut off then, and can neither pass on its
 // log nor lead again. A target that leads already is taken as it is: the others have
 // nothing that it lacks for long, since they copy its log.
+//
+// In a group that commits synchronously, it waits until a target certainly has every
+// acknowledged commit. Its error wraps ErrTooFewReports if none has within the promotion
+// window.
 func (v *move) chooseCandidate(ctx context.Context) (candidateReport, error) {
 	deadline := v.Now() + catchUpTimeout
 	for {
 		reports := v.collectReports(ctx)
-		if len(reports) == 0 {
+		if len(reports) == 0 && !v.isSynchronous() {
 			return candidateReport{}, ErrNoCandidate
 		}
 		if c, ok := v.presentPrimary(ctx, reports); ok {
 			return c, nil
 		}
-		best := v.bestOf(reports)
-		v.lock.Lock()
-		enough := !v.steppedDown || best.Received.Reaches(v.oldPosition)
-		v.lock.Unlock()
-		if enough || v.oldLeaderIsGone() {
-			return best, nil
-		}
-		if v.Now() > deadline {
-			return v.fallbackCandidate(best), nil
+		if c, ok := v.sufficientCandidate(reports, v.Now() > deadline); ok {
+			return c, nil
 		}
-		if err := sleep(ctx, retryInterval); err != nil {
+		if err := v.awaitReports(ctx); err != nil {
 			return candidateReport{}, err
 		}
 	}
 }
 
+// sufficientCandidate returns the target to promote; false if a better one may turn up.
+// If late is true, the move waits for the old leader's last position no longer.
+func (v *move) sufficientCandidate(reports []candidateReport, late bool) (candidateReport, bool) {
+	if len(reports) == 0 {
+		return candidateReport{}, false
+	}
+	best := v.bestOf(reports)
+	switch {
+	case v.reachesOldLeader(best) || v.oldLeaderIsGone():
+	case late:
+		best = v.fallbackCandidate(best)
+	default:
+		return candidateReport{}, false
+	}
+	return best, v.holdsAcknowledged(best)
+}
+
+// reachesOldLeader reports whether a target has all that the old leader had when it
+// stepped down. It is true if the old leader has not, so that its position is unknown.
+func (v *move) reachesOldLeader(c candidateReport) bool {
+	v.lock.Lock()
+	defer v.lock.Unlock()
+	return !v.steppedDown || c.Received.Reaches(v.oldPosition)
+}
+
 // bestOf returns the report of the target to promote. Among equals it is the one that was
 // called for before, so that no other is promoted beside it.
 func (v *move) bestOf(reports []candidateReport) candidateReport {
-	best := slices.MaxFunc(reports, compareCandidates)
+	compare := compareCandidates
+	if v.isSynchronous() {
+		compare = compareLogs
+	}
+	best := slices.MaxFunc(reports, compare)
 	i := slices.IndexFunc(reports, func(r candidateReport) bool { return r.ID == v.called })
-	if i >= 0 && compareCandidates(reports[i], best) == 0 {
+	if i >= 0 && compare(reports[i], best) == 0 {
 		return reports[i]
 	}
 	return best
@@ -69,7 +96,7 @@
 		return candidateReport{}, false
 	}
 	others := slices.DeleteFunc(slices.Clone(v.Targets.Candidates(v.group)), func(t pool.Target) bool { return t.ID == reports[i].ID })
-	answers := v.collectReportsFrom(ctx, others)
+	answers := v.collectReportsFrom(ctx, others, 1)
 	c := reports[i]
 	conflicts := func(r candidateReport) bool {
 		return r.Report.Role != pool.RoleReplica || r.Report.Term > c.Report.Term
@@ -98,6 +125,14 @@
 	return a.Received.Compare(b.Received)
 }
 
+// compareLogs orders targets by the length of the received log, and those that are not
+// draining above those that are among equals. A draining target receives the log and
+// counts toward synchronous commits until it ends, so that it may be the only one with an
+// acknowledged commit.
+func compareLogs(a, b candidateReport) int {
+	return cmp.Or(a.Received.Compare(b.Received), compareCandidates(a, b))
+}
+
 // collectReports returns the reports of the targets that answer. The old leader
 // is asked only if no other target answers.
 func (v *move) collectReports(ctx context.Context) []candidateReport {
@@ -109,16 +144,17 @@
 		}
 		others = append(others, t)
 	}
-	if reports := v.collectReportsFrom(ctx, others); len(reports) > 0 {
+	if reports := v.collectReportsFrom(ctx, others, v.reportsNeeded(len(others))); len(reports) > 0 {
+		v.remember(reports)
 		return reports
 	}
-	return v.collectReportsFrom(ctx, old)
+	return v.collectReportsFrom(ctx, old, 1)
 }
 
 // collectReportsFrom asks targets for their reports in parallel. It returns
 // when all have answered or failed, or when stragglerTimeout has passed since
-// the latest answer.
-func (v *move) collectReportsFrom(ctx context.Context, targets []pool.Target) []candidateReport {
+// the latest answer and as many as needed have answered.
+func (v *move) collectReportsFrom(ctx context.Context, targets []pool.Target, needed int) []candidateReport {
 	answers := make(chan *candidateReport, len(targets))
 	for _, t := range targets {
 		go func() {
@@ -138,6 +174,8 @@
 		case r := <-answers:
 			if r != nil {
 				reports = append(reports, *r)
+			}
+			if r != nil && len(reports) >= needed {
 				stragglers = time.After(stragglerTimeout)
 			}
 		case <-stragglers:
--- /dev/null
+++ b/succession/evidence.go
@@ -0,0 +1,134 @@
+package succession
+
+import (
+	"context"
+	"fmt"
+	"slices"
+
+	"amaranthsill/pool"
+	"amaranthsill/query"
+)
+
+// Where a group commits synchronously, an acknowledged commit is in the logs of at least
+// SyncReplicas replicas, whichever these are. A move asks the replicas once no commit of the
+// old leader can be acknowledged any more. If fewer than SyncReplicas of them have not told
+// how far their logs reach, one that has told has the newest acknowledged commit. A log
+// has all commits before each that it has, so the one that reaches furthest has every
+// acknowledged commit. A replica that refuses the question because its slots are taken,
+// does not answer, or is no longer registered has not told; nor has one from before its
+// last start, since it may have lost its log. A draining one counts like any other.
+
+// isSynchronous reports whether commits of the group are acknowledged only once a replica
+// has received them.
+func (v *move) isSynchronous() bool { return v.syncReplicas > 0 }
+
+// reportsNeeded returns how many of the group's registered replicas have to tell how far
+// their logs reach.
+func (v *move) reportsNeeded(replicas int) int {
+	if !v.isSynchronous() {
+		return 1
+	}
+	return max(replicas-v.syncReplicas+1, 1)
+}
+
+// remember records how far the logs of replicas reach. What one has told stays valid if it
+// cannot be asked later, or starts again without its log.
+func (v *move) remember(reports []candidateReport) {
+	for _, r := range reports {
+		if p, told := v.reported[r.ID]; !told || r.Received.Reaches(p) {
+			v.reported[r.ID] = r.Received
+		}
+	}
+}
+
+// holdsAcknowledged reports whether a target certainly has every acknowledged commit, or
+// the group commits asynchronously, so that none has to.
+func (v *move) holdsAcknowledged(c candidateReport) bool {
+	if !v.isSynchronous() {
+		return true
+	}
+	if !v.reachesReported(c.Received) {
+		return false
+	}
+	return c.ID == v.oldLeader || v.coversOldLeader(c) || len(v.silentReplicas()) < v.syncReplicas
+}
+
+// reachesReported reports whether a log position includes all that replicas told of.
+func (v *move) reachesReported(p query.Position) bool {
+	for _, reported := range v.reported {
+		if !p.Reaches(reported) {
+			return false
+		}
+	}
+	return true
+}
+
+// coversOldLeader reports whether a target has all that the old leader had when it stepped
+// down. The position of an old leader that has less than a replica tells nothing: it has
+// lost its log.
+func (v *move) coversOldLeader(c candidateReport) bool {
+	v.lock.Lock()
+	defer v.lock.Unlock()
+	return v.steppedDown && v.reachesReported(v.oldPosition) && c.Received.Reaches(v.oldPosition)
+}
+
+// silentReplicas returns the replicas that may have acknowledged commits and have not told
+// how far their logs reach.
+func (v *move) silentReplicas() []string {
+	silent := []string{}
+	for _, t := range v.Targets.Candidates(v.group) {
+		if _, told := v.reported[t.ID]; !told && t.ID != v.oldLeader {
+			silent = append(silent, t.ID)
+		}
+	}
+	for _, t := range v.Targets.Departed(v.group) {
+		if t.ID != v.oldLeader {
+			silent = append(silent, fmt.Sprintf("%s as started at %d", t.ID, t.Incarnation))
+		}
+	}
+	return silent
+}
+
+// awaitReports waits until the targets are to be asked again. In a group that commits
+// synchronously it also asks the old leader, which has every acknowledged commit: one that
+// crashed may be back. The error wraps ErrTooFewReports once the promotion window is over.
+func (v *move) awaitReports(ctx context.Context) error {
+	if !v.isSynchronous() {
+		return sleep(ctx, retryInterval)
+	}
+	silent := v.silentReplicas()
+	if v.Now()-v.startedAt > promotionWindow {
+		return fmt.Errorf("replicas %v of %s do not tell: %w", silent, v.group, ErrTooFewReports)
+	}
+	if len(silent) >= v.syncReplicas && !v.waitLogged {
+		v.waitLogged = true
+		v.Log.Info("too few replicas tell how far their logs reach; waiting", "group", v.group, "silent", silent, "sync", v.syncReplicas)
+	}
+	v.askOldLeader(ctx)
+	return sleep(ctx, reportInterval)
+}
+
+// askOldLeader has the old leader step down if it answers, so that its last position is
+// known.
+func (v *move) askOldLeader(ctx context.Context) {
+	v.lock.Lock()
+	known := v.steppedDown
+	v.lock.Unlock()
+	registered := slices.ContainsFunc(v.Targets.Candidates(v.group), func(t pool.Target) bool { return t.ID == v.oldLeader })
+	if known || !registered || v.pending {
+		return
+	}
+	r, err := v.demoteOnce(ctx, v.oldLeader)
+	if err == nil && r.Role == pool.RoleReplica {
+		v.setSteppedDown(r)
+	}
+}
+
+// setSteppedDown records the report of the old leader after it has stepped down.
+func (v *move) setSteppedDown(r pool.Report) {
+	v.lock.Lock()
+	v.steppedDown = true
+	v.oldPosition = r.Received
+	v.lock.Unlock()
+	v.Log.Info("old leader is a replica", "group", v.group, "target", v.oldLeader, "term", r.Term, "received", r.Received.String())
+}
--- a/succession/fence.go
+++ b/succession/fence.go
@@ -253,11 +253,7 @@
 		if err != nil {
 			return err
 		}
-		v.lock.Lock()
-		v.steppedDown = true
-		v.oldPosition = r.Received
-		v.lock.Unlock()
-		v.Log.Info("old leader is a replica", "group", v.group, "target", v.oldLeader, "term", r.Term, "received", r.Received.String())
+		v.setSteppedDown(r)
 		if asked >= settledAt {
 			return nil
 		}
@@ -271,11 +267,7 @@
 // that report.
 func (v *move) demote(ctx context.Context, target string) (pool.Report, error) {
 	for ctx.Err() == nil {
-		r, err := v.sendOrder(ctx, target, pool.Status{})
-		if err == nil && r.Role == pool.RolePrimary {
-			r, err = v.sendOrder(ctx, target, pool.StepDown{Term: r.Term + 1})
-		}
-		if err == nil && r.Role == pool.RoleReplica {
+		if r, err := v.demoteOnce(ctx, target); err == nil && r.Role == pool.RoleReplica {
 			return r, nil
 		}
 		if err := sleep(ctx, retryInterval); err != nil {
@@ -284,3 +276,13 @@
 	}
 	return pool.Report{}, fmt.Errorf("step down %s: %w", target, ctx.Err())
 }
+
+// demoteOnce tells a target to step down if it reports itself as the primary, and returns
+// its last report.
+func (v *move) demoteOnce(ctx context.Context, target string) (pool.Report, error) {
+	r, err := v.sendOrder(ctx, target, pool.Status{})
+	if err == nil && r.Role == pool.RolePrimary {
+		r, err = v.sendOrder(ctx, target, pool.StepDown{Term: r.Term + 1})
+	}
+	return r, err
+}
--- a/succession/move.go
+++ b/succession/move.go
@@ -53,6 +53,12 @@
 	// was before the first call for the present target. Those of replicas do not count,
 	// since the order to step down may have raised them.
 	highestTerm, formerTerm uint64
+	// syncReplicas is Targets.SyncReplicas of the group, and reported how far the logs of
+	// its replicas reached when they last told, by target.
+	syncReplicas int
+	reported     map[string]query.Position
+	// waitLogged reports that the wait for more reports was logged.
+	waitLogged bool
 }
 
 func (v *move) run(ctx context.Context, from Lead) error {
--- a/succession/mover.go
+++ b/succession/mover.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 
 	"amaranthsill/pool"
+	"amaranthsill/query"
 	"amaranthsill/store"
 )
 
@@ -29,6 +30,9 @@
 	ErrConcurrentUpdate = errors.New("another VM changed the leader record")
 	// ErrNoCandidate reports that no target can be promoted at present.
 	ErrNoCandidate = errors.New("no target answers that could be promoted")
+	// ErrTooFewReports reports that no target is certain to have every acknowledged
+	// commit, since targets that may be the only ones to have one did not tell.
+	ErrTooFewReports = errors.New("too few targets tell how far their logs reach")
 	// ErrNotNeeded reports that the reason for a move no longer held when the
 	// move was about to begin.
 	ErrNotNeeded = errors.New("reason for moving the leadership no longer holds")
@@ -81,6 +85,10 @@
 	// catchUpTimeout is how long a move waits for a replica to receive the
 	// last commit of an old leader that has stepped down.
 	catchUpTimeout = time.Second
+	// reportInterval is the time between two questions to the targets of a group for how
+	// far their logs reach, while too few tell. Each question takes a connection and a
+	// slot of the target, which may be full.
+	reportInterval = 100 * time.Millisecond
 	// retryInterval is the time between two tries of a step.
 	retryInterval = 30 * time.Millisecond
 	// leadershipTimeout bounds the retries of a promotion call, and the wait
@@ -108,6 +116,12 @@
 type Targets interface {
 	// Candidates returns the registered targets of a group.
 	Candidates(group string) []pool.Target
+	// Departed returns the targets of a group, or starts of them, that are registered no
+	// more, but may have commits that no registered replica has.
+	Departed(group string) []pool.Target
+	// SyncReplicas returns how many replicas of a group have received a commit before it
+	// is acknowledged.
+	SyncReplicas(group string) int
 	// Order runs a control order on a target, over a connection apart from the
 	// pool, and returns the target's report.
 	Order(ctx context.Context, group, target string, o pool.Order) (pool.Report, error)
@@ -249,7 +263,10 @@
 func (m *Mover) MoveIf(ctx context.Context, group string, from Lead, movingSince time.Duration, reason string, needed func(context.Context) bool) error {
 	m.addMoves(1)
 	defer m.addMoves(-1)
-	v := &move{Mover: m, group: group, oldLeader: from.Target, movingSince: movingSince, deposed: m.Grants.Deposed(group, from.Target)}
+	v := &move{
+		Mover: m, group: group, oldLeader: from.Target, movingSince: movingSince, deposed: m.Grants.Deposed(group, from.Target),
+		syncReplicas: m.Targets.SyncReplicas(group), reported: map[string]query.Position{},
+	}
 	err := v.claim(ctx, from, needed)
 	if err != nil {
 		if v.mover != "" && !errors.Is(err, ErrConcurrentUpdate) {
--- a/succession/promote.go
+++ b/succession/promote.go
@@ -21,7 +21,7 @@
 			return "", ErrWindowExpired
 		}
 		target, err := v.promoteCandidate(ctx)
-		if err == nil || errors.Is(err, ErrOutdated) {
+		if err == nil || errors.Is(err, ErrOutdated) || errors.Is(err, ErrTooFewReports) {
 			return target, err
 		}
 		v.Log.Info("promotion failed; retrying", "group", v.group, "target", target, "reason", err.Error())
--- a/succession/succession_test.go
+++ b/succession/succession_test.go
@@ -1,6 +1,7 @@
 package succession_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -175,8 +176,15 @@
 	effectDelay, zombieTime time.Duration
 	// outstanding counts the promotions by target that have not taken effect yet.
 	outstanding map[string]int
-	// slow is a target that answers orders 20 ms late.
-	slow string
+	// slow is a target that answers orders late, by slowness or 20 ms.
+	slow     string
+	slowness time.Duration
+	// syncReplicas is how many replicas receive a commit before it is acknowledged,
+	// departed holds the replicas that are registered no more, and draining those that are
+	// about to end.
+	syncReplicas int
+	departed     []string
+	draining     map[string]bool
 	// lostPromotions is the number of next promotions that never take effect.
 	lostPromotions int
 	// unansweredPromotions is the number of next promotions that take effect
@@ -300,7 +308,34 @@
 }
 
 func (p *fakePlatform) Candidates(string) []pool.Target {
-	return []pool.Target{{ID: "a", Absent: p.absent["a"]}, {ID: "b", Absent: p.absent["b"]}, {ID: "c", Absent: p.absent["c"]}}
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	list := []pool.Target{}
+	for _, id := range []string{"a", "b", "c"} {
+		if !slices.Contains(p.departed, id) {
+			list = append(list, pool.Target{ID: id, Absent: p.absent[id], Draining: p.draining[id]})
+		}
+	}
+	return list
+}
+
+func (p *fakePlatform) Departed(string) []pool.Target {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	list := []pool.Target{}
+	for _, id := range p.departed {
+		list = append(list, pool.Target{ID: id})
+	}
+	return list
+}
+
+func (p *fakePlatform) SyncReplicas(string) int { return p.syncReplicas }
+
+// setDeparted sets the targets that are registered no more.
+func (p *fakePlatform) setDeparted(targets ...string) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	p.departed = targets
 }
 
 func (p *fakePlatform) Order(ctx context.Context, _, target string, o pool.Order) (pool.Report, error) {
@@ -308,7 +343,7 @@
 	late := target == p.slow
 	p.lock.Unlock()
 	if late {
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(cmp.Or(p.slowness, 20*time.Millisecond))
 	}
 	p.lock.Lock()
 	defer p.lock.Unlock()
