--- a/statement/batch.go
+++ b/statement/batch.go
@@ -11,11 +11,10 @@
 package statement
 
 import (
-	"encoding/hex"
-	"hash"
+	"encoding/binary"
+	"strconv"
 	"sync"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/jackc/pgx/v5/pgproto3"
 )
 
@@ -26,21 +25,15 @@
 	Types []uint32
 }
 
-// Name returns the name of the statement on targets, a hash of its
-// definition. Equal statements share one name, whatever their callers call
-// them.
-func (p Prepared) Name() string {
-	h := xxhash.New()
-	writeString(h, p.Query)
+// Key returns a text that two statements share only if their queries and types are equal,
+// whatever their callers call them.
+func (p Prepared) Key() string {
+	key := strconv.AppendInt(nil, int64(len(p.Query)), 10)
+	key = append(append(key, ':'), p.Query...)
 	for _, t := range p.Types {
-		writeString(h, string([]byte{byte(t >> 24), byte(t >> 16), byte(t >> 8), byte(t)}))
+		key = binary.BigEndian.AppendUint32(key, t)
 	}
-	return "s" + hex.EncodeToString(h.Sum(nil))
-}
-
-func writeString(h hash.Hash, s string) {
-	// Write of hash.Hash never returns an error.
-	_, _ = h.Write([]byte(s))
+	return string(key)
 }
 
 // Batch is one request, together with the replies of the targets that ran it.
--- a/target/conn.go
+++ b/target/conn.go
@@ -18,6 +18,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"strconv"
 	"strings"
 	"time"
 
@@ -25,6 +26,7 @@
 
 	"amaranthsill/group"
 	"amaranthsill/internal/socket"
+	"amaranthsill/statement"
 )
 
 // Parameters of connections to targets. The startup message of a control
@@ -66,8 +68,9 @@
 type conn struct {
 	net.Conn
 	frontend *pgproto3.Frontend
-	// prepared holds the names of the statements that are prepared on the
-	// connection.
+	// names holds the connection's names of statements by statement.Prepared.Key, and
+	// prepared those that are prepared.
+	names    map[string]string
 	prepared map[string]bool
 }
 
@@ -79,7 +82,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial target: %w", errors.Join(ErrBroken, err))
 	}
-	c := &conn{Conn: n, frontend: pgproto3.NewFrontend(n, n), prepared: map[string]bool{}}
+	c := &conn{Conn: n, frontend: pgproto3.NewFrontend(n, n), names: map[string]string{}, prepared: map[string]bool{}}
 	stop := context.AfterFunc(ctx, func() { _ = n.Close() })
 	defer stop()
 	parameters := map[string]string{"user": userName, "database": database}
@@ -94,6 +97,18 @@
 	return c, nil
 }
 
+// nameOf returns the connection's name of a prepared statement: a number, so that nothing a
+// caller writes can make two names alike.
+func (c *conn) nameOf(p statement.Prepared) string {
+	key := p.Key()
+	name, ok := c.names[key]
+	if !ok {
+		name = "s" + strconv.Itoa(len(c.names)+1)
+		c.names[key] = name
+	}
+	return name
+}
+
 // idle reports whether a connection without a request in flight can take one:
 // it is open and nothing has arrived on it.
 func (c *conn) idle() bool { return socket.PeekState(c.Conn) == socket.Idle }
--- a/target/exchange.go
+++ b/target/exchange.go
@@ -71,8 +71,8 @@
 }
 
 // batchWriter sends the messages of a request. It replaces the session's names
-// of prepared statements by the names on the connection, which depend on the
-// statement alone because sessions share connections.
+// of prepared statements by the names on the connection, of which each statement has
+// one because sessions share connections.
 type batchWriter struct {
 	conn  *conn
 	batch *statement.Batch
@@ -127,9 +127,9 @@
 	}
 	p := statement.Prepared{Query: m.Query, Types: m.ParameterOIDs}
 	w.parsed[m.Name] = p
-	if w.conn.prepared[p.Name()] {
+	if name := w.conn.nameOf(p); w.conn.prepared[name] {
 		w.filter.closes = append(w.filter.closes, true)
-		w.conn.frontend.Send(&pgproto3.Close{ObjectType: 'S', Name: p.Name()})
+		w.conn.frontend.Send(&pgproto3.Close{ObjectType: 'S', Name: name})
 	}
 	w.prepare(p, false)
 }
@@ -138,9 +138,10 @@
 // tells whether its completion is kept from the caller.
 func (w *batchWriter) prepare(p statement.Prepared, internal bool) {
 	w.filter.parses = append(w.filter.parses, internal)
-	w.conn.prepared[p.Name()] = true
-	w.addedNames = append(w.addedNames, p.Name())
-	w.conn.frontend.Send(&pgproto3.Parse{Name: p.Name(), Query: p.Query, ParameterOIDs: p.Types})
+	name := w.conn.nameOf(p)
+	w.conn.prepared[name] = true
+	w.addedNames = append(w.addedNames, name)
+	w.conn.frontend.Send(&pgproto3.Parse{Name: name, Query: p.Query, ParameterOIDs: p.Types})
 }
 
 // connectionName returns the name on the connection of a session's prepared
@@ -150,19 +151,28 @@
 	if name == "" {
 		return "", nil
 	}
-	p, ok := w.parsed[name]
-	if !ok {
-		p, ok = w.batch.Prepared(name)
-	}
+	p, ok := w.find(name)
 	if !ok {
 		return "", fmt.Errorf("prepared statement %q is unknown: %w", name, ErrBroken)
 	}
-	if !w.conn.prepared[p.Name()] {
+	if !w.conn.prepared[w.conn.nameOf(p)] {
 		w.prepare(p, true)
 	}
-	return p.Name(), nil
+	return w.conn.nameOf(p), nil
+}
+
+// find returns the statement that a session's name stands for: the one that this request
+// prepared last under it, or else the session.
+func (w *batchWriter) find(name string) (statement.Prepared, bool) {
+	if p, ok := w.parsed[name]; ok {
+		return p, true
+	}
+	return w.batch.Prepared(name)
 }
 
+// absentName is the name of no statement on any connection.
+const absentName = "-"
+
 // close sends the caller's Close with the connection's name of the statement.
 func (w *batchWriter) close(m *pgproto3.Close) {
 	w.filter.closes = append(w.filter.closes, false)
@@ -170,9 +180,9 @@
 		w.conn.frontend.Send(m)
 		return
 	}
-	name := m.Name
-	if p, ok := w.batch.Prepared(m.Name); ok {
-		name = p.Name()
+	name := absentName
+	if p, ok := w.find(m.Name); ok {
+		name = w.conn.nameOf(p)
 	}
 	delete(w.conn.prepared, name)
 	w.conn.frontend.Send(&pgproto3.Close{ObjectType: 'S', Name: name})
