Hash session variables by name and value apart

The hash that finds a connection with a session's variables was one of name, NUL and value joined, the last key of that kind that callers fill. It chose a connection only; the variables themselves are compared before use, so that no fault follows from it.

--- a/session/state.go
+++ b/session/state.go
@@ -59,7 +59,7 @@
 func (s *State) Hash() uint64 { return s.hash }
 
 func hashOf(name, value string) uint64 {
-	return maphash.String(hashSeed, name+"\x00"+value)
+	return maphash.Comparable(hashSeed, [2]string{name, value})
 }
 
 // ConnectionState is the session state that is set on one connection to a target.
