Ask the targets of all groups at once when the record is settled

After a loss of the store, callers of all services were refused for as long as targets of a few dead ones did not answer: the VM that writes the leader record again asked the targets of each group whose leader was in question one after the other, each for up to 0.7 s. Six groups took 12.6 s, longer than an attempt may take (9 s), so that none ever succeeded.

All targets of all groups are now asked at the same time, so that an attempt takes one order's time. The new spec of succession took 12.6 s before, of 2 s allowed.

--- a/succession/settle.go
+++ b/succession/settle.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"amaranthsill/pool"
@@ -65,12 +66,13 @@
 // with the groups marked as moving in which another target leads. See Settle.
 func (m *Mover) withReported(ctx context.Context, r Record, leaders map[string]string) Record {
 	next := r
+	deposed := m.deposedLeaders(ctx, r, leaders)
 	for group, target := range leaders {
 		l, ok := r.Leads[group]
 		switch {
 		case !ok && target != "":
 			next = next.WithLead(group, Lead{Target: target})
-		case ok && l.Target != target && !l.Moving() && m.isDeposed(ctx, group, l.Target):
+		case deposed[group]:
 			m.Log.Info("another target than the recorded leader leads; having its leadership moved", "group", group, "leader", l.Target, "reported", target)
 			next = next.WithLead(group, Lead{Target: l.Target, Mover: m.nextWriterID()})
 		}
@@ -78,6 +80,29 @@
 	return next
 }
 
+// deposedLeaders returns the groups of which another target leads than the recorded leader.
+// It asks all groups' targets at the same time, so that those of one that do not answer
+// delay no other group.
+func (m *Mover) deposedLeaders(ctx context.Context, r Record, leaders map[string]string) map[string]bool {
+	lock, wait, deposed := sync.Mutex{}, sync.WaitGroup{}, map[string]bool{}
+	for group, target := range leaders {
+		l, ok := r.Leads[group]
+		if !ok || l.Target == target || l.Moving() {
+			continue
+		}
+		wait.Go(func() {
+			if !m.isDeposed(ctx, group, l.Target) {
+				return
+			}
+			lock.Lock()
+			defer lock.Unlock()
+			deposed[group] = true
+		})
+	}
+	wait.Wait()
+	return deposed
+}
+
 // Stamp writes the record again if it names no era. A VM that starts after a loss would
 // take such a record for one of the present era.
 func (m *Mover) Stamp(ctx context.Context) error {
@@ -95,18 +120,24 @@
 // down may have raised it.
 func (m *Mover) isDeposed(ctx context.Context, group, leader string) bool {
 	v := &move{Mover: m, group: group, oldLeader: leader}
+	lock, wait := sync.Mutex{}, sync.WaitGroup{}
 	leaderTerm, highest := uint64(0), uint64(0)
 	for _, t := range m.Targets.Candidates(group) {
-		r, err := v.sendOrder(ctx, t.ID, pool.Status{})
-		switch {
-		case err != nil:
-			m.Log.Info("target did not return its status; its term is not known", "group", group, "target", t.ID, "reason", err.Error())
-		case r.Role != pool.RolePrimary:
-		case t.ID == leader:
-			leaderTerm = r.Term
-		default:
-			highest = max(highest, r.Term)
-		}
+		wait.Go(func() {
+			r, err := v.sendOrder(ctx, t.ID, pool.Status{})
+			lock.Lock()
+			defer lock.Unlock()
+			switch {
+			case err != nil:
+				m.Log.Info("target did not return its status; its term is not known", "group", group, "target", t.ID, "reason", err.Error())
+			case r.Role != pool.RolePrimary:
+			case t.ID == leader:
+				leaderTerm = r.Term
+			default:
+				highest = max(highest, r.Term)
+			}
+		})
 	}
+	wait.Wait()
 	return highest > leaderTerm
 }
--- a/succession/settle_test.go
+++ b/succession/settle_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"slices"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -10,6 +12,7 @@
 
 	"amaranthsill/clock"
 	"amaranthsill/group"
+	"amaranthsill/pool"
 	"amaranthsill/succession"
 )
 
@@ -153,3 +156,39 @@
 		gomega.Expect(s.stored().Leads["choir"].Target).To(gomega.Equal("a"))
 	})
 })
+
+// silentGroups are targets of which those of some groups answer no order.
+type silentGroups struct {
+	*fakePlatform
+	silent []string
+}
+
+func (g silentGroups) Order(ctx context.Context, group, target string, o pool.Order) (pool.Report, error) {
+	if slices.Contains(g.silent, group) {
+		<-ctx.Done()
+		return pool.Report{}, ctx.Err()
+	}
+	return g.fakePlatform.Order(ctx, group, target, o)
+}
+
+var _ = ginkgo.Describe("Settling the leader record after a loss", func() {
+	// Guards against groups that wait for their leaders because the targets of others,
+	// which were asked one after the other, do not answer.
+	ginkgo.It("is not held up by groups whose targets do not answer", func() {
+		s := newFixture()
+		first, reported, silent := map[string]string{}, map[string]string{"choir": "a"}, []string{}
+		for i := range 6 {
+			name := fmt.Sprintf("silent-%d", i)
+			first[name], reported[name] = "a", "b"
+			silent = append(silent, name)
+		}
+		gomega.Expect(s.mover("vm-0").Start(context.Background(), first)).To(gomega.Succeed())
+		s.memoryStore.restore(s.memoryStore.copy())
+		m := s.mover("vm-0")
+		m.Targets = silentGroups{s.fakePlatform, silent}
+		begun := clock.SinceBoot()
+		gomega.Expect(m.Settle(context.Background(), reported)).To(gomega.Succeed())
+		gomega.Expect(clock.SinceBoot() - begun).To(gomega.BeNumerically("<", 2*time.Second))
+		gomega.Expect(s.stored().Leads).To(gomega.HaveKey("choir"))
+	})
+})
