Let a service without a leader hold back only its own requests

Callers of all services were refused after a kill of all VMs: once a version with a route of a service whose servers had not registered was in force, no VM accepted callers any more. A first start, and VMs that are stopped and started in turn, had the same end.

Cause: a VM accepted callers only once the leader record had a leader for the group of every route, and only a group with one registered primary gets a leader recorded.

A VM now waits only for leaders that are about to be recorded, for 3 s at most. What lacks a leader is refused as not run: at once without a registered target, and from 2.5 s without a leader on, now also if the VM has known none since its start (its statements waited for most of their time until they were refused).

--- a/edge/control.go
+++ b/edge/control.go
@@ -286,8 +286,33 @@
 	return found
 }
 
+// firstLeadersTimeout bounds how long a VM that could accept callers waits for leaders to be
+// recorded. Writing them takes a few calls to the store.
+const firstLeadersTimeout = 3 * time.Second
+
+// awaitsFirstLeaders reports whether the leader of a route's group is about to be recorded:
+// one target reports itself as the primary.
+func (s *supervisor) awaitsFirstLeaders(c *catalog.Configuration) bool {
+	now := s.Now()
+	if s.leadersAwaitedSince == 0 {
+		s.leadersAwaitedSince = now
+	}
+	if now-s.leadersAwaitedSince > firstLeadersTimeout {
+		return false
+	}
+	leads := s.grants.Record().Leads
+	for _, r := range c.Routes {
+		if _, recorded := leads[r.Group]; !recorded && s.soleLeader(r.Group) != "" {
+			return true
+		}
+	}
+	return false
+}
+
 // checkReady lets the VM accept callers once it has the configuration, a record
-// that the store confirmed, an entry that VMs that move a leadership find, and a leader for every route's group. With customers it
+// that the store confirmed, an entry that VMs that move a leadership find, and the leaders
+// that are about to be recorded. A group that has no leader holds back only its own
+// statements, which are refused. With customers it
 // waits until the holders have settled: if all VMs start together, nobody holds
 // connections before that, and each would open one of its own to each target.
 func (s *supervisor) checkReady() {
@@ -301,13 +326,7 @@
 	if _, _, ever := s.grants.StoreConfirmation(); !ever || !s.grants.Admitted() {
 		return
 	}
-	leads := s.grants.Record().Leads
-	for _, r := range c.Routes {
-		if _, ok := leads[r.Group]; !ok {
-			return
-		}
-	}
-	if s.Now() < s.holdersSettleAt {
+	if s.Now() < s.holdersSettleAt || s.awaitsFirstLeaders(c) {
 		return
 	}
 	for _, g := range s.pools() {
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -70,26 +70,45 @@
 
 // openFixtureWith is like openFixture for a deployment with customers.
 func openFixtureWith(options site.Options, vms int, customers *customer.Set) *fixture {
+	f := openSite(options)
+	f.customers = customers
+	f.startAll(vms, true)
+	return f
+}
+
+// openSite starts a platform without VMs.
+func openSite(options site.Options) *fixture {
 	s, err := site.Open(options)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	f := &fixture{site: s, begun: time.Now(), customers: customers}
+	f := &fixture{site: s, begun: time.Now()}
 	ginkgo.DeferCleanup(f.close)
+	return f
+}
+
+// startAll starts VMs, and waits until they are ready. First reports that this is the first
+// start of the whole system.
+func (f *fixture) startAll(vms int, first bool) {
 	for i := range vms {
-		f.start(fmt.Sprintf("vm-%d", i), options.Zones[i%len(options.Zones)], true)
+		f.start(fmt.Sprintf("vm-%d", i), zones[i%len(zones)], first)
 	}
 	for _, v := range f.vms {
 		gomega.Eventually(v.isReady, recoveryTimeout, "20ms").Should(gomega.BeTrue())
 	}
-	return f
 }
 
-func (f *fixture) close() {
+// stopAll stops all VMs.
+func (f *fixture) stopAll() {
 	for _, v := range f.vms {
 		v.stop()
 	}
 	for _, v := range f.vms {
 		<-v.ended
 	}
+	f.vms = nil
+}
+
+func (f *fixture) close() {
+	f.stopAll()
 	f.site.Close()
 }
 
--- a/edge/supervisor.go
+++ b/edge/supervisor.go
@@ -70,6 +70,9 @@
 	// fallbacks holds the targets that this VM last reached only by a direct
 	// connection because no holder answered.
 	fallbacks map[string]bool
+	// leadersAwaitedSince is when this VM began to wait for the leaders that are about to be
+	// recorded, with all else that it needs to accept callers; zero before.
+	leadersAwaitedSince time.Duration
 	// startupComplete reports that the VM has all it needs to accept callers.
 	startupComplete bool
 	// startupCompletedAt is when startupComplete was set.
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -222,7 +222,8 @@
 
 // Configure writes a new version of the operators' configuration to the store and
 // returns its version. It has three routes for each group, GROUP-current,
-// GROUP-bounded and GROUP-own, and the extra ones.
+// GROUP-bounded and GROUP-own, and the extra ones, of which the services may be others that
+// have no servers.
 func (s *Site) Configure(extra []Route) int {
 	s.lock.Lock()
 	s.configurationVersion += 3
@@ -239,6 +240,11 @@
 			})
 		}
 	}
+	for _, r := range extra {
+		if name, ok := r["service"].(string); ok && s.groups[name] == nil {
+			services = append(services, map[string]any{"name": name, "max_conns": s.options.ConnectionLimit, "sync_replicas": s.options.SyncReplicas})
+		}
+	}
 	configuration := map[string]any{
 		"version": version, "routes": routes, "services": services,
 		"limits": map[string]any{"tx_idle_ms": 1000},
--- a/pool/group.go
+++ b/pool/group.go
@@ -31,8 +31,8 @@
 	waiting []*waiter
 	fair    fairQueue
 	leader  string
-	// leaderlessSince is when the group's last leader ceased to be known; zero while it
-	// has one, and if it had none yet.
+	// leaderlessSince is when the group's last leader ceased to be known, or when it was
+	// first configured without one; zero while it has one.
 	leaderlessSince time.Duration
 	budget          int
 	idleAllowance   int
@@ -61,6 +61,9 @@
 	if g.servers == nil {
 		g.servers = map[string]*server{}
 	}
+	if g.leader == "" && g.leaderlessSince == 0 {
+		g.leaderlessSince = max(g.Now(), 1)
+	}
 	g.budget = max(budget, 1)
 	seen := map[string]bool{}
 	for _, t := range targets {
--- a/pool/observe.go
+++ b/pool/observe.go
@@ -106,8 +106,7 @@
 }
 
 // LeaderUnreachableFor returns for how long this VM has reached no leader, because the
-// group has none or it does not answer; zero if it reaches the leader, or has not known
-// any yet.
+// group has none or it does not answer; zero if it reaches the leader.
 func (g *Group) LeaderUnreachableFor() time.Duration {
 	g.lock.Lock()
 	defer g.lock.Unlock()
