Do not report VMs as not ready for a group that has no leader

Callers of all services could be sent nowhere while one service was down: a VM that had reached no leader of one group in four for 0.8 s reported that it was not ready, also if the group had none, which is the same on all VMs.

Only a recorded leader that this VM does not reach counts now, as callers do better with another VM then. The spec "if all its servers are lost" of edge failed before.

--- a/edge/recovery_test.go
+++ b/edge/recovery_test.go
@@ -73,4 +73,25 @@
 			v.session("guild-own").expectRefused()
 		}
 	})
+
+	// Guards against VMs that are all reported as not ready, so that no caller of any
+	// service is sent to them.
+	ginkgo.It("if all its servers are lost", func() {
+		options := threeZones
+		options.Groups = []string{"choir", "guild"}
+		f := openFixture(options, 3)
+		for _, s := range f.site.Servers("guild") {
+			s.Crash()
+		}
+		for begun := time.Now(); time.Since(begun) < 6*time.Second; time.Sleep(20 * time.Millisecond) {
+			for _, v := range f.vms {
+				if time.Since(begun) > 3*time.Second {
+					gomega.Expect(v.isReady()).To(gomega.BeTrue())
+				}
+				_, err := v.session("guild-own").ask("WRITE bar 1")
+				gomega.Expect(err).NotTo(gomega.HaveOccurred())
+				v.session("choir-own").must("WRITE bar 1")
+			}
+		}
+	})
 })
--- a/edge/vm.go
+++ b/edge/vm.go
@@ -35,7 +35,7 @@
 	// unreadyAfter is how long the leader record may be unconfirmed before the
 	// VM reports that it is not ready, so that callers are sent to other VMs.
 	unreadyAfter = 250 * time.Millisecond
-	// unreadyWithoutLeader is how long a VM may reach no leader of one in
+	// unreadyWithoutLeader is how long a VM may not reach the leader of one in
 	// maxGroupsPerLack groups before it reports that it is not ready. With more groups
 	// for each, most of its callers are better off where they are.
 	unreadyWithoutLeader = 800 * time.Millisecond
@@ -369,9 +369,9 @@
 // longer than unreadyAfter.
 func (v *VM) leadersUnconfirmed() bool { return v.grants.ExpiredFor() > unreadyAfter }
 
-// lacksLeaders reports whether this VM has reached no leader for longer than
+// lacksLeaders reports whether this VM has not reached the recorded leader for longer than
 // unreadyWithoutLeader, in one of maxGroupsPerLack groups or more. Callers then do better
-// with another VM. Where all VMs lack them, a load balancer uses them all.
+// with another VM. A group that has no leader is served by no VM, so that it does not count.
 func (v *VM) lacksLeaders() bool {
 	c := v.catalog.Current()
 	if c == nil {
@@ -379,7 +379,9 @@
 	}
 	lacking := 0
 	for name, g := range v.pools() {
-		if _, used := c.Groups[name]; used && g.LeaderUnreachableFor() > unreadyWithoutLeader {
+		l := v.grants.Lead(name)
+		led := l.Target != "" && !l.Moving()
+		if _, used := c.Groups[name]; used && led && g.LeaderUnreachableFor() > unreadyWithoutLeader {
 			lacking++
 		}
 	}
