--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -43,6 +43,7 @@
 // fixture is a simulated platform with some VMs in front of its targets.
 type fixture struct {
 	site  *site.Site
+	zones []string
 	vms   []*vm
 	begun time.Time
 	// customers are added to the configuration that the VMs decode; nil for none.
@@ -80,7 +81,7 @@
 func openSite(options site.Options) *fixture {
 	s, err := site.Open(options)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	f := &fixture{site: s, begun: time.Now()}
+	f := &fixture{site: s, zones: options.Zones, begun: time.Now()}
 	ginkgo.DeferCleanup(f.close)
 	return f
 }
@@ -89,7 +90,7 @@
 // start of the whole system.
 func (f *fixture) startAll(vms int, first bool) {
 	for i := range vms {
-		f.start(fmt.Sprintf("vm-%d", i), zones[i%len(zones)], first)
+		f.start(fmt.Sprintf("vm-%d", i), f.zones[i%len(f.zones)], first)
 	}
 	for _, v := range f.vms {
 		gomega.Eventually(v.isReady, recoveryTimeout, "20ms").Should(gomega.BeTrue())
