Compare a silent leader by its own term, not by that of its log

Callers of a group were refused for 12 s and more after the last fault of a soak, while its leadership went from target to target, each move begun 0.5 s after the last had ended.

Cause: a VM that sees another target report itself as the primary asks both for their terms. If the leader did not answer within 0.5 s, the term of its last known log position stood for its own, as one that is never above it. But a lower bound shows nothing here: after a promotion the log still ends in the term of an earlier leader until the first commit, and a primary that was just replaced has a higher one. So new leaders that were slow to answer were taken for deposed by those before them.

A move now records the term in which the target reported that it leads; a silent leader counts by that one, or not at all if the record has none. A comparison that ends under another leadership counts for nothing. The specs that compare whole leads name the term.

--- a/edge/conflict.go
+++ b/edge/conflict.go
@@ -73,23 +73,25 @@
 		return
 	}
 	st.checkedAt = s.Now()
-	checking, leader := st.checking, st.lead.Target
+	checking, lead := st.checking, st.lead
 	go func() {
 		defer checking.Store(false)
-		s.compareTerms(ctx, name, leader, now)
+		s.compareTerms(ctx, name, lead, now)
 	}()
 }
 
 // compareTerms asks the leader that the record names and other targets for their terms.
-// If one of them is a primary of a higher term, the leader counts as deposed.
-func (s *supervisor) compareTerms(ctx context.Context, group, leader string, others []string) {
+// If one of them is a primary of a higher term, the leader counts as deposed, unless another
+// leadership has begun since.
+func (s *supervisor) compareTerms(ctx context.Context, group string, lead succession.Lead, others []string) {
 	ctx, cancel := context.WithTimeout(ctx, conflictTimeout)
 	defer cancel()
+	leader := lead.Target
 	reports := s.termsOf(ctx, group, append([]string{leader}, others...))
-	leaderTerm, known := s.termOf(group, leader, reports)
+	leaderTerm, known := termOf(lead, reports)
 	for _, id := range others {
 		r := reports[id]
-		if !known || r.Role != pool.RolePrimary || r.Term <= leaderTerm {
+		if !known || r.Role != pool.RolePrimary || r.Term <= leaderTerm || s.grants.Lead(group) != lead {
 			continue
 		}
 		if !s.grants.Deposed(group, leader) {
@@ -101,22 +103,20 @@
 	}
 }
 
-// termOf returns the term in which a target reports that it leads, zero if it does not: an
+// termOf returns the term in which a leader reports that it leads, zero if it does not: an
 // order to step down may have raised the term of a replica to that of its successor. The
-// term of a target which did not answer is that of its last known log position, which is
-// never above it; false if this VM knows none, and so has had no answer that depends on it.
-func (s *supervisor) termOf(group, target string, reports map[string]pool.Report) (uint64, bool) {
-	if r, ok := reports[target]; ok {
-		if r.Role != pool.RolePrimary {
-			return 0, true
-		}
+// term of a leader which did not answer is that in the record; false if that has none. The
+// term of its log tells nothing: it stays that of an earlier leader until the first commit.
+func termOf(lead succession.Lead, reports map[string]pool.Report) (uint64, bool) {
+	r, answered := reports[lead.Target]
+	switch {
+	case !answered:
+		return lead.Term, lead.Term != 0
+	case r.Role != pool.RolePrimary:
+		return 0, true
+	default:
 		return r.Term, true
 	}
-	g, ok := s.existingPool(group)
-	if !ok || g.Position(target).IsZero() {
-		return 0, false
-	}
-	return uint64(g.Position(target).Term()), true
 }
 
 // termsOf returns the reports of the targets that answer, by ID.
--- a/edge/departed.go
+++ b/edge/departed.go
@@ -119,8 +119,9 @@
 // revision. The caller holds the lock.
 func (d *Directory) forgetBefore(r succession.Record, revision store.Revision) {
 	for k, t := range d.departed {
-		l := r.Leads[t.Group]
-		if l.Target != "" && !l.Moving() && l != d.leads[t.Group] && revision > t.revision {
+		old, l := d.leads[t.Group], r.Leads[t.Group]
+		begun := l.Target != "" && !l.Moving() && (l.Target != old.Target || l.Since != old.Since || old.Moving())
+		if begun && revision > t.revision {
 			delete(d.departed, k)
 		}
 	}
--- a/succession/move.go
+++ b/succession/move.go
@@ -53,6 +53,8 @@
 	// was before the first call for the present target. Those of replicas do not count,
 	// since the order to step down may have raised them.
 	highestTerm, formerTerm uint64
+	// term is the term of the target that leads in the end.
+	term uint64
 	// syncReplicas is Targets.SyncReplicas of the group, and reported how far the logs of
 	// its replicas reached when they last told, by target.
 	syncReplicas int
@@ -213,7 +215,7 @@
 			}
 		}
 		if err == nil {
-			r, err = v.writeRecord(ctx, r, r.WithLead(v.group, Lead{Target: target}), nil)
+			r, err = v.writeRecord(ctx, r, r.WithLead(v.group, Lead{Target: target, Term: v.term}), nil)
 		}
 		if err == nil {
 			v.announce(r)
--- a/succession/promote.go
+++ b/succession/promote.go
@@ -48,10 +48,12 @@
 		}
 	}
 	if c.leads {
+		v.term = c.Report.Term
 		v.Log.Info("target leads already; recording it", "group", v.group, "target", c.ID, "term", c.Report.Term, "received", c.Received.String())
 		return c.ID, nil
 	}
 	if v.pending && c.ID == v.called && v.isPromoted(c.Report) {
+		v.term = c.Report.Term
 		return c.ID, nil
 	}
 	if c.ID != v.prepared {
@@ -143,6 +145,7 @@
 		late = v.Now() >= until
 		r, err := v.sendOrder(ctx, target, pool.Status{})
 		if err == nil && v.isPromoted(r) {
+			v.term = r.Term
 			v.Log.Info("target reports that it is the primary", "group", v.group, "target", target, "term", r.Term, "received", r.Received.String())
 			return nil
 		}
--- a/succession/record.go
+++ b/succession/record.go
@@ -56,6 +56,9 @@
 	// revision that the record in which it began could get. Zero during a move, and if
 	// the writer does not tell.
 	Since store.Revision `json:"since,omitempty"`
+	// Term is the term in which the target reported that it leads; zero during a move, and
+	// if the writer does not know.
+	Term uint64 `json:"term,omitempty"`
 }
 
 // Moving reports whether a move of the leadership is in progress.
--- a/succession/settle_test.go
+++ b/succession/settle_test.go
@@ -69,7 +69,7 @@
 		other.grants.Observe(s.grants.Record())
 		gomega.Expect(s.move("vm-0")).To(gomega.Succeed())
 		lead := s.grants.Lead("choir")
-		gomega.Expect(lead).To(gomega.Equal(succession.Lead{Target: "b", Since: s.grants.Record().Revision}))
+		gomega.Expect(lead).To(gomega.Equal(succession.Lead{Target: "b", Since: s.grants.Record().Revision, Term: 4}))
 		s.memoryStore.restore(before)
 		other.fakeFleet.survey = func(context.Context) succession.Survey {
 			other.grants.Observe(s.grants.Record())
--- a/succession/succession_test.go
+++ b/succession/succession_test.go
@@ -427,7 +427,7 @@
 			gomega.Expect(s.reports["a"].Role).To(gomega.Equal(pool.RoleReplica))
 		}
 		gomega.Expect(s.move("vm-0")).To(gomega.Succeed())
-		gomega.Expect(s.grants.Lead("choir")).To(gomega.Equal(succession.Lead{Target: "b", Since: s.grants.Record().Revision}))
+		gomega.Expect(s.grants.Lead("choir")).To(gomega.Equal(succession.Lead{Target: "b", Since: s.grants.Record().Revision, Term: 4}))
 	})
 
 	// Guards against a group that has no leader until other VMs take the move over, since
@@ -599,7 +599,7 @@
 		s.memoryStore.lock.Unlock()
 		s.fakeFleet.yields = 3
 		gomega.Expect(s.mover("vm-1").Move(context.Background(), "choir", s.grants.Lead("choir"), "test")).To(gomega.Succeed())
-		gomega.Expect(s.grants.Lead("choir")).To(gomega.Equal(succession.Lead{Target: "b", Since: s.grants.Record().Revision}))
+		gomega.Expect(s.grants.Lead("choir")).To(gomega.Equal(succession.Lead{Target: "b", Since: s.grants.Record().Revision, Term: 4}))
 	})
 
 	ginkgo.It("leaves a leader alone that serves most of the VMs", func() {
