Look at departed targets before ranking VMs, and say how the wait ends

Groups that commit asynchronously now end the check at once, and the rank is computed only if a target has departed.

--- a/edge/departed.go
+++ b/edge/departed.go
@@ -133,11 +133,11 @@
 // always hears one of them.
 func (s *supervisor) checkDeparted(ctx context.Context, name string, st *groupState) {
 	now := s.Now()
-	if st.lead.Moving() || now-st.departedCheckedAt < departureCheckInterval || s.rank(name) >= departureCheckers {
+	if s.control.SyncReplicas(name) == 0 || st.lead.Moving() || now-st.departedCheckedAt < departureCheckInterval {
 		return
 	}
 	departed := s.control.Departed(name)
-	if len(departed) == 0 {
+	if len(departed) == 0 || s.rank(name) >= departureCheckers {
 		return
 	}
 	st.departedCheckedAt = now
--- a/edge/synchronous_test.go
+++ b/edge/synchronous_test.go
@@ -84,6 +84,19 @@
 		f.expectKept(acknowledged)
 	})
 
+	ginkgo.It("gives up what only lost targets have once the operator sets sync_replicas to 0", func() {
+		f := openFixture(syncedZones, 3)
+		f.writeUnheard()
+		servers := f.site.Servers("choir")
+		servers[1].Crash()
+		servers[0].Crash()
+		f.expectWaiting(5 * time.Second)
+		f.site.SetSyncReplicas(0)
+		f.site.Configure(nil)
+		gomega.Eventually(f.site.Leader, 2*recoveryTimeout, "20ms").WithArguments("choir").Should(gomega.Equal(servers[2]))
+		f.vms[1].session("choir-own").retry("WRITE bar after")
+	})
+
 	ginkgo.It("does not wait for a replica that left while the others went on", func() {
 		f := openFixture(syncedZones, 3)
 		c := f.vms[1].session("choir-own")
--- a/internal/site/server.go
+++ b/internal/site/server.go
@@ -546,7 +546,7 @@
 func (c *connection) awaitReplicas() bool {
 	n := c.unsynced
 	c.unsynced = 0
-	required := c.Group.site.options.SyncReplicas
+	required := c.Group.site.SyncReplicas()
 	if n == 0 || required == 0 {
 		return true
 	}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -206,6 +206,21 @@
 	s.callDelay = delay
 }
 
+// SetSyncReplicas sets how many replicas receive a commit before it is acknowledged, and the
+// same of the next versions that Configure writes.
+func (s *Site) SetSyncReplicas(n int) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.options.SyncReplicas = n
+}
+
+// SyncReplicas returns how many replicas receive a commit before it is acknowledged.
+func (s *Site) SyncReplicas() int {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.options.SyncReplicas
+}
+
 // Route is one route of the operators' configuration, as a JSON object.
 type Route map[string]any
 
@@ -232,7 +247,7 @@
 	routes := append([]Route{}, extra...)
 	services := []map[string]any{}
 	for _, g := range s.options.Groups {
-		services = append(services, map[string]any{"name": g, "max_conns": s.options.ConnectionLimit, "sync_replicas": s.options.SyncReplicas})
+		services = append(services, map[string]any{"name": g, "max_conns": s.options.ConnectionLimit, "sync_replicas": s.SyncReplicas()})
 		for suffix, kind := range map[string]string{"current": "primary", "bounded": "bounded_staleness", "own": "read_your_writes"} {
 			routes = append(routes, Route{
 				"name": g + "-" + suffix, "host": g + "-" + suffix, "kind": kind, "service": g,
@@ -242,7 +257,7 @@
 	}
 	for _, r := range extra {
 		if name, ok := r["service"].(string); ok && s.groups[name] == nil {
-			services = append(services, map[string]any{"name": name, "max_conns": s.options.ConnectionLimit, "sync_replicas": s.options.SyncReplicas})
+			services = append(services, map[string]any{"name": name, "max_conns": s.options.ConnectionLimit, "sync_replicas": s.SyncReplicas()})
 		}
 	}
 	configuration := map[string]any{
