Start the servers of a test site once all its groups are open

The stand-in added groups to its map while the first group's replication read it. The specs with two groups pass with the race detector now.

With it, found while reading the diff: the comparison of the logs after a target has departed asked the replicas one after the other within a second, so that a silent one kept the others from being asked. They are asked at the same time, as the terms of primaries are.

--- a/edge/conflict.go
+++ b/edge/conflict.go
@@ -87,7 +87,7 @@
 	ctx, cancel := context.WithTimeout(ctx, conflictTimeout)
 	defer cancel()
 	leader := lead.Target
-	reports := s.termsOf(ctx, group, append([]string{leader}, others...))
+	reports := s.reportsOf(ctx, group, append([]string{leader}, others...))
 	leaderTerm, known := termOf(lead, reports)
 	for _, id := range others {
 		r := reports[id]
@@ -119,8 +119,8 @@
 	}
 }
 
-// termsOf returns the reports of the targets that answer, by ID.
-func (s *supervisor) termsOf(ctx context.Context, group string, targets []string) map[string]pool.Report {
+// reportsOf returns the reports of the targets that answer, by ID.
+func (s *supervisor) reportsOf(ctx context.Context, group string, targets []string) map[string]pool.Report {
 	type answer struct {
 		target string
 		report pool.Report
@@ -131,7 +131,7 @@
 		go func() {
 			r, err := s.control.Order(ctx, group, id, pool.Status{})
 			if err != nil {
-				s.Log.V(1).Info("target did not return its status; its term is not known", "group", group, "target", id, "reason", err.Error())
+				s.Log.V(1).Info("target did not return its status", "group", group, "target", id, "reason", err.Error())
 			}
 			answers <- answer{id, r, err}
 		}()
--- a/edge/departed.go
+++ b/edge/departed.go
@@ -159,17 +159,18 @@
 	if err != nil || first.Role != pool.RolePrimary {
 		return false
 	}
-	replicas, reached := 0, 0
+	replicas := []string{}
 	for _, t := range s.directory.Targets(name) {
-		if t.ID == leader {
-			continue
+		if t.ID != leader {
+			replicas = append(replicas, t.ID)
 		}
-		replicas++
-		r, err := s.control.Order(ctx, name, t.ID, pool.Status{})
-		if err == nil && r.Role == pool.RoleReplica && r.Received.Reaches(first.Received) {
+	}
+	reached := 0
+	for _, r := range s.reportsOf(ctx, name, replicas) {
+		if r.Role == pool.RoleReplica && r.Received.Reaches(first.Received) {
 			reached++
 		}
 	}
-	needed := min(s.control.SyncReplicas(name), replicas)
+	needed := min(s.control.SyncReplicas(name), len(replicas))
 	return needed > 0 && reached >= needed && s.grants.IsLeader(name, leader)
 }
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -111,15 +111,18 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /promotion", s.promote)
 	mux.Handle("/", s.Store)
-	go func() {
-		// Serve returns an error once Close has closed the listener.
-		_ = http.Serve(l, mux)
-	}()
 	for _, name := range options.Groups {
 		if err := s.openGroup(name); err != nil {
 			return nil, err
 		}
 	}
+	for _, g := range s.groups {
+		g.run()
+	}
+	go func() {
+		// Serve returns an error once Close has closed the listener.
+		_ = http.Serve(l, mux)
+	}()
 	s.Configure(nil)
 	return s, nil
 }
@@ -140,14 +143,20 @@
 			v.proxyAddress = s.options.ProxyAddress(v.ID, v.Address())
 		}
 		g.servers = append(g.servers, v)
+	}
+	return nil
+}
+
+// run starts the group's servers, once all groups of the site are open.
+func (g *Group) run() {
+	for _, v := range g.servers {
 		go v.serve()
 		g.register(v)
 	}
 	go g.replicate()
-	if s.options.Reaches != nil {
+	if g.site.options.Reaches != nil {
 		go g.heartbeat()
 	}
-	return nil
 }
 
 // Close stops replication and closes the listeners. Connections that are open stay
