--- a/cmd/amaranthsilld/check.go
+++ b/cmd/amaranthsilld/check.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"os"
-	"runtime/debug"
 
 	"amaranthsill/edge"
 	"amaranthsill/entry"
@@ -48,19 +47,3 @@
 	}
 	return nil
 }
-
-// buildVersion returns the program's name and module version, followed by the
-// commit if the build recorded it.
-func buildVersion() string {
-	b, ok := debug.ReadBuildInfo()
-	if !ok {
-		return "amaranthsilld, unknown build"
-	}
-	v := "amaranthsilld " + b.Main.Version
-	for _, s := range b.Settings {
-		if s.Key == "vcs.revision" {
-			v += " " + s.Value
-		}
-	}
-	return v
-}
--- a/cmd/amaranthsilld/main.go
+++ b/cmd/amaranthsilld/main.go
@@ -3,7 +3,7 @@
 //	amaranthsilld [--settings FILE]         run an entry VM that promotes the targets itself
 //	amaranthsilld edge [--node-file FILE]   run an entry VM on the users' platform, which promotes them
 //	amaranthsilld check FILE...             check settings files without starting a VM
-//	amaranthsilld --version                 print the module version and the commit
+//	amaranthsilld --version                 print which build this is
 package main
 
 import (
@@ -20,6 +20,7 @@
 	"github.com/peterbourgon/ff/v3"
 
 	"amaranthsill/entry"
+	"amaranthsill/internal/build"
 )
 
 // Exit codes. exitUsage also stands for settings that cannot be read.
@@ -46,7 +47,7 @@
 	case "check":
 		return runCheck(args[1:], os.Stdout, os.Stderr)
 	case "--version", "-version":
-		fmt.Println(buildVersion())
+		fmt.Println("amaranthsilld", build.Current())
 		return exitDone
 	}
 	flags := flag.NewFlagSet("amaranthsilld", flag.ContinueOnError)
--- a/edge/collector.go
+++ b/edge/collector.go
@@ -4,6 +4,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"amaranthsill/catalog"
+	"amaranthsill/internal/build"
 	"amaranthsill/pool"
 )
 
@@ -21,7 +22,7 @@
 	storeEra, storeLosses, invalidEntries                     *prometheus.Desc
 	confirmationAge, customers, customerSessions              *prometheus.Desc
 	connectionOpens, connectionEvictions, customerWaiting     *prometheus.Desc
-	conflictingPrimaries                                      *prometheus.Desc
+	conflictingPrimaries, build                               *prometheus.Desc
 }
 
 var _ prometheus.Collector = (*collector)(nil)
@@ -34,6 +35,7 @@
 	}
 	return &collector{
 		VM:                   v,
+		build:                prometheus.NewDesc("amaranthsill_build_info", "The build that runs, in labels; always 1.", nil, build.Current().Labels()),
 		droppedLines:         describe("log_lines_dropped_total", "Log lines lost since nobody read them."),
 		configurationVersion: describe("configuration_version", "Version of the operators' configuration in force."),
 		confirmationAge:      describe("configuration_age_seconds", "Time since the configuration in force was last known to be the newest."),
@@ -93,6 +95,7 @@
 	count := func(d *prometheus.Desc, value int, labels ...string) {
 		m <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(value), labels...)
 	}
+	gauge(c.build, 1)
 	if c.DroppedLogLines != nil {
 		m <- prometheus.MustNewConstMetric(c.droppedLines, prometheus.CounterValue, float64(c.DroppedLogLines()))
 	}
--- a/edge/vm.go
+++ b/edge/vm.go
@@ -20,6 +20,7 @@
 
 	"amaranthsill/catalog"
 	"amaranthsill/front"
+	"amaranthsill/internal/build"
 	"amaranthsill/pool"
 	"amaranthsill/relay"
 	"amaranthsill/succession"
@@ -153,7 +154,7 @@
 	if err != nil {
 		return err
 	}
-	v.Log.Info("VM is starting", "vm", v.Settings.VM(), "zone", v.Settings.Zone(), "incarnation", v.incarnation)
+	v.Log.Info("VM is starting", append([]any{"vm", v.Settings.VM(), "zone", v.Settings.Zone(), "incarnation", v.incarnation}, build.Current().Fields()...)...)
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	r := &registrar{VM: v}
