Keep in the store which targets may alone hold a synchronous commit

Callers saw: with sync_replicas 1 (or 2), one replica receives nothing; the primary and the replica with every commit crash together, and all VMs are killed five seconds later and start again.

Cause: a VM knows departed targets only since its own start, so that after a start of all VMs nobody missed the replica whose entry was gone.

Evidence: the log of the VM that moved the leadership after the restart has no line "too few replicas tell", and the stand-in's record shows the other replica at 1.317 and the promoted one at 1.191.

Change: for each group with sync_replicas above 0 the store holds a list of its targets by start (amaranthsill/replicas/GROUP): the registered ones and those that departed and still matter. The VMs of the group's rank write it on the condition that it is unchanged. A VM that finds a target there that is not registered counts it as departed; a move reads the list after its own write of the record, and promotes nobody by number of reports before it has. A target leaves the list by the same proofs by which a VM forgot it before.

Why it works: what a move has to miss is now read from where it outlives the VMs. Groups with sync_replicas 0 have no list and make no call.

--- a/edge/control.go
+++ b/edge/control.go
@@ -25,11 +25,16 @@
 
 // Departed implements succession.Targets.
 func (c *controlClient) Departed(group string) []pool.Target {
-	committedAt := time.Duration(0)
+	return c.directory.Departed(group, c.committedAt(group))
+}
+
+// committedAt returns when this VM last acknowledged a commit of a group; zero if it never
+// did.
+func (c *controlClient) committedAt(group string) time.Duration {
 	if g, ok := c.existingPool(group); ok {
-		committedAt = g.LastCommit().At
+		return g.LastCommit().At
 	}
-	return c.directory.Departed(group, committedAt)
+	return 0
 }
 
 // SyncReplicas implements succession.Targets. A group that the configuration has no more
--- a/edge/departed.go
+++ b/edge/departed.go
@@ -51,10 +51,18 @@
 // commit have all before; committedAt is when this VM last acknowledged one. It does not
 // matter either once it is registered again, or another target with its address to which
 // its log was passed on, nor once a leader was recorded after its departure, since that
-// had every acknowledged commit.
+// had every acknowledged commit. Targets that left before this VM started are known from
+// the store's list.
 func (d *Directory) Departed(group string, committedAt time.Duration) []pool.Target {
 	d.lock.Lock()
 	defer d.lock.Unlock()
+	d.init()
+	return d.departedFrom(group, committedAt)
+}
+
+// departedFrom is Departed for a caller that holds the lock.
+func (d *Directory) departedFrom(group string, committedAt time.Duration) []pool.Target {
+	d.adopt(group)
 	list := []pool.Target{}
 	for _, t := range d.departed {
 		if t.Group == group && committedAt < t.at+commitTime {
@@ -73,7 +81,7 @@
 	defer d.lock.Unlock()
 	for k, t := range d.departed {
 		if t.Group == group && t.at < before {
-			delete(d.departed, k)
+			d.forget(k)
 		}
 	}
 }
@@ -90,7 +98,9 @@
 // the lock.
 func (d *Directory) depart(t pool.Target, passesOn bool) {
 	if d.maySynchronize(t.Group) {
-		d.departed[departureKey{t.ID, t.Incarnation}] = departure{Target: t, at: d.Now(), revision: d.newestRevision, passesOn: passesOn}
+		k := departureKey{t.ID, t.Incarnation}
+		delete(d.forgotten, k)
+		d.departed[k] = departure{Target: t, at: d.Now(), revision: d.newestRevision, passesOn: passesOn}
 	}
 }
 
@@ -110,7 +120,7 @@
 	delete(d.departed, departureKey{t.ID, t.Incarnation})
 	for k, former := range d.departed {
 		if former.passesOn && former.Group == t.Group && former.Address == t.Address {
-			delete(d.departed, k)
+			d.forget(k)
 		}
 	}
 }
@@ -122,7 +132,7 @@
 		old, l := d.leads[t.Group], r.Leads[t.Group]
 		begun := l.Target != "" && !l.Moving() && (l.Target != old.Target || l.Since != old.Since || old.Moving())
 		if begun && revision > t.revision {
-			delete(d.departed, k)
+			d.forget(k)
 		}
 	}
 	d.leads = r.Leads
--- a/edge/directory.go
+++ b/edge/directory.go
@@ -128,6 +128,10 @@
 	// departed holds the targets that are registered no more, as long as their logs may
 	// matter; see Departed.
 	departed map[departureKey]departure
+	// listed holds by group what the store's list of targets has, and forgotten those of its
+	// entries that no longer matter, with their groups.
+	listed    map[string][]replica
+	forgotten map[departureKey]string
 	// leads are those of the newest leader record that was read.
 	leads map[string]succession.Lead
 	// byGroup holds the targets of each group, and present the membership; nil
@@ -185,6 +189,8 @@
 		d.peers = map[string]*registration[Peer]{}
 		d.recent = map[string]recentPeer{}
 		d.departed = map[departureKey]departure{}
+		d.listed = map[string][]replica{}
+		d.forgotten = map[departureKey]string{}
 	}
 }
 
@@ -246,6 +252,8 @@
 	switch {
 	case strings.HasPrefix(i.Key, vmPrefix):
 		d.applyPeer(i)
+	case strings.HasPrefix(i.Key, replicaPrefix):
+		d.applyReplicas(strings.TrimPrefix(i.Key, replicaPrefix), i)
 	case i.Deleted:
 		d.Log.Info("key was removed from the store", "key", i.Key, "revision", i.Revision.String())
 	case i.Key == d.Adapter.ConfigurationKey:
--- a/edge/entries.go
+++ b/edge/entries.go
@@ -16,6 +16,7 @@
 	entryVM            entryKind = "vm"
 	entryConfiguration entryKind = "configuration"
 	entryRecord        entryKind = "record"
+	entryReplicas      entryKind = "replicas"
 )
 
 // invalidMessages are the log messages for entries that cannot be used.
@@ -24,6 +25,7 @@
 	entryVM:            "VM's entry cannot be decoded; ignoring it",
 	entryConfiguration: "configuration cannot be decoded; the one in force stays",
 	entryRecord:        "leader record cannot be decoded; ignoring it",
+	entryReplicas:      "list of targets cannot be decoded; writing it again",
 }
 
 // Bounds on what is kept of entries that cannot be used. Another writer may have written
@@ -78,7 +80,7 @@
 func beginning(text string) string { return text[:min(len(text), maxLoggedBytes)] }
 
 // InvalidEntries returns how many states of entries could not be used, by kind: "target",
-// "vm", "configuration" or "record".
+// "vm", "configuration", "record" or "replicas".
 func (d *Directory) InvalidEntries() map[string]int {
 	d.lock.Lock()
 	defer d.lock.Unlock()
--- a/edge/supervisor.go
+++ b/edge/supervisor.go
@@ -83,6 +83,12 @@
 	// recordingLeaders reports that first leaders are being written to the
 	// leader record.
 	recordingLeaders atomic.Bool
+	// recordingReplicas reports that lists of targets are being written, replicasCheckedAt
+	// is when the lists were last checked, and replicasDifferSince since when a group's has
+	// not been up to date.
+	recordingReplicas   atomic.Bool
+	replicasCheckedAt   time.Duration
+	replicasDifferSince map[string]time.Duration
 }
 
 // groupState is what the supervisor tracks of a group while its lead stays the
@@ -118,6 +124,7 @@
 	s.states = map[string]*groupState{}
 	s.holderChangeSince = map[string]time.Duration{}
 	s.fallbacks = map[string]bool{}
+	s.replicasDifferSince = map[string]time.Duration{}
 	tick := time.NewTicker(superviseInterval)
 	defer tick.Stop()
 	for {
@@ -151,6 +158,7 @@
 	}
 	s.settleRecord(ctx, c.Groups)
 	s.recordFirstLeaders(ctx, c.Groups)
+	s.recordReplicas(ctx, c.Groups)
 	s.closeSessions()
 	s.checkReady()
 }
--- a/edge/synchronous_test.go
+++ b/edge/synchronous_test.go
@@ -84,6 +84,25 @@
 		f.expectKept(acknowledged)
 	})
 
+	// Guards against the same loss if all VMs start again after that replica has left: they
+	// knew only targets that left since their own start.
+	ginkgo.It("keeps its commits if all VMs start again after the replica that has them has left", func() {
+		f := openFixture(syncedZones, 3)
+		acknowledged := f.writeUnheard()
+		servers := f.site.Servers("choir")
+		for _, v := range servers[:2] {
+			v.Crash()
+			f.site.Store.Delete("servers/" + v.ID)
+		}
+		f.stopAll()
+		f.startAll(3, false)
+		f.expectWaiting(14 * time.Second)
+		servers[0].Restart()
+		gomega.Eventually(func() int { return len(f.site.Promotions("choir")) }, 2*recoveryTimeout, "20ms").Should(gomega.Equal(1))
+		servers[2].SetReplicationPaused(false)
+		f.expectKept(acknowledged)
+	})
+
 	ginkgo.It("gives up what only lost targets have once the operator sets sync_replicas to 0", func() {
 		f := openFixture(syncedZones, 3)
 		f.writeUnheard()
--- a/succession/candidate.go
+++ b/succession/candidate.go
@@ -30,6 +30,7 @@
 func (v *move) chooseCandidate(ctx context.Context) (candidateReport, error) {
 	deadline := v.Now() + catchUpTimeout
 	for {
+		v.recall(ctx)
 		reports := v.collectReports(ctx)
 		if len(reports) == 0 && !v.isSynchronous() {
 			return candidateReport{}, ErrNoCandidate
--- a/succession/evidence.go
+++ b/succession/evidence.go
@@ -50,7 +50,22 @@
 	if !v.reachesReported(c.Received) {
 		return false
 	}
-	return c.ID == v.oldLeader || v.coversOldLeader(c) || len(v.silentReplicas()) < v.syncReplicas
+	return c.ID == v.oldLeader || v.coversOldLeader(c) || v.recalled && len(v.silentReplicas()) < v.syncReplicas
+}
+
+// recall takes in which targets departed before this VM started. Without that it cannot be
+// known who has not told.
+func (v *move) recall(ctx context.Context) {
+	if v.recalled || !v.isSynchronous() {
+		return
+	}
+	limited, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	if err := v.Targets.Recall(limited, v.group); err != nil {
+		v.Log.Info("targets that departed are not known; trying again", "group", v.group, "reason", err.Error())
+		return
+	}
+	v.recalled = true
 }
 
 // reachesReported reports whether a log position includes all that replicas told of.
--- a/succession/evidence_test.go
+++ b/succession/evidence_test.go
@@ -68,6 +68,23 @@
 		})
 	}
 
+	// Guards against acknowledged commits that are lost, since a VM that started after the
+	// replica with them had left does not know of it.
+	ginkgo.It("waits for a replica that left before the VM started", func() {
+		s := newSyncFixture()
+		s.setDown(true, "b")
+		s.gone, s.recalled = []string{"b"}, []string{"b"}
+		gomega.Expect(s.moveFor(1500 * time.Millisecond)).NotTo(gomega.Succeed())
+		gomega.Expect(s.calledFor()).To(gomega.BeEmpty())
+	})
+
+	ginkgo.It("promotes no replica as long as it is not known which others have left", func() {
+		s := newSyncFixture()
+		s.recallFails = true
+		gomega.Expect(s.moveFor(1500 * time.Millisecond)).NotTo(gomega.Succeed())
+		gomega.Expect(s.calledFor()).To(gomega.BeEmpty())
+	})
+
 	ginkgo.It("promotes none and says why if too few replicas tell, and may begin again at once", func() {
 		s := newSyncFixture()
 		s.setDown(true, "b")
--- a/succession/mover.go
+++ b/succession/mover.go
@@ -119,6 +119,10 @@
 	// Departed returns the targets of a group, or starts of them, that are registered no
 	// more, but may have commits that no registered replica has.
 	Departed(group string) []pool.Target
+	// Recall takes in which targets may hold commits of a group alone as the store tells at
+	// the time of the call, so that Departed also returns those that left before this VM
+	// started.
+	Recall(ctx context.Context, group string) error
 	// SyncReplicas returns how many replicas of a group have received a commit before it
 	// is acknowledged.
 	SyncReplicas(group string) int
--- a/succession/succession_test.go
+++ b/succession/succession_test.go
@@ -184,6 +184,11 @@
 	// about to end.
 	syncReplicas int
 	departed     []string
+	// gone holds further targets that are not registered, of which the VM does not know.
+	gone []string
+	// recalled replaces departed at a call of Recall, unless it is nil or recallFails is set.
+	recalled    []string
+	recallFails bool
 	draining     map[string]bool
 	// lostPromotions is the number of next promotions that never take effect.
 	lostPromotions int
@@ -312,7 +317,7 @@
 	defer p.lock.Unlock()
 	list := []pool.Target{}
 	for _, id := range []string{"a", "b", "c"} {
-		if !slices.Contains(p.departed, id) {
+		if !slices.Contains(p.departed, id) && !slices.Contains(p.gone, id) {
 			list = append(list, pool.Target{ID: id, Absent: p.absent[id], Draining: p.draining[id]})
 		}
 	}
@@ -329,6 +334,19 @@
 	return list
 }
 
+// Recall finds the targets that left before the VM started.
+func (p *fakePlatform) Recall(context.Context, string) error {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	if p.recallFails {
+		return store.ErrUnavailable
+	}
+	if p.recalled != nil {
+		p.departed = p.recalled
+	}
+	return nil
+}
+
 func (p *fakePlatform) SyncReplicas(string) int { return p.syncReplicas }
 
 // setDeparted sets the targets that are registered no more.
