Promote what has all that the VMs have acknowledged, where too few replicas tell

Callers saw: with sync_replicas 1, a group stayed without a leader for good after a second crash. Primary and the replica with every commit crash together, and the replica is back 5 s later with its log: nothing was promoted in 25 s. Three replicas, of which one receives nothing, and the new leader crashes 3 s after the first one: no leader again, although a replica had everything.

Cause: only the number of replicas that have told counted. A start of a replica after another one has told nothing for the earlier one, and a former leader that crashed counts as a replica that may hold a commit alone.

Change: if too few replicas tell, the VM that moves asks all VMs, once they acknowledge no more, how far the commits reach that they acknowledged (Gather, with the group's name). A target whose log reaches as far has all of them, whatever the others hold. The answer counts only if every VM of the last 20 s tells, each has been up for 15 s or more, none has left in that time, and some VM has a position of the leader from within it, which includes what VMs acknowledged that are gone. It is kept for the row of moves, during which nobody leads.

Why it works: a log has all commits before each that it has; each VM records the position in an answer to a commit before it checks whether it may release it, so that what it tells includes every commit that it released.

--- a/edge/directory.go
+++ b/edge/directory.go
@@ -147,6 +147,8 @@
 	// began to say Silent or Left, and selfSilenced the one at which it did the latter. An
 	// entry of an earlier start that says Left when this VM starts is no silence.
 	selfRemoved, selfSilenced store.Revision
+	// leftAt is when a VM's entry was last seen to say Left; zero if none was.
+	leftAt time.Duration
 	// selfSeen reports that this VM's own entry was read, and selfReturned that the
 	// entry of an earlier start was still there before.
 	selfSeen, selfReturned bool
@@ -406,6 +408,7 @@
 		}
 	}
 	if p.Left {
+		d.leftAt = d.Now()
 		delete(d.recent, p.Name)
 	}
 	if old == nil && p.Left {
@@ -586,6 +589,14 @@
 	return p != nil && p.absentSince == 0
 }
 
+// vmLeftSince reports whether a VM has written since a time that it serves nobody any
+// more. This VM remembers it no longer.
+func (d *Directory) vmLeftSince(t time.Duration) bool {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	return d.leftAt > t
+}
+
 // leavers returns the VMs that still count as running, but have written that they serve
 // nobody any more.
 func (d *Directory) leavers() map[string]bool {
--- a/edge/gather.go
+++ b/edge/gather.go
@@ -32,14 +32,19 @@
 	maxContacts = 4
 )
 
-// status returns this VM's own state.
-func (f *fleet) status() *peerpb.Status {
+// status returns this VM's own state, and what it has acknowledged of a group if that is
+// not empty.
+func (f *fleet) status(group string) *peerpb.Status {
 	// The mover and the grants are read before the revision: a move that begins in
 	// between then began after the request arrived.
 	resting := f.mayConfirm() && !f.left.Load()
 	revision, _, _ := f.grants.StoreConfirmation()
 	era, _, _ := f.grants.Era()
-	return &peerpb.Status{Name: f.Settings.VM(), Record: revision.Number(), RecordEra: revision.Era(), Resting: resting, Era: era}
+	s := &peerpb.Status{Name: f.Settings.VM(), Record: revision.Number(), RecordEra: revision.Era(), Resting: resting, Era: era}
+	if group != "" {
+		s.Acknowledged = f.acknowledged(group)
+	}
+	return s
 }
 
 // Gather implements peerpbconnect.FleetHandler.
@@ -53,7 +58,7 @@
 	if q.Msg.GetSettling() {
 		s.settledByOther.Store(int64(s.Now()))
 	}
-	members := []*peerpb.Status{s.status()}
+	members := []*peerpb.Status{s.status(q.Msg.GetGroup())}
 	left := time.Duration(q.Msg.GetTimeout())*time.Millisecond - gatherHop
 	members = append(members, s.gatherBelow(ctx, q.Msg, left)...)
 	return connect.NewResponse(&peerpb.GatherResponse{Members: members, Record: s.recordMessage()}), nil
@@ -107,7 +112,7 @@
 // requestGather passes a request on to one VM and those below it; false if the VM does
 // not answer.
 func (f *fleet) requestGather(ctx context.Context, p Peer, q *peerpb.GatherRequest, timeout time.Duration) ([]*peerpb.Status, bool) {
-	passed := &peerpb.GatherRequest{Record: q.GetRecord(), Timeout: uint32(timeout.Milliseconds()), Settling: q.GetSettling()}
+	passed := &peerpb.GatherRequest{Record: q.GetRecord(), Timeout: uint32(timeout.Milliseconds()), Settling: q.GetSettling(), Group: q.GetGroup()}
 	return f.callGather(ctx, p, passed, timeout)
 }
 
@@ -186,7 +191,7 @@
 // gatherThrough has one VM, which may be this one, answer for its zone.
 func (f *fleet) gatherThrough(ctx context.Context, z *zoneMembership, p Peer, q *peerpb.GatherRequest) gathered {
 	passed := &peerpb.GatherRequest{
-		Record: q.GetRecord(), Settling: q.GetSettling(),
+		Record: q.GetRecord(), Settling: q.GetSettling(), Group: q.GetGroup(),
 		Root: p.Name != z.order[0].Name, Timeout: uint32(gatherTimeout.Milliseconds()),
 	}
 	if p.Name == f.Settings.VM() {
--- a/edge/synchronous_test.go
+++ b/edge/synchronous_test.go
@@ -103,6 +103,23 @@
 		f.expectKept(acknowledged)
 	})
 
+	// Guards against a group that stays without a leader after a second crash: the replica
+	// that was back had another start, and so did not count although it had everything.
+	ginkgo.It("has a leader again once the replica that has its commits is back after a crash of its own", func() {
+		f := openFixture(syncedZones, 3)
+		// The VMs must have been up for long enough to know of all that was acknowledged.
+		time.Sleep(21 * time.Second)
+		acknowledged := f.writeUnheard()
+		servers := f.site.Servers("choir")
+		servers[0].Crash()
+		servers[1].Crash()
+		f.expectWaiting(4 * time.Second)
+		servers[1].Restart()
+		gomega.Eventually(f.site.Leader, recoveryTimeout, "20ms").WithArguments("choir").Should(gomega.Equal(servers[1]))
+		servers[2].SetReplicationPaused(false)
+		f.expectKept(acknowledged)
+	})
+
 	ginkgo.It("gives up what only lost targets have once the operator sets sync_replicas to 0", func() {
 		f := openFixture(syncedZones, 3)
 		f.writeUnheard()
--- a/front/attempt.go
+++ b/front/attempt.go
@@ -369,6 +369,9 @@
 	if f := answer.Failure; f != nil {
 		return a.failedOn(ctx, slot, need, st, answer.Reply)
 	}
+	if st.write {
+		a.group.RecordAnsweredCommit(answer.Position)
+	}
 	if err := a.confirmStillLeads(ctx, need); err != nil {
 		return a.leadershipLost(st, err)
 	}
--- a/front/transaction.go
+++ b/front/transaction.go
@@ -210,6 +210,9 @@
 // target still led the group after it ran.
 func (t *transaction) confirmAnswer(ctx context.Context, st statement, answer pool.Answer, until time.Duration) query.Reply {
 	t.attempt.deadline = until
+	if t.wrote {
+		t.attempt.group.RecordAnsweredCommit(answer.Position)
+	}
 	if err := t.attempt.confirmStillLeads(ctx, t.need); err != nil {
 		return t.abort("the target was deposed")
 	}
--- a/internal/site/leader.go
+++ b/internal/site/leader.go
@@ -138,6 +138,7 @@
 		return
 	}
 	s.crashed, s.receivePaused = false, false
+	s.starts++
 	s.primary = s.primary && leader == s
 	s.lock.Unlock()
 	s.Group.register(s)
--- a/internal/site/server.go
+++ b/internal/site/server.go
@@ -56,6 +56,8 @@
 	// receivePaused reports that a PAUSE keeps the replica from receiving.
 	receivePaused bool
 	crashed       bool
+	// starts counts how often the server has started.
+	starts int
 	// newerSince is since when the server, a primary, reaches a newer one; zero if it does
 	// not.
 	newerSince time.Time
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -299,6 +299,13 @@
 	return s.Address()
 }
 
+// born returns the time of the server's start in its entry, which differs for each start.
+func (s *Server) born() int {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return 1 + s.starts
+}
+
 // Drain registers the server as draining.
 func (s *Server) Drain() { s.Group.registerAs(s, "draining") }
 
@@ -312,7 +319,7 @@
 	}
 	g.site.Store.Put("servers/"+v.ID, map[string]any{
 		"service": g.Name, "address": v.registeredAddress(), "zone": v.Zone, "version": "v1", "slots": 3,
-		"state": state, "cold_left_ms": 0, "db_role": role, "seq": 1, "born": 1,
+		"state": state, "cold_left_ms": 0, "db_role": role, "seq": 1, "born": v.born(),
 	})
 }
 
--- a/pool/group.go
+++ b/pool/group.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-logr/logr"
 
+	"amaranthsill/query"
 	"amaranthsill/zones"
 )
 
@@ -49,6 +50,7 @@
 	pathLatencies    pathLatencies
 	crossing         crossing
 	lastCommit       Commit
+	answeredCommits  query.Position
 }
 
 // Configure sets the registered targets, and the number of connections to each
--- a/pool/observe.go
+++ b/pool/observe.go
@@ -72,6 +72,24 @@
 	At time.Duration
 }
 
+// RecordAnsweredCommit records the position in a target's answer to a commit, before it is
+// known whether the commit is acknowledged.
+func (g *Group) RecordAnsweredCommit(p query.Position) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	if p.Compare(g.answeredCommits) > 0 {
+		g.answeredCommits = p
+	}
+}
+
+// AnsweredCommits returns the highest position that was in a target's answer to a commit:
+// it includes every commit that this VM has acknowledged.
+func (g *Group) AnsweredCommits() query.Position {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	return g.answeredCommits
+}
+
 // RecordCommit records a commit that is being acknowledged to its caller.
 func (g *Group) RecordCommit(request, target string, p query.Position) {
 	g.lock.Lock()
--- a/succession/evidence.go
+++ b/succession/evidence.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"time"
 
 	"amaranthsill/pool"
 	"amaranthsill/query"
@@ -17,6 +18,9 @@
 // acknowledged commit. A replica that refuses the question because its slots are taken,
 // does not answer, or is no longer registered has not told; nor has one from before its
 // last start, since it may have lost its log. A draining one counts like any other.
+//
+// Where too few have told, the VMs may know how far the acknowledged commits reach: a
+// target whose log reaches as far has all of them, whatever the others hold.
 
 // isSynchronous reports whether commits of the group are acknowledged only once a replica
 // has received them.
@@ -50,6 +54,9 @@
 	if !v.reachesReported(c.Received) {
 		return false
 	}
+	if extent, known := v.extent(); known && c.Received.Reaches(extent) {
+		return true
+	}
 	return c.ID == v.oldLeader || v.coversOldLeader(c) || v.recalled && len(v.silentReplicas()) < v.syncReplicas
 }
 
@@ -120,6 +127,7 @@
 		v.Log.Info("too few replicas tell how far their logs reach; waiting", "group", v.group, "silent", silent, "sync", v.syncReplicas)
 	}
 	v.askOldLeader(ctx)
+	v.askExtent(ctx)
 	return sleep(ctx, reportInterval)
 }
 
@@ -147,3 +155,51 @@
 	v.lock.Unlock()
 	v.Log.Info("old leader is a replica", "group", v.group, "target", v.oldLeader, "term", r.Term, "received", r.Received.String())
 }
+
+// extentInterval is the least time between two questions to all VMs for how far the
+// commits reach that they have acknowledged.
+const extentInterval = time.Second
+
+// commitExtent is a log position that includes every commit that was acknowledged before a
+// row of moves, in an era of the store.
+type commitExtent struct {
+	row      string
+	era      uint64
+	position query.Position
+}
+
+// extent returns how far the acknowledged commits of the group reach; false if that is not
+// known. It stays the same until a row of moves ends, since nobody leads before that.
+func (v *move) extent() (query.Position, bool) {
+	v.lock.Lock()
+	defer v.lock.Unlock()
+	e, known := v.extents[v.group]
+	return e.position, known && e.row == v.record.Leads[v.group].Row() && e.era == v.record.Era
+}
+
+// askExtent asks all VMs how far the acknowledged commits of the group reach, once they
+// acknowledge no more. An old leader that has stepped down is not enough: VMs may
+// acknowledge what it had answered before.
+func (v *move) askExtent(ctx context.Context) {
+	select {
+	case <-v.grantsGone:
+	default:
+		return
+	}
+	_, known := v.extent()
+	if known || v.pending || v.extentAskedAt != 0 && v.Now()-v.extentAskedAt < extentInterval {
+		return
+	}
+	v.extentAskedAt = max(v.Now(), 1)
+	p, ok := v.Fleet.Acknowledged(ctx, v.group)
+	if !ok {
+		return
+	}
+	v.lock.Lock()
+	defer v.lock.Unlock()
+	if v.extents == nil {
+		v.extents = map[string]commitExtent{}
+	}
+	v.extents[v.group] = commitExtent{row: v.record.Leads[v.group].Row(), era: v.record.Era, position: p}
+	v.Log.Info("VMs tell how far the acknowledged commits reach", "group", v.group, "position", p.String())
+}
--- a/succession/evidence_test.go
+++ b/succession/evidence_test.go
@@ -85,6 +85,26 @@
 		gomega.Expect(s.calledFor()).To(gomega.BeEmpty())
 	})
 
+	// Guards against a group that stays without a leader after a second crash, although a
+	// replica has all that was acknowledged.
+	ginkgo.It("waits for no replica if one has all that the VMs have acknowledged", func() {
+		s := newSyncFixture()
+		s.setDown(true, "c")
+		extent := group.At(3, 9)
+		s.acknowledged = &extent
+		gomega.Expect(s.moveFor(3 * time.Second)).To(gomega.Succeed())
+		gomega.Expect(s.calledFor()).To(gomega.Equal([]string{"b"}))
+	})
+
+	ginkgo.It("waits if no replica that tells has all that the VMs have acknowledged", func() {
+		s := newSyncFixture()
+		s.setDown(true, "b")
+		extent := group.At(3, 9)
+		s.acknowledged = &extent
+		gomega.Expect(s.moveFor(1500 * time.Millisecond)).NotTo(gomega.Succeed())
+		gomega.Expect(s.calledFor()).To(gomega.BeEmpty())
+	})
+
 	ginkgo.It("promotes none and says why if too few replicas tell, and may begin again at once", func() {
 		s := newSyncFixture()
 		s.setDown(true, "b")
--- a/succession/move.go
+++ b/succession/move.go
@@ -59,6 +59,8 @@
 	// its replicas reached when they last told, by target.
 	syncReplicas int
 	reported     map[string]query.Position
+	// extentAskedAt is when Fleet.Acknowledged was last called; zero if it was not.
+	extentAskedAt time.Duration
 	// recalled reports that Targets.Recall has succeeded since the move was written.
 	recalled bool
 	// waitLogged reports that the wait for more reports was logged.
--- a/succession/mover.go
+++ b/succession/mover.go
@@ -142,6 +142,10 @@
 	// Announce sends a record to all other VMs in the background, until each has
 	// taken it in or the context ends.
 	Announce(ctx context.Context, r Record)
+	// Acknowledged returns a log position that includes every commit of a group that any VM
+	// has acknowledged; false if none is certain to. No VM may acknowledge commits of the
+	// group any more at the time of the call.
+	Acknowledged(ctx context.Context, group string) (query.Position, bool)
 	// Survey tells all other VMs that may be running of the store's era, and has
 	// Grants observe the newest record that any of them knows. A VM that has
 	// answered has no record of an earlier era promoted for which it has not
@@ -203,6 +207,9 @@
 	// promotion and that the record may show, or come to show: the last one that is known
 	// to have been written, and those since then whose write may take effect late.
 	abandoned map[string][]abandonedMove
+	// extents holds, by group, how far the commits reach that were acknowledged before the
+	// last row of moves for which that was found out.
+	extents map[string]commitExtent
 }
 
 // abandonedMove is a move that ended without a call for a promotion.
--- a/succession/succession_test.go
+++ b/succession/succession_test.go
@@ -18,6 +18,7 @@
 	"amaranthsill/clock"
 	"amaranthsill/group"
 	"amaranthsill/pool"
+	"amaranthsill/query"
 	"amaranthsill/store"
 	"amaranthsill/succession"
 )
@@ -189,7 +190,7 @@
 	// recalled replaces departed at a call of Recall, unless it is nil or recallFails is set.
 	recalled    []string
 	recallFails bool
-	draining     map[string]bool
+	draining    map[string]bool
 	// lostPromotions is the number of next promotions that never take effect.
 	lostPromotions int
 	// unansweredPromotions is the number of next promotions that take effect
@@ -387,6 +388,15 @@
 	// survey runs in each call of Survey and returns its result; nil returns that
 	// all VMs answered and none remembers anything.
 	survey func(ctx context.Context) succession.Survey
+	// acknowledged is the result of Acknowledged; nil if it is not certain.
+	acknowledged *query.Position
+}
+
+func (c *fakeFleet) Acknowledged(context.Context, string) (query.Position, bool) {
+	if c.acknowledged == nil {
+		return query.Position{}, false
+	}
+	return *c.acknowledged, true
 }
 
 func (c *fakeFleet) Survey(ctx context.Context, _ uint64) succession.Survey {
