--- a/scripts/spec.sh
+++ b/scripts/spec.sh
@@ -70,6 +70,12 @@
 for mutant in FIRST SKIP_MUTE SKIP_GONE SKIP_FORMER DRAIN_LAST EARLY_ASK STALE FORGET_EARLY BLIND; do
   check "commits-$mutant" commits.pml violated -D$mutant
 done
+check commits-restart commits.pml holds -DRESTART
+check commits-NO_LIST commits.pml violated -DRESTART -DNO_LIST
+check commits-extent commits.pml holds -DEXTENT
+for mutant in EXTENT_EARLY EXTENT_ONE EXTENT_NEW; do
+  check "commits-$mutant" commits.pml violated -DEXTENT -D$mutant
+done
 check commits-FORGET_ONE commits.pml violated -DSYNC=2 -DFORGET_ONE
 check limits limits.pml holds
 check limits-burst limits.pml holds -DBURST=3 -DVALID=1
--- a/spec/commits.pml
+++ b/spec/commits.pml
@@ -10,10 +10,17 @@
  * The leader may crash, and may come back with its log. All that happens FAULTS times at
  * most, in any order, before, during and after the move.
  *
+ * With RESTART all VMs may start again, which is one of the faults. They know then only what the store's
+ * list says of replicas that left or started again before. The list has each replica as long
+ * as it is registered, so that it is there when one leaves, and loses one when the VMs have
+ * forgotten it, or later.
+ *
  * The mover asks the registered replicas how far their logs reach. A replica counts as
  * silent if it is registered and has not told, or if it left or started again and its
  * former log may matter still. That log matters no more once the successor has it, or once so
- * many replicas have what the leader had after that that one of them always tells.
+ * many replicas have what the leader had after that that one of them always tells. With
+ * EXTENT it may also ask the two VMs how far the commits reach that they acknowledged, once they
+ * acknowledge no more: whatever has as much may be promoted.
  *
  * Properties: the target that is promoted has every acknowledged commit. Where the move waits for
  * ever, the old leader does not come back, and a replica that may alone have a commit does
@@ -30,6 +37,10 @@
  *   FORGET_EARLY the leader's position is read before the replica has left
  *   FORGET_ONE   with SYNC 2, one replica that has what the leader had is enough
  *   BLIND        the old leader is not asked whether it is back
+ *   NO_LIST      VMs that start again know of no replica that left before
+ *   EXTENT_EARLY the VMs are asked while they may still acknowledge commits
+ *   EXTENT_ONE   one VM is asked for what both acknowledged
+ *   EXTENT_NEW   VMs that started again are asked for what they acknowledged before
  */
 
 #ifndef SYNC
@@ -54,6 +65,19 @@
 bit  left[N];     /* is not registered */
 bit  gone[N];     /* left, and its log may matter */
 bit  former[N];   /* started again without a log that may matter */
+#ifdef RESTART
+bit  listed[N];   /* the store's list has what gone or former tell */
+#endif
+#ifdef EXTENT
+byte by[2];       /* how far the commits reach that each VM acknowledged */
+bit  fresh = 0;   /* the VMs started again lately */
+bit  asked = 0;   /* the VMs have told */
+byte extent = 0;  /* how far */
+#define told_extent(n) (asked && n >= extent)
+#define highest (by[0] > by[1] -> by[0] : by[1])
+#else
+#define told_extent(n) 0
+#endif
 bit  before[N];   /* had done neither since the leader's position was read */
 
 bit  told[N];
@@ -103,20 +127,47 @@
 
 /* Whether a replica may be promoted. */
 #define fit(i) (!left[i] && !mute[i] && told[i] && best(log[i]) && \
-	(enough || stepped && best(length) && log[i] >= length))
+	(enough || told_extent(log[i]) || stepped && best(length) && log[i] >= length))
 
 active proctype leader() {
 	byte next;
 end:
 	do
 	:: atomic { up && !stepped && !done && length < COMMITS -> length++ }
+#ifdef EXTENT
+	:: atomic { !fenced && up && acked < length && receivers(acked + 1) >= SYNC -> acked++; by[0] = acked }
+	:: atomic { !fenced && up && acked < length && receivers(acked + 1) >= SYNC -> acked++; by[1] = acked }
+#else
 	:: atomic { !fenced && up && acked < length && receivers(acked + 1) >= SYNC -> acked++ }
+#endif
 	:: atomic { up && !left[0] && log[0] < length -> log[0] = length }
 	:: atomic { up && !left[1] && log[1] < length -> log[1] = length }
 	:: atomic { up && !left[2] && log[2] < length -> log[2] = length }
 	od
 }
 
+/* A replica that leaves or starts again was in the list while it was registered. */
+inline list(i) {
+#ifdef RESTART
+	listed[i] = 1;
+#endif
+	skip
+}
+
+/* What VMs know of a replica once they have started again. One that is in the list, although
+ * it has returned or they had forgotten it, counts as having left. */
+inline restart(i) {
+#ifdef RESTART
+#ifdef NO_LIST
+	gone[i] = 0;
+#else
+	gone[i] = listed[i];
+#endif
+	former[i] = 0;
+	before[i] = 0
+#endif
+}
+
 active proctype trouble() {
 	byte i;
 end:
@@ -134,8 +185,14 @@
 		if
 		:: !left[i] && !mute[i] -> mute[i] = 1
 		:: !left[i] && !drains[i] -> drains[i] = 1
-		:: !left[i] -> left[i] = 1; gone[i] = 1; before[i] = 0
-		:: !left[i] && log[i] > 0 -> log[i] = 0; former[i] = 1; before[i] = 0
+		:: !left[i] -> left[i] = 1; gone[i] = 1; list(i); before[i] = 0
+		:: !left[i] && log[i] > 0 -> log[i] = 0; former[i] = 1; list(i); before[i] = 0
+#ifdef RESTART
+		:: true -> restart(0); restart(1); restart(2)
+#endif
+#ifdef EXTENT
+		:: true -> fresh = 1; by[0] = 0; by[1] = 0
+#endif
 		:: else
 		fi;
 		i = 0 }
@@ -155,6 +212,9 @@
 	:: true -> gone[i] = 0; former[i] = 0
 #else
 	:: before[i] -> gone[i] = 0; former[i] = 0
+#ifdef RESTART
+	:: before[i] -> gone[i] = 0; former[i] = 0; listed[i] = 0
+#endif
 	:: else
 #endif
 	fi
@@ -196,11 +256,25 @@
 }
 
 active proctype mover() {
+#ifdef EXTENT_EARLY
+	atomic { asked = 1; extent = highest };
+#endif
 #ifndef EARLY_ASK
 	fenced = 1;
 #endif
 endWait: /* see watch */
 	do
+#ifdef EXTENT
+#ifdef EXTENT_NEW
+	:: atomic { !asked -> asked = 1; extent = highest }
+#else
+#ifdef EXTENT_ONE
+	:: atomic { !fresh && !asked -> asked = 1; extent = by[0] }
+#else
+	:: atomic { !fresh && !asked -> asked = 1; extent = highest }
+#endif
+#endif
+#endif
 	:: atomic { !left[0] && !mute[0] && (!told[0] || reached[0] < log[0]) -> ask(0) }
 	:: atomic { !left[1] && !mute[1] && (!told[1] || reached[1] < log[1]) -> ask(1) }
 	:: atomic { !left[2] && !mute[2] && (!told[2] || reached[2] < log[2]) -> ask(2) }
