Show what runs of the review that share ports look like

Runs of the review's cases that begin at the same moment with the same process ID choose the same ports and request IDs.

--- a/scripts/review.sh
+++ b/scripts/review.sh
@@ -58,7 +58,10 @@
   echo "review/$name run $run: exit $code, load $(cut -d' ' -f1 /proc/loadavg): $(grep -v '^logs are in' "$tree/output" | tail -1)"
   if [ "$code" = 0 ]; then
     find "$tree" -mindepth 1 ! -name code -delete
+    return
   fi
+  # Then another run's VMs may have answered this one's clients.
+  echo "review/$name run $run: $(cat "$tree"/tmp/review*/*.log 2>/dev/null | grep -c 'address already in use' || true) times an address was in use"
 }
 
 for name in "$@"; do
