--- a/edge/replicas.go
+++ b/edge/replicas.go
@@ -65,7 +65,7 @@
 	return l, nil
 }
 
-// applyReplicas takes in a group's list. One that cannot be decoded counts as absent, so
+// applyReplicas takes in a group's list. One that cannot be decoded counts as empty, so
 // that it is written again. The caller holds the lock.
 func (d *Directory) applyReplicas(group string, i store.Item) {
 	l := replicaList{}
@@ -174,12 +174,11 @@
 	if listed && slices.Equal(old, next) {
 		return listWrite{}, false
 	}
-	text, err := json.Marshal(replicaList{Replicas: next})
-	if err != nil {
-		// It consists of texts and numbers only.
-		panic(err)
+	var err error
+	if w.value, err = json.Marshal(replicaList{Replicas: next}); err != nil {
+		d.Log.Error(err, "list of targets cannot be encoded; it is not written", "group", group)
+		return listWrite{}, false
 	}
-	w.value = text
 	return w, true
 }
 
