--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -59,7 +59,7 @@
 	Name string
 	// ConnectionLimit is the connection limit of each target, summed over all VMs.
 	ConnectionLimit int
-	// SyncReplicas is the number of replicas that must hold a commit before
+	// SyncReplicas is the number of replicas that certainly hold a commit before
 	// the leader acknowledges it.
 	SyncReplicas int
 }
