Count answers of targets that come twice or that are not due

Nothing told a shifted answer from one whose request was cut at a line feed, or from the late answer to an order that was given up. No answer is treated differently yet.

--- a/edge/adapter.go
+++ b/edge/adapter.go
@@ -22,6 +22,9 @@
 	Promoter succession.Promoter
 	// Dialer opens links to targets.
 	Dialer pool.Dialer
+	// Repeats counts the answers that targets sent twice over the Dialer's links; nil if
+	// that is not counted.
+	Repeats *pool.Repeats
 	// NewCallerConn returns the protocol codec for a caller's connection.
 	NewCallerConn func(net.Conn) front.CallerConn
 	// TargetPrefix is the prefix of the targets' keys in the store.
--- a/edge/collector.go
+++ b/edge/collector.go
@@ -22,7 +22,7 @@
 	storeEra, storeLosses, invalidEntries                     *prometheus.Desc
 	confirmationAge, customers, customerSessions              *prometheus.Desc
 	connectionOpens, connectionEvictions, customerWaiting     *prometheus.Desc
-	conflictingPrimaries, build                               *prometheus.Desc
+	conflictingPrimaries, build, repeatedAnswers              *prometheus.Desc
 }
 
 var _ prometheus.Collector = (*collector)(nil)
@@ -57,6 +57,7 @@
 		connectionEvictions:  describe("connection_evictions_total", "Idle connections that were closed to open one for another customer.", "group"),
 		customerWaiting:      describe("customer_waiting_statements", "Statements that wait for a target, of the customers with the most.", "customer"),
 		conflictingPrimaries: describe("conflicting_primaries", "Targets that report themselves as primaries although they do not lead.", "group"),
+		repeatedAnswers:      describe("repeated_answers_total", "Answers of targets that came twice, or while none was due, by kind.", "kind"),
 		movesUnderWay:        describe("moves_under_way", "Whether this VM moves a leadership: 1 or 0."),
 	}
 }
@@ -87,6 +88,13 @@
 	}
 }
 
+// collectRepeats reports the answers that targets sent twice or that were not due.
+func (c *collector) collectRepeats(count func(*prometheus.Desc, int, ...string)) {
+	n := c.Adapter.Repeats.Counts()
+	count(c.repeatedAnswers, int(n.Repeated), "repeated")
+	count(c.repeatedAnswers, int(n.Unmatched), "unmatched")
+}
+
 // Collect implements prometheus.Collector.
 func (c *collector) Collect(m chan<- prometheus.Metric) {
 	gauge := func(d *prometheus.Desc, value float64, labels ...string) {
@@ -117,6 +125,7 @@
 		gauge(c.recordAge, (c.Now() - confirmedAt).Seconds())
 	}
 	c.collectInvalidEntries(count)
+	c.collectRepeats(count)
 	gauge(c.vmCount, float64(c.directory.PeerCount()))
 	moving := 1.0
 	if c.mover.Idle() {
