Give each request a receipt of its own on the simulated servers

The receipt "ID:NAME=VALUE,..." was alike for all statements of a session, so that no test could tell a caller's answer from another's. PROTOCOL.md calls it the MAC for the request. It now names the request and has a MAC of its text, the session settings and the rows; the ID and the settings stay, and tests check both as before.

The servers also read lines as the protocol defines them: CR LF ends a line, a lone LF or CR is data, and data, shapes and values keep every byte. strings.Fields split at LF and joined words with one blank. They record the text that each request ran with, and its transaction.

--- a/internal/site/server.go
+++ b/internal/site/server.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"cmp"
 	"fmt"
 	"net"
 	"slices"
@@ -45,6 +47,10 @@
 	executions         map[string]int
 	// startedBy holds the names that were given when connections were opened.
 	startedBy map[string]bool
+	// executed holds the statements that ran, by their request's ID.
+	executed map[string][]Execution
+	// transactions counts the transactions that were begun.
+	transactions int
 	// ranFor maps a request's ID to the customer of the connection on which it last ran.
 	ranFor map[string]string
 	// committedAt maps a write's ID to when it was last committed on the server.
@@ -254,9 +260,12 @@
 	*Server
 	conn net.Conn
 	// customer is the name that was given when the connection was opened.
-	customer          string
-	out               *bufio.Writer
-	inTransaction     bool
+	customer string
+	// answer is the answer that is being composed.
+	answer        bytes.Buffer
+	inTransaction bool
+	// transaction is the number of the open transaction; zero if none is.
+	transaction       int
 	transactionFailed bool
 	// plain reports that the open transaction may write.
 	plain         bool
@@ -265,19 +274,18 @@
 	// received it; zero if there is none.
 	unsynced int
 	settings map[string]string
-	// prepared maps the name of a prepared statement to its access: READ or WRITE.
-	prepared map[string]string
+	prepared map[string]Plan
 }
 
 func (s *Server) serveConnection(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	in := bufio.NewReader(c)
-	line, err := in.ReadString('\n')
+	line, err := ReadLine(in)
 	if err != nil || s.isCrashed() {
 		return
 	}
-	d := &connection{Server: s, conn: c, out: bufio.NewWriter(c), settings: map[string]string{}, prepared: map[string]string{}}
-	if !d.start(strings.Fields(line)) {
+	d := &connection{Server: s, conn: c, settings: map[string]string{}, prepared: map[string]Plan{}}
+	if !d.start(strings.Split(line, " ")) {
 		return
 	}
 	s.lock.Lock()
@@ -289,11 +297,11 @@
 		s.lock.Unlock()
 	}()
 	for {
-		line, err := in.ReadString('\n')
+		line, err := ReadLine(in)
 		if err != nil {
 			return
 		}
-		f := strings.SplitN(strings.TrimRight(line, "\r\n"), " ", 3)
+		f := strings.SplitN(line, " ", 3)
 		if len(f) < 3 || f[0] != "QUERY" {
 			return
 		}
@@ -319,11 +327,11 @@
 	switch {
 	case len(fields) < 3 || fields[0] != "STARTUP" || fields[1] != c.Group.Name || len(fields) > 3 && fields[3] != c.ID:
 		c.send("ERROR MISROUTED " + c.ID)
-		_ = c.out.Flush()
+		c.flush()
 		return false
 	case tooMany:
 		c.send("ERROR CONNLIMIT " + c.ID)
-		_ = c.out.Flush()
+		c.flush()
 		return false
 	}
 	c.customer = fields[2]
@@ -334,7 +342,13 @@
 	return true
 }
 
-func (c *connection) send(line string) { _, _ = c.out.WriteString(line + "\r\n") }
+func (c *connection) send(line string) { c.answer.WriteString(line + "\r\n") }
+
+// flush sends the answer.
+func (c *connection) flush() {
+	_, _ = c.conn.Write(c.answer.Bytes())
+	c.answer.Reset()
+}
 
 func (c *connection) sendReady() {
 	state := "I"
@@ -348,7 +362,7 @@
 	p := c.position()
 	c.lock.Unlock()
 	c.send("READY " + state + " " + p)
-	_ = c.out.Flush()
+	c.flush()
 }
 
 // query executes one query and sends its answer. It reports whether the connection
@@ -388,11 +402,9 @@
 
 // takesSlot reports whether a query occupies a slot.
 func takesSlot(text string) bool {
-	f := strings.Fields(text)
-	if f[0] == "AFTER" {
-		f = f[2:]
-	}
-	return slices.Contains([]string{"READ", "WRITE", "EXECUTE", "COMMIT", "STATUS"}, f[0])
+	_, text = cutAfter(text)
+	word, _, _ := strings.Cut(text, " ")
+	return slices.Contains([]string{"READ", "WRITE", "EXECUTE", "COMMIT", "STATUS"}, word)
 }
 
 func (c *connection) dropsAnswer(id string) bool {
@@ -408,13 +420,12 @@
 // execute runs the text of a query. It returns the error code of a failed query, or an
 // empty string.
 func (c *connection) execute(id, text string) string {
-	f := strings.Fields(text)
-	if f[0] == "AFTER" {
-		if !c.reached(f[1]) {
-			return "LAGGING"
-		}
-		f = f[2:]
+	after, text := cutAfter(text)
+	if after != "" && !c.reached(after) {
+		return "LAGGING"
 	}
+	word, rest, _ := strings.Cut(text, " ")
+	name, value, _ := strings.Cut(rest, " ")
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	if id != "-" {
@@ -422,17 +433,17 @@
 		c.ranFor[id] = c.customer
 		c.logAtRun[id] = c.log
 	}
-	switch f[0] {
+	switch word {
 	case "STATUS":
 		if c.slots != nil && (c.busy || time.Now().Before(c.busyUntil)) {
 			return "BUSY"
 		}
 		return c.status()
 	case "STEPDOWN":
-		c.stepDown(f[1])
+		c.stepDown(rest)
 		return c.status()
 	case "PAUSE":
-		if term, err := strconv.ParseUint(f[1], 10, 64); err == nil && term > c.term {
+		if term, err := strconv.ParseUint(rest, 10, 64); err == nil && term > c.term {
 			c.receivePaused = true
 		}
 		return c.status()
@@ -445,25 +456,28 @@
 		c.send("COMPLETE -")
 		return ""
 	case "SET":
-		c.settings[f[1]] = strings.Join(f[2:], " ")
+		c.settings[name] = value
 		c.send("COMPLETE -")
 		return ""
 	case "PREPARE":
-		c.prepared[f[1]] = f[2]
+		access, shape, _ := strings.Cut(value, " ")
+		c.prepared[name] = Plan{Access: access, Shape: shape}
 		c.send("COMPLETE -")
 		return ""
 	case "DEALLOC":
-		if c.prepared[f[1]] == "" {
+		if _, ok := c.prepared[name]; !ok {
 			return "NOSTMT"
 		}
-		delete(c.prepared, f[1])
+		delete(c.prepared, name)
 		c.send("COMPLETE -")
 		return ""
 	case "BEGIN":
-		if len(f) == 1 && !c.primary {
+		if rest == "" && !c.primary {
 			return "READONLY"
 		}
-		c.inTransaction, c.plain = true, len(f) == 1
+		c.inTransaction, c.plain = true, rest == ""
+		c.transactions++
+		c.transaction = c.transactions
 		c.send("COMPLETE -")
 		return ""
 	case "ROLLBACK":
@@ -475,57 +489,56 @@
 		delete(c.executions, id)
 		return "BUSY"
 	}
-	if c.inTransaction && c.plain && !c.primary && (f[0] != "COMMIT" || len(c.pendingWrites) > 0) {
+	if c.inTransaction && c.plain && !c.primary && (word != "COMMIT" || len(c.pendingWrites) > 0) {
 		delete(c.executions, id)
 		return "READONLY"
 	}
-	return c.executeStatement(id, f)
+	return c.executeStatement(id, text)
 }
 
-func (c *connection) executeStatement(id string, fields []string) string {
-	access := fields[0]
+func (c *connection) executeStatement(id, text string) string {
+	access, rest, _ := strings.Cut(text, " ")
 	if access == "EXECUTE" {
-		access = c.prepared[fields[1]]
-		if access == "" {
+		name, arguments, _ := strings.Cut(rest, " ")
+		p, ok := c.prepared[name]
+		if !ok {
 			return "NOSTMT"
 		}
-		fields = fields[1:]
+		access, rest, text = p.Access, arguments, p.Text(arguments)
 	}
+	item, data, _ := strings.Cut(rest, " ")
 	switch access {
 	case "READ":
-		c.send("DATAROW " + c.lookup(fields[1]))
-		c.sendCompletion()
+		row := c.lookup(item)
+		c.send("DATAROW " + row)
+		c.complete(id, text, row)
 	case "WRITE":
 		if !c.primary {
 			delete(c.executions, id)
 			return "READONLY"
 		}
-		c.pendingWrites = append(c.pendingWrites, entry{key: fields[1], value: strings.Join(fields[2:], " "), requestID: id})
+		c.pendingWrites = append(c.pendingWrites, entry{key: item, value: data, requestID: id})
 		if !c.inTransaction {
 			c.commit()
 		}
-		c.sendCompletion()
+		c.complete(id, text)
 	case "COMMIT":
 		if len(c.pendingWrites) > 0 && !c.primary {
 			return "READONLY"
 		}
 		c.commit()
+		c.complete(id, text)
 		c.resetTransaction()
-		c.sendCompletion()
 	default:
 		return "MALFORMED"
 	}
 	return ""
 }
 
-// sendCompletion ends the answer to a statement with "COMPLETE ID:NAME=VALUE,...": the
-// server's ID and the session settings that the statement ran with, which tests check.
-func (c *connection) sendCompletion() {
-	values := []string{}
-	for k, v := range c.settings {
-		values = append(values, k+"="+v)
-	}
-	c.send("COMPLETE " + c.ID + ":" + strings.Join(values, ","))
+// complete records a statement that has run and sends the receipt for it.
+func (c *connection) complete(id, text string, rows ...string) {
+	c.executed[id] = append(c.executed[id], Execution{Text: text, Transaction: c.transaction})
+	c.send("COMPLETE " + c.Receipt(id, text, c.settings, rows))
 }
 
 func (c *connection) commit() {
@@ -583,7 +596,7 @@
 }
 
 func (c *connection) resetTransaction() {
-	c.inTransaction, c.plain = false, false
+	c.inTransaction, c.plain, c.transaction = false, false, 0
 	c.transactionFailed = false
 	c.pendingWrites = nil
 }
@@ -599,7 +612,7 @@
 			return c.log[i].value
 		}
 	}
-	return "none"
+	return cmp.Or(c.Group.site.options.Absent, "none")
 }
 
 func (c *connection) status() string {
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -49,6 +49,9 @@
 	Slots int
 	// SyncReplicas is how many replicas receive a commit before it is acknowledged.
 	SyncReplicas int
+	// Absent is the row that a read of an item returns which was never written; empty means
+	// "none".
+	Absent string
 	// Rewrite changes what a VM writes to a key of the store; nil leaves it as it is.
 	Rewrite func(key string, value []byte) []byte
 }
@@ -137,7 +140,7 @@
 		}
 		v := &Server{
 			ID: fmt.Sprintf("%s-%d", name, i), Group: g, Zone: zone, listener: l,
-			primary: i == 0, term: 1, committedAt: map[string]time.Time{}, slots: newSlots(s.options.Slots), connections: map[net.Conn]bool{}, startedBy: map[string]bool{}, ranFor: map[string]string{}, executions: map[string]int{}, logAtRun: map[string][]entry{},
+			primary: i == 0, term: 1, committedAt: map[string]time.Time{}, slots: newSlots(s.options.Slots), connections: map[net.Conn]bool{}, startedBy: map[string]bool{}, ranFor: map[string]string{}, executed: map[string][]Execution{}, executions: map[string]int{}, logAtRun: map[string][]entry{},
 		}
 		if s.options.ProxyAddress != nil {
 			v.proxyAddress = s.options.ProxyAddress(v.ID, v.Address())
