Match the answers of targets to orders by what they hold

Callers got the rows and receipts of other statements as successes, refusals of statements that ran, and positions that were out of date.

A receipt that arrived before is a repetition and is discarded; a new one belongs to the statement that waits, and shows that nothing older is due. An answer without a receipt counts only if it can belong to the oldest order; Begin and Locate are sent with a further order whose answer must follow, a failed statement is confirmed if its answer equals an earlier one, and what is still open closes the connection: a read is tried again, a write is in doubt. On a target that has lately sent answers twice a connection is not used again after a failure or a transaction. What was not sent at all is said so, and tried again.

--- a/edge/collector.go
+++ b/edge/collector.go
@@ -57,7 +57,7 @@
 		connectionEvictions:  describe("connection_evictions_total", "Idle connections that were closed to open one for another customer.", "group"),
 		customerWaiting:      describe("customer_waiting_statements", "Statements that wait for a target, of the customers with the most.", "customer"),
 		conflictingPrimaries: describe("conflicting_primaries", "Targets that report themselves as primaries although they do not lead.", "group"),
-		repeatedAnswers:      describe("repeated_answers_total", "Answers of targets that came twice, or while none was due, by kind.", "kind"),
+		repeatedAnswers:      describe("repeated_answers_total", "Answers of targets that were, or might have been, sent twice, by what became of them.", "kind"),
 		movesUnderWay:        describe("moves_under_way", "Whether this VM moves a leadership: 1 or 0."),
 	}
 }
@@ -88,10 +88,12 @@
 	}
 }
 
-// collectRepeats reports the answers that targets sent twice or that were not due.
+// collectRepeats reports the answers that targets sent, or might have sent, twice.
 func (c *collector) collectRepeats(count func(*prometheus.Desc, int, ...string)) {
 	n := c.Adapter.Repeats.Counts()
-	count(c.repeatedAnswers, int(n.Repeated), "repeated")
+	count(c.repeatedAnswers, int(n.Repeated), "discarded")
+	count(c.repeatedAnswers, int(n.Confirmed), "confirmed")
+	count(c.repeatedAnswers, int(n.Refuted), "refuted")
 	count(c.repeatedAnswers, int(n.Unmatched), "unmatched")
 }
 
--- a/front/attempt.go
+++ b/front/attempt.go
@@ -361,6 +361,10 @@
 // statement may be tried again.
 func (a *attempt) runOn(ctx context.Context, slot *pool.Slot, need pool.Need, st statement) (query.Reply, bool) {
 	answer, err := slot.Execute(st.poolOrder(need.Floor), &a.session.state, st.plan, a.answerDeadline(st))
+	if errors.Is(err, pool.ErrNotSent) {
+		slot.Release()
+		return a.notSent(slot, err)
+	}
 	if err != nil {
 		slot.Release()
 		return a.connectionLost(st, slot, err)
@@ -403,6 +407,19 @@
 	return pool.ForwardPlan{Query: st.query, Plan: *st.plan, Arguments: st.arguments, After: after}
 }
 
+// notSent handles a statement that was not sent on a connection. It is tried again unless
+// it cannot be sent at all. The results are those of runOn.
+func (a *attempt) notSent(slot *pool.Slot, err error) (query.Reply, bool) {
+	f := (*query.Failure)(nil)
+	if errors.As(err, &f) {
+		return a.session.failure(f.Code, f.Detail), true
+	}
+	if a.allowRetry("a connection to target " + slot.Target() + " could not be used") {
+		return query.Reply{}, false
+	}
+	return a.refuse(), true
+}
+
 // connectionLost handles a connection that was lost while it ran a statement.
 // A write is in doubt; a read is tried again. The results are those of runOn.
 func (a *attempt) connectionLost(st statement, slot *pool.Slot, err error) (query.Reply, bool) {
--- a/front/transaction.go
+++ b/front/transaction.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -186,6 +187,15 @@
 	s := t.session
 	for {
 		answer, err := t.slot.Execute(st.poolOrder(query.Position{}), &s.state, st.plan, until)
+		if errors.Is(err, pool.ErrOutsideTransaction) && st.write {
+			return t.statementInDoubt(st, err)
+		}
+		if f := (*query.Failure)(nil); errors.Is(err, pool.ErrNotSent) && errors.As(err, &f) {
+			t.fail("")
+			r := s.failure(f.Code, f.Detail)
+			s.server.Metrics.recordOutcome(t.route, r, 0)
+			return r
+		}
 		if err != nil {
 			return t.abort("the target's connection was lost")
 		}
@@ -206,6 +216,16 @@
 	}
 }
 
+// statementInDoubt ends a transaction of which a write may have taken effect on its own.
+func (t *transaction) statementInDoubt(st statement, err error) query.Reply {
+	s := t.session
+	s.server.Metrics.recordInDoubt(t.route, st.query.ID, t.slot.Target(), err)
+	t.fail("")
+	r := s.failure(query.CodeInDoubt, "the statement ran outside the transaction")
+	s.server.Metrics.recordOutcome(t.route, r, 0)
+	return r
+}
+
 // confirmAnswer returns a statement's answer once it is confirmed that the
 // target still led the group after it ran.
 func (t *transaction) confirmAnswer(ctx context.Context, st statement, answer pool.Answer, until time.Duration) query.Reply {
--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -360,7 +360,7 @@
 	v := s.server
 	delete(v.pending, s)
 	v.window.remove(s)
-	if s.broken || v.removed || s.conn.generation != g.linkGeneration {
+	if s.broken || v.removed || s.conn.generation != g.linkGeneration || s.conn.spent() {
 		s.conn.link.Close()
 		v.open--
 		g.dispatch()
--- a/pool/matcher_test.go
+++ b/pool/matcher_test.go
@@ -170,13 +170,11 @@
 }
 
 // Guards against a refusal, a position or the opening of a transaction that a repeated answer
-// feigns, once the target is known to repeat answers.
+// feigns.
 func TestRepeatedAnswerFeignsNothing(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := &stutteringConn{t: t, offset: 1, repeats: 1}
-		p := &Repeats{}
-		p.Record("s-1")
-		m := &Matcher{Conn: c, Target: "s-1", Repeats: p}
+		m := &Matcher{Conn: c, Target: "s-1", Repeats: &Repeats{}}
 		matched(t, c, m, func(o Order, r query.Reply, before uint64) {
 			c.repeats = 1
 			switch o := o.(type) {
@@ -200,3 +198,19 @@
 func (c *stutteringConn) SetDeadline(time.Time) error { return nil }
 
 func (c *stutteringConn) Close() {}
+
+// Guards against the loss of an answer because the same statement ran before on the connection.
+func TestRerunStatementIsAnswered(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := &stutteringConn{t: t, offset: 1}
+		m := &Matcher{Conn: c, Target: "s-1", Repeats: &Repeats{}}
+		for range 3 {
+			if err := m.Send(Forward{Query: query.Query{ID: "q", Text: "READ a"}}); err != nil {
+				t.Fatal(err)
+			}
+			if r, err := m.Receive(); err != nil || r.Receipt != "receipt of q" {
+				t.Fatalf("answer %+v, error %v", r, err)
+			}
+		}
+	})
+}
--- a/pool/recent.go
+++ b/pool/recent.go
@@ -2,17 +2,19 @@
 
 import (
 	"hash/maphash"
-	"slices"
 	"time"
 
 	"amaranthsill/query"
 )
 
 const (
-	// recentReplyAge is the least time for which a link's replies are remembered.
+	// recentReplyAge is the least time for which a link's replies are remembered, unless
+	// there are more than maxRecentReplies.
 	recentReplyAge = 10 * time.Second
-	// minRecentReplies is the least number of replies that are remembered, however old.
+	// minRecentReplies is the least number of replies that are remembered, however old,
+	// and maxRecentReplies half of the greatest.
 	minRecentReplies = 64
+	maxRecentReplies = 4096
 )
 
 // replySeed is random for each process. Hashes are compared within one process only.
@@ -20,14 +22,20 @@
 
 // recentReplies remembers the replies that arrived on a link. The zero value is empty.
 type recentReplies struct {
-	// current holds the newest replies, since begun, and previous those before them.
-	current, previous []rememberedReply
+	// current holds the newest replies by their keys, since begun, and previous those before
+	// them.
+	current, previous map[uint64]replyHash
 	begun             time.Time
 }
 
+// replyHash is a hash of a reply, and one of the statement that it answers if the reply has a
+// receipt.
+type replyHash struct{ content, statement uint64 }
+
 // rememberedReply identifies a reply. Replies with the same receipt have the same key.
 type rememberedReply struct {
-	key, content uint64
+	key uint64
+	replyHash
 }
 
 // likeness is what a reply has in common with the remembered ones.
@@ -38,55 +46,63 @@
 	newReply likeness = iota
 	// repeatedReply equals a remembered one.
 	repeatedReply
+	// rerunReply equals the remembered answer to an earlier run of the same statement.
+	rerunReply
 	// conflictingReply has the receipt of a remembered one that differs otherwise.
 	conflictingReply
 )
 
 // find compares a reply with the remembered ones.
 func (s *recentReplies) find(r rememberedReply) likeness {
-	for _, generation := range [][]rememberedReply{s.current, s.previous} {
-		for _, known := range generation {
-			switch {
-			case known == r:
-				return repeatedReply
-			case known.key == r.key:
-				return conflictingReply
-			}
-		}
+	h, known := s.current[r.key]
+	if !known {
+		h, known = s.previous[r.key]
+	}
+	switch {
+	case !known:
+		return newReply
+	case h.content != r.content:
+		return conflictingReply
+	case r.statement != 0 && h.statement == r.statement:
+		return rerunReply
+	default:
+		return repeatedReply
 	}
-	return newReply
 }
 
 // add remembers a reply.
 func (s *recentReplies) add(r rememberedReply) {
-	if slices.Contains(s.current, r) {
-		return
+	if s.current == nil {
+		s.current, s.previous = map[uint64]replyHash{}, map[uint64]replyHash{}
+		s.begun = time.Now()
 	}
-	if len(s.current) >= minRecentReplies {
-		s.rotate(time.Now())
+	if n := len(s.current); n >= maxRecentReplies || n >= minRecentReplies && time.Since(s.begun) >= recentReplyAge {
+		s.current, s.previous = s.previous, s.current
+		clear(s.current)
+		s.begun = time.Now()
 	}
-	s.current = append(s.current, r)
+	s.current[r.key] = r.replyHash
 }
 
-// rotate forgets the previous replies if the current ones are old enough.
-func (s *recentReplies) rotate(now time.Time) {
-	if s.begun.IsZero() {
-		s.begun = now
-	}
-	if now.Sub(s.begun) < recentReplyAge {
-		return
+// identify returns what identifies a reply among those of its link, if it answers an order.
+func identify(o Order, r query.Reply) rememberedReply {
+	content := hashReply(r)
+	if r.Receipt == "" {
+		return rememberedReply{key: content, replyHash: replyHash{content: content}}
 	}
-	s.current, s.previous = s.previous[:0], s.current
-	s.begun = now
+	return rememberedReply{key: maphash.String(replySeed, r.Receipt), replyHash: replyHash{content: content, statement: hashStatement(o)}}
 }
 
-// identify returns what identifies a reply among those of its link.
-func identify(r query.Reply) rememberedReply {
-	content := hashReply(r)
-	if r.Receipt == "" {
-		return rememberedReply{key: content, content: content}
+// hashStatement returns a hash of a statement with its request's ID; zero for other orders.
+func hashStatement(o Order) uint64 {
+	switch o := o.(type) {
+	case Forward:
+		return maphash.Comparable(replySeed, [2]string{o.Query.ID, o.Query.Text})
+	case ForwardPlan:
+		return maphash.Comparable(replySeed, [3]string{o.Query.ID, o.Plan.Shape, o.Arguments})
+	default:
+		return 0
 	}
-	return rememberedReply{key: maphash.String(replySeed, r.Receipt), content: content}
 }
 
 // hashReply returns a hash of all that a target sent in a reply.
--- a/pool/slot.go
+++ b/pool/slot.go
@@ -23,6 +23,12 @@
 	identity
 }
 
+// spent reports whether the connection must not be used for other statements.
+func (c *connection) spent() bool {
+	m, ok := c.link.(*Matcher)
+	return ok && m.Spent()
+}
+
 // Slot is a connection to a target, reserved for one statement or transaction.
 type Slot struct {
 	group *Group
--- a/pool/target.go
+++ b/pool/target.go
@@ -147,6 +147,10 @@
 // Align performs one step in changing the link's session state.
 type Align struct{ Step session.Step }
 
+// Confirm is answered with a success without rows, and changes nothing that statements see.
+// A link sends it to find out whether an earlier answer is the last one before its own.
+type Confirm struct{}
+
 // Locate requests only a log position of the target. It does not occupy any of the
 // target's slots.
 type Locate struct {
@@ -170,6 +174,7 @@
 func (ForwardPlan) order() {}
 func (Rollback) order()    {}
 func (Align) order()       {}
+func (Confirm) order()     {}
 func (Locate) order()      {}
 func (Status) order()      {}
 func (StepDown) order()    {}
--- a/relay/serverlink.go
+++ b/relay/serverlink.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -82,6 +83,9 @@
 	before := r.leadership()
 	a, err := slot.Execute(q.order(), &r.state, q.plan(), until)
 	slot.Release()
+	if errors.Is(err, pool.ErrNotSent) {
+		return notSentReply(err), nil
+	}
 	if err != nil {
 		return query.Reply{}, fmt.Errorf("relay order: %w", err)
 	}
@@ -89,6 +93,16 @@
 	return a.Reply, nil
 }
 
+// notSentReply returns the reply to an order that was not sent to the target: why it cannot
+// be sent at all, or else that it did not run.
+func notSentReply(err error) query.Reply {
+	f := (*query.Failure)(nil)
+	if errors.As(err, &f) {
+		return query.Reply{Failure: f, State: query.StateIdle}
+	}
+	return busyReply(err.Error(), query.StateIdle)
+}
+
 // leadership returns the present leadership of the link's target, zero if the target
 // does not lead its group.
 func (r *serverLink) leadership() pool.Leadership {
