Do not reuse a connection on which an answer is buffered

The driver of PostgreSQL targets asks before each request whether anything has arrived on the connection since the last answer, and gives the connection up if so. It asked the socket only: what had been read together with the last ReadyForQuery was taken for the answer to the next request, so that a target that sends an answer twice gave a caller the answer of another one, and so on for as long as the connection was in use.

An answer that arrives after the next request was sent cannot be told from its own on this protocol.

--- a/target/conn.go
+++ b/target/conn.go
@@ -110,8 +110,10 @@
 }
 
 // idle reports whether a connection without a request in flight can take one:
-// it is open and nothing has arrived on it.
-func (c *conn) idle() bool { return socket.PeekState(c.Conn) == socket.Idle }
+// it is open and nothing has arrived on it, not even together with the last answer.
+func (c *conn) idle() bool {
+	return c.frontend.ReadBufferLen() == 0 && socket.PeekState(c.Conn) == socket.Idle
+}
 
 // answer is what a target sent up to and including ReadyForQuery.
 type answer struct {
