End a control connection at a status that nobody asked for

A control connection matches the statuses of a target to the requests in their order. A status that belongs to none waited for the next request and was taken for its answer, and all later ones were shifted by one: an old status would have confirmed a leader at a later time than it was true.

An ID is queued before its request is sent, so that an answer which finds none belongs to no request. The connection then ends, its requests fail, and the next one opens another. A repetition that arrives while a request is unanswered cannot be told from its answer.

Nobody has reported the fault; it was found by reading.

--- a/target/conn_test.go
+++ b/target/conn_test.go
@@ -65,3 +65,20 @@
 		t.Error("connection with a buffered answer is idle")
 	}
 }
+
+// TestStatusThatNobodyAskedFor guards against a status that is taken for the answer to a
+// later request: a target sent a status twice, and all later ones were shifted by one.
+func TestStatusThatNobodyAskedFor(t *testing.T) {
+	c := dialTarget(t, answerOf("3 primary 3.7 3.7 0")...)
+	k := &control{inFlight: make(chan uint64, controlQueueSize)}
+	ended := make(chan struct{})
+	go func() {
+		k.receive(context.Background(), c)
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(answerTimeout):
+		t.Error("status waits for the next request")
+	}
+}
--- a/target/control.go
+++ b/target/control.go
@@ -178,15 +178,22 @@
 	return fmt.Sprintf("select group_wait('%s', '%s', %d)", a.Received, a.Applied, a.Wait.Milliseconds())
 }
 
-// receive reads answers until the connection breaks. It runs concurrently with
-// send and therefore never flushes the frontend.
+// receive reads answers until the connection breaks or one arrives that no
+// request asked for. It runs concurrently with send and therefore never flushes
+// the frontend.
 func (c *control) receive(ctx context.Context, n *conn) {
 	for {
 		a, err := n.readAnswer(nil)
 		if err != nil {
 			return
 		}
-		id := <-c.inFlight
+		id := uint64(0)
+		select {
+		case id = <-c.inFlight:
+		default:
+			// The answer belongs to no request, and later ones cannot be told apart.
+			return
+		}
 		s, err := a.parseStatus()
 		if err != nil {
 			c.group.Post(ctx, group.StatusFailed{Target: c.target, Number: id})
