Match responses of holders to their requests by number

A stream of a trunk took its responses in the order in which they came: one that came twice, or without being asked for, was handed to the next statement of the link, and all later answers shifted by one, to whichever caller used the link. Nothing in a holder sends a response twice, as far as its code tells (one goroutine runs a stream's orders in turn, and expire, endIdle and the end of a trunk send no responses to orders but Ended or stream 0), so this was not seen; but nothing would have noticed either.

Requests now count up within their stream, and a response has the number of its request. A response that was delivered before is dropped, and one that matches no request, as one that comes while none waits, ends the link; what waits on it is in doubt. gob skips the field in builds that do not know it; without numbers only responses that nobody waits for are noticed.

The late response to a link that was given up and responses cut off at any byte were handled before: TestLateResponseToAClosedLinkIsDropped, TestHalfAResponseEndsTheLink.

--- a/relay/message.go
+++ b/relay/message.go
@@ -83,6 +83,9 @@
 	// Group and Target are those of a stream that is being opened.
 	Stream        uint32
 	Group, Target string
+	// Number counts the requests of a stream, from one. The response has the same; a VM
+	// or holder of a former build leaves it zero.
+	Number uint64
 }
 
 // response is the reply to one request, or to the hello.
@@ -110,6 +113,8 @@
 	Stream uint32
 	// Ended reports that the stream has ended, whether or not its last order ran.
 	Ended bool
+	// Number is that of the request.
+	Number uint64
 }
 
 // newRequest returns the request for an order; timeout is the time that
--- a/relay/servertrunk.go
+++ b/relay/servertrunk.go
@@ -193,7 +193,9 @@
 		_ = t.reply(s.id, response{Ended: true})
 		return false
 	}
-	if t.reply(s.id, newResponse(answer)) != nil {
+	n := newResponse(answer)
+	n.Number = q.Number
+	if t.reply(s.id, n) != nil {
 		return false
 	}
 	if ends {
--- a/relay/trunk.go
+++ b/relay/trunk.go
@@ -17,6 +17,7 @@
 	errStreamEnded  = errors.New("holder has ended the link")
 	errStreamClosed = errors.New("link is closed")
 	errHolderStops  = errors.New("holder is about to stop")
+	errUnmatched    = errors.New("response of holder matches no request")
 )
 
 // trunk is a connection to a holder that carries many links, each as a stream. Without
@@ -181,26 +182,34 @@
 	changed  chan struct{}
 	deadline time.Time
 	replies  []response
-	// unanswered is the number of requests without a response, and open reports that
-	// a transaction is.
-	unanswered int
-	open       bool
-	err        error
+	// sent and answered are the numbers of requests and of responses, and open reports
+	// that a transaction is.
+	sent, answered uint64
+	open           bool
+	err            error
 }
 
 var _ channel = (*stream)(nil)
 
 // busy reports whether an order or a transaction is open. The trunk's lock must be held.
-func (s *stream) busy() bool { return s.unanswered > 0 || s.open }
+func (s *stream) busy() bool { return s.answered < s.sent || s.open }
 
-// deliver adds a response. The trunk's lock must be held.
+// deliver adds a response. One that was delivered before is dropped, and one that matches
+// no request ends the stream. The trunk's lock must be held.
 func (s *stream) deliver(r response) {
 	if r.Ended {
 		delete(s.trunk.streams, s.id)
 		s.end(errStreamEnded)
 		return
 	}
-	s.unanswered--
+	if r.Number != 0 && r.Number <= s.answered {
+		return
+	}
+	if s.answered == s.sent || r.Number != 0 && r.Number != s.answered+1 {
+		s.end(errUnmatched)
+		return
+	}
+	s.answered++
 	s.open = r.State != query.StateIdle
 	s.replies = append(s.replies, r)
 	if s.trunk.leaving && !s.busy() {
@@ -234,11 +243,11 @@
 		t.lock.Unlock()
 		return nil
 	}
-	s.unanswered += len(requests)
-	t.lock.Unlock()
 	for i := range requests {
-		requests[i].Stream = s.id
+		s.sent++
+		requests[i].Stream, requests[i].Number = s.id, s.sent
 	}
+	t.lock.Unlock()
 	return t.write(requests)
 }
 
