Limit the length of a message to a holder

A holder read whatever length a message on a link gave for itself, which gob bounds at 8 GiB only: one message used up the VM's memory. The port is for other VMs, but anything that reaches it can send one.

A message to a holder may now have 4 MiB, room for a prepared statement and its arguments at 1 MiB each; a longer one ends the connection. Messages from a holder hold the rows of an answer, for which the protocol gives no limit, and stay as they are.

--- a/relay/connlink.go
+++ b/relay/connlink.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/gob"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -17,19 +18,60 @@
 type serverConn struct {
 	server  *Server
 	conn    net.Conn
-	reader  *bufio.Reader
+	reader  *limitedReader
 	writer  *bufio.Writer
 	encoder *gob.Encoder
 	decoder *gob.Decoder
 }
 
+// maxMessageBytes limits a message to a holder. It leaves room for a prepared statement and
+// its arguments, each of a message of 1 MiB.
+const maxMessageBytes = 4 << 20
+
+// errLongMessage reports a message of more than maxMessageBytes.
+var errLongMessage = errors.New("message to holder is too long")
+
+// limitedReader reads no more than a number of bytes.
+type limitedReader struct {
+	*bufio.Reader
+	left int
+}
+
+// Read implements io.Reader.
+func (r *limitedReader) Read(b []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, errLongMessage
+	}
+	n, err := r.Reader.Read(b[:min(len(b), r.left)])
+	r.left -= n
+	return n, err
+}
+
+// ReadByte implements io.ByteReader.
+func (r *limitedReader) ReadByte() (byte, error) {
+	if r.left <= 0 {
+		return 0, errLongMessage
+	}
+	r.left--
+	return r.Reader.ReadByte()
+}
+
+// decode reads one message.
+func (c *serverConn) decode(message any) error {
+	c.reader.left = maxMessageBytes
+	if err := c.decoder.Decode(message); err != nil {
+		return fmt.Errorf("decode message: %w", err)
+	}
+	return nil
+}
+
 // readHello reads the first message.
 func (c *serverConn) readHello() (hello, error) {
 	h := hello{}
 	if err := c.conn.SetReadDeadline(time.Now().Add(handshakeTimeout)); err != nil {
 		return h, fmt.Errorf("set deadline: %w", err)
 	}
-	if err := c.decoder.Decode(&h); err != nil {
+	if err := c.decode(&h); err != nil {
 		return h, fmt.Errorf("read hello: %w", err)
 	}
 	return h, nil
@@ -87,7 +129,7 @@
 	defer l.rollBack()
 	for l.prepareRead() {
 		q := request{}
-		if err := l.decoder.Decode(&q); err != nil {
+		if err := l.decode(&q); err != nil {
 			return fmt.Errorf("read order: %w", err)
 		}
 		l.used = true
--- a/relay/server.go
+++ b/relay/server.go
@@ -104,7 +104,7 @@
 
 // serve serves one connection of another VM: a link, or many as streams.
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
-	w, r := bufio.NewWriterSize(conn, linkBuffer), bufio.NewReaderSize(conn, linkBuffer)
+	w, r := bufio.NewWriterSize(conn, linkBuffer), &limitedReader{Reader: bufio.NewReaderSize(conn, linkBuffer)}
 	c := &serverConn{server: s, conn: conn, reader: r, writer: w, encoder: gob.NewEncoder(w), decoder: gob.NewDecoder(r)}
 	// The connection has ended, whether or not closing succeeds.
 	defer func() { _ = conn.Close() }()
--- a/relay/servertrunk.go
+++ b/relay/servertrunk.go
@@ -61,7 +61,7 @@
 	}
 	for t.awaitRequest() {
 		q := &request{}
-		if err := t.decoder.Decode(q); err != nil {
+		if err := t.decode(q); err != nil {
 			return fmt.Errorf("read order: %w", err)
 		}
 		if err := t.accept(ctx, q); err != nil {
