Call VMs of former builds on a connection for each call

Calls of VMs that do not speak HTTP/2 shared kept connections of HTTP/1.1, on which a copy of an earlier answer is taken for that of the call that waits: a VM could count as having yielded, or a leader record as confirmed, by an answer to an earlier question. VMs' own servers answer once, so that only something between them can cause it. Over HTTP/2 an answer names its call, and nothing changes.

TestCopyOfAPeersAnswerIsNotTaken failed before: the second call got "answer 1".

--- a/edge/peertransport.go
+++ b/edge/peertransport.go
@@ -34,7 +34,8 @@
 func newPeerTransport() *peerTransport {
 	t := &peerTransport{conns: map[string]*peerConn{}, formerUntil: map[string]time.Time{}}
 	d := &net.Dialer{Timeout: peerDialTimeout}
-	t.http1 = &http.Transport{DialContext: d.DialContext, IdleConnTimeout: peerIdleTimeout, DisableCompression: true}
+	// Over HTTP/1.1 nothing tells the answer to a call from a copy of an earlier one.
+	t.http1 = &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true}
 	t.http2 = &http.Transport{IdleConnTimeout: peerIdleTimeout, DisableCompression: true, Protocols: new(http.Protocols)}
 	t.http2.Protocols.SetUnencryptedHTTP2(true)
 	t.http2.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/edge/peertransport_test.go
+++ b/edge/peertransport_test.go
@@ -1,7 +1,9 @@
 package edge
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -132,3 +134,51 @@
 		t.Errorf("the next call failed: %v", err)
 	}
 }
+
+// TestCopyOfAPeersAnswerIsNotTaken guards against a call of a VM of a former build that is
+// given the copy of the answer to an earlier call.
+func TestCopyOfAPeersAnswerIsNotTaken(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	calls := atomic.Int32{}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go copyAnswers(c, &calls)
+		}
+	}()
+	s, tr := &peerServer{address: l.Addr().String()}, newPeerTransport()
+	for _, want := range []string{"answer 1", "answer 2", "answer 3"} {
+		if got, err := s.call(tr, 5*time.Second); err != nil || got != want {
+			t.Errorf("got %q, %v, want %q", got, err, want)
+		}
+	}
+}
+
+// copyAnswers answers calls over HTTP/1.1 with their number. It sends each answer again when
+// the next call arrives on the connection.
+func copyAnswers(c net.Conn, calls *atomic.Int32) {
+	defer func() { _ = c.Close() }()
+	r, last := bufio.NewReader(c), ""
+	for {
+		q, err := http.ReadRequest(r)
+		if err != nil || q.ProtoMajor != 1 {
+			// A former build answers the beginning of HTTP/2 like this.
+			_, _ = io.WriteString(c, "HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n")
+			return
+		}
+		_, _ = io.Copy(io.Discard, q.Body)
+		text := fmt.Sprint("answer ", calls.Add(1))
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+		if _, err := io.WriteString(c, last+answer); err != nil || q.Close {
+			return
+		}
+		last = answer
+	}
+}
