Give each call of the key-value service a connection of its own

As for the platform's metadata store: over a kept connection the copy of an earlier answer counted as the answer of a later call, so that a lease was taken for renewed while another holder had it, a swap for carried out, and an old manifest for the one in force.

TestCopyOfAnEarlierAnswerIsNotTaken: 3 of 3 cases failed before.

--- a/entry/vm.go
+++ b/entry/vm.go
@@ -117,7 +117,7 @@
 	v.registerMetrics()
 	v.store = &store.Client{
 		Address: v.Settings.Platform().String(),
-		HTTP:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}},
+		HTTP:    &http.Client{Transport: &http.Transport{}},
 	}
 	incarnation := uint64(time.Now().UnixNano())
 	v.kernel = &kernel.Kernel{
--- a/store/client.go
+++ b/store/client.go
@@ -132,6 +132,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("build request: %w", err)
 	}
+	// On a connection that is used again, the copy of an earlier answer is taken for the
+	// answer of the call that waits.
+	req.Close = true
 	resp, err := c.client().Do(req)
 	if err != nil {
 		return nil, fmt.Errorf("call %s: %w", c.Address, errors.Join(ErrUnavailable, err))
