Show control characters as escapes in what the commands print

explain, losses, burn, check and status printed names, query IDs, reasons and errors as they are. A line feed in them, as in the ID of a caller's query or the name of a group, added lines to the text, which look like ones of the VMs; a carriage return or an escape sequence hid some on a terminal. JSON output, log lines, metrics and the burn page escape them and did so before.

TestTimelineHasOneLineForEachOfTheLog, TestReportHasOneRowForEachStatement, TestReportHasOneRowForEachWindow, TestReportHasOneLineForEachFinding and TestStatusHasOneLineForEachGroup failed before.

--- a/burn/burn_test.go
+++ b/burn/burn_test.go
@@ -70,3 +70,19 @@
 		gomega.Expect(s.Add("a", []byte("{not metrics"))).To(gomega.MatchError(burn.ErrMetrics))
 	})
 })
+
+// Guards against the name of a group or of a VM that adds rows to a report.
+func TestReportHasOneRowForEachWindow(t *testing.T) {
+	lines := []int{}
+	for _, name := range []string{"choir", "choir\nforged\t99%"} {
+		s := burn.Snapshot{At: noon, Counts: []burn.Count{{Key: burn.Key{VM: "a", Group: name, Kind: name, Ending: "done"}, Value: 1}}}
+		text := &bytes.Buffer{}
+		if err := burn.Compare(nil, []burn.Snapshot{s}, map[string]error{name: errors.New(name)}).Text(text); err != nil {
+			t.Fatal(err)
+		}
+		lines = append(lines, bytes.Count(text.Bytes(), []byte("\n")))
+	}
+	if lines[0] != lines[1] {
+		t.Errorf("printed %d lines, and %d for a name with a line feed", lines[0], lines[1])
+	}
+}
--- a/burn/report.go
+++ b/burn/report.go
@@ -10,6 +10,7 @@
 	"text/tabwriter"
 	"time"
 
+	"amaranthsill/logline"
 	"amaranthsill/manifest"
 )
 
@@ -187,7 +188,7 @@
 		}
 	}
 	for _, m := range r.Missing {
-		fmt.Fprintf(w, "missing: %s\n", m)
+		fmt.Fprintf(w, "missing: %s\n", logline.Printable(m))
 	}
 	if err := w.Flush(); err != nil {
 		return fmt.Errorf("write report: %w", err)
@@ -202,7 +203,7 @@
 	if kind == "" {
 		kind = "(none)"
 	}
-	head := []string{row.Group, kind, fmt.Sprintf("%.4g%%", row.Objective*100), formatDuration(w.Length)}
+	head := []string{logline.Printable(row.Group), logline.Printable(kind), fmt.Sprintf("%.4g%%", row.Objective*100), formatDuration(w.Length)}
 	if w.Covered == 0 {
 		return append(head, "missing", "-", "-", "-", "-", "-")
 	}
--- a/check/check_test.go
+++ b/check/check_test.go
@@ -199,3 +199,15 @@
 		check.Compare(inForce, next)
 	}
 }
+
+// Guards against a name in a configuration that adds findings to a report, or hides them.
+func TestReportHasOneLineForEachFinding(t *testing.T) {
+	r := check.Report{File: "f", Findings: []check.Finding{{Entry: "route a\nf: good", Problem: "b\r\x1b[2K"}}, Changes: []check.Change{{Text: "c\nd"}}}
+	text := &strings.Builder{}
+	if err := r.WriteText(text); err != nil {
+		t.Fatal(err)
+	}
+	if lines := strings.Count(text.String(), "\n"); lines != 3 || strings.ContainsAny(text.String(), "\r\x1b") {
+		t.Errorf("printed %d lines, want 3: %q", lines, text)
+	}
+}
--- a/check/report.go
+++ b/check/report.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"slices"
+
+	"amaranthsill/logline"
 )
 
 // Report is the result of a check of one file.
@@ -34,10 +36,10 @@
 func (r Report) WriteText(w io.Writer) error {
 	text := ""
 	for _, f := range r.Findings {
-		text += fmt.Sprintf("%s:%s: %s: %s: %s\n", r.File, f.Place, f.Severity, f.Entry, f.Problem)
+		text += fmt.Sprintf("%s:%s: %s: %s: %s\n", r.File, f.Place, f.Severity, logline.Printable(f.Entry), logline.Printable(f.Problem))
 	}
 	for _, c := range r.Changes {
-		text += fmt.Sprintf("%s: change (risk: %s): %s\n", r.File, c.Risk, c.Text)
+		text += fmt.Sprintf("%s: change (risk: %s): %s\n", r.File, c.Risk, logline.Printable(c.Text))
 	}
 	text += fmt.Sprintf("%s: %s, %s, %s: %s, %s\n", r.File, plural(r.Groups, "group"), plural(r.Routes, "route"), plural(r.Customers, "customer"),
 		plural(len(r.Findings), "finding"), plural(len(r.Changes), "change"))
--- a/cmd/amaranthsill/status.go
+++ b/cmd/amaranthsill/status.go
@@ -12,6 +12,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"amaranthsill/entry"
+	"amaranthsill/logline"
 )
 
 // statusTimeout is the time in which one VM must return its status.
@@ -64,13 +65,13 @@
 	b := &strings.Builder{}
 	for _, r := range reports {
 		if r.Status == nil {
-			fmt.Fprintf(b, "%-22s no answer: %s\n", r.Address, r.Error)
+			fmt.Fprintf(b, "%-22s no answer: %s\n", r.Address, logline.Printable(r.Error))
 			continue
 		}
 		s := r.Status
-		fmt.Fprintf(b, "%-22s vm %s zone %s version %d callers %d\n", r.Address, s.VM, s.Zone, s.Version, s.Callers)
+		fmt.Fprintf(b, "%-22s vm %s zone %s version %d callers %d\n", r.Address, logline.Printable(s.VM), logline.Printable(s.Zone), s.Version, s.Callers)
 		for _, g := range s.Groups {
-			fmt.Fprintf(b, "%-22s   group %s primary %s term %d\n", "", g.Name, g.Primary, g.Term)
+			fmt.Fprintf(b, "%-22s   group %s primary %s term %d\n", "", logline.Printable(g.Name), logline.Printable(g.Primary), g.Term)
 		}
 	}
 	return strings.TrimRight(b.String(), "\n")
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -17,6 +17,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"amaranthsill/logline"
 )
 
 // lookback is the time before a request's first line in which other lines are
@@ -154,7 +156,7 @@
 		if l.fields["request"] == t.request {
 			mark = ">"
 		}
-		_, err := fmt.Fprintf(w, "%s %s %s %s%s\n", mark, l.at.Format("15:04:05.000"), l.Source, l.Message(), l.formatFields())
+		_, err := fmt.Fprintf(w, "%s %s %s %s%s\n", mark, l.at.Format("15:04:05.000"), logline.Printable(l.Source), logline.Printable(l.Message()), l.formatFields())
 		if err != nil {
 			return fmt.Errorf("write timeline: %w", err)
 		}
@@ -174,7 +176,7 @@
 	slices.Sort(names)
 	text := ""
 	for _, n := range names {
-		text += fmt.Sprintf(" %s=%v", n, l.fields[n])
+		text += logline.Printable(fmt.Sprintf(" %s=%v", n, l.fields[n]))
 	}
 	return text
 }
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -74,3 +74,20 @@
 	//   09:52:36.100 vm-1 leader has to be replaced cause=it does not answer over fresh connections group=choir leader=a
 	// > 09:52:36.500 vm-1 outcome in doubt group=choir reason=i/o timeout request=5c0e target=a
 }
+
+// Guards against a caller that writes lines of its own into a timeline by the ID of a query.
+func TestTimelineHasOneLineForEachOfTheLog(t *testing.T) {
+	log := `{"time":"2026-03-09T09:52:36.5Z","msg":"outcome\r\nforged","request":"5c0e\n> forged","group":"cho\u001bir"}` + "\n"
+	s, err := explain.Read("5c0e\n> forged", explain.Source{Name: "vm\n1", Reader: strings.NewReader(log)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := &strings.Builder{}
+	if err := s.Print(text); err != nil {
+		t.Fatal(err)
+	}
+	want := `> 09:52:36.500 vm\n1 outcome\r\nforged group=cho\x1bir request=5c0e\n> forged` + "\n"
+	if text.String() != want {
+		t.Errorf("printed %q, want %q", text, want)
+	}
+}
--- a/losses/losses_test.go
+++ b/losses/losses_test.go
@@ -100,3 +100,20 @@
 		}
 	}
 }
+
+// Guards against a caller that writes rows of its own into a report by the ID of a query.
+func TestReportHasOneRowForEachStatement(t *testing.T) {
+	log := `{"time":"2026-03-09T09:52:36.1Z","msg":"statement refused as not run","request":"a1\nforged\t9s","route":"r\n1","group":"choir\r\n","reason":"a\nb","waited":"150ms"}` + "\n"
+	r, err := losses.Read(losses.Source{Name: "vm\n0", Reader: strings.NewReader(log)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := &bytes.Buffer{}
+	if err := r.Print(text); err != nil {
+		t.Fatal(err)
+	}
+	// Three headings, two empty lines and a row below each heading.
+	if lines := strings.Count(text.String(), "\n"); lines != 8 {
+		t.Errorf("printed %d lines, want 8: %q", lines, text)
+	}
+}
--- a/losses/print.go
+++ b/losses/print.go
@@ -8,6 +8,8 @@
 	"slices"
 	"text/tabwriter"
 	"time"
+
+	"amaranthsill/logline"
 )
 
 // Print writes the report to w as tables: the totals, each second, and the statements
@@ -49,13 +51,18 @@
 	return (n.Waited / time.Duration(max(n.Count, 1))).Round(time.Millisecond)
 }
 
-// printer writes lines until one fails.
+// printer writes lines until one fails. Their values do not end them.
 type printer struct {
 	to  io.Writer
 	err error
 }
 
 func (p *printer) line(format string, values ...any) {
+	for i, v := range values {
+		if text, ok := v.(string); ok {
+			values[i] = logline.Printable(text)
+		}
+	}
 	if p.err == nil {
 		_, p.err = fmt.Fprintf(p.to, format+"\n", values...)
 	}
