--- a/relay/servertrunk.go
+++ b/relay/servertrunk.go
@@ -61,7 +61,7 @@
 	}
 	for t.awaitRequest() {
 		q := &request{}
-		if err := t.decoder.Decode(q); err != nil {
+		if err := t.decode(q); err != nil {
 			return fmt.Errorf("read order: %w", err)
 		}
 		if err := t.accept(ctx, q); err != nil {
@@ -193,7 +193,9 @@
 		_ = t.reply(s.id, response{Ended: true})
 		return false
 	}
-	if t.reply(s.id, newResponse(answer)) != nil {
+	n := newResponse(answer)
+	n.Number = q.Number
+	if t.reply(s.id, n) != nil {
 		return false
 	}
 	if ends {
