Add stuttering servers and hostile bytes to the soak, and check whose answer a caller got

With -stutter, servers send one answer in 25 a second time, 1 to 400 ms later, those to STARTUP and to the proxy's own queries included. With -hostile, callers put lone LF, CR, NUL and whole messages after a LF into data, shapes and settings, and servers return such rows. With either, callers use prepared statements under colliding names and pause in transactions. -calm leaves all other faults out.

Every success of a read, write or commit is now checked against the receipt that the server gives for this request, text, settings and rows (MIXED), everything that ran against what callers sent (UNASKED), and the transaction in which it ran (PINNED). The check of the tenant in a receipt is a part of the first one, which also covers commits and statements of transactions that write. A write whose transaction was rolled back or left must not be in the leader's log. Probes have IDs of their own, since receipts are per request.

--- a/internal/site/server.go
+++ b/internal/site/server.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"cmp"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"strconv"
@@ -64,6 +65,11 @@
 	crashed       bool
 	// starts counts how often the server has started.
 	starts int
+	// repeatShare is the share of answers that are sent twice, repeatCount how many were,
+	// and random determines which.
+	repeatShare float64
+	repeatCount int
+	random      *rand.Rand
 	// newerSince is since when the server, a primary, reaches a newer one; zero if it does
 	// not.
 	newerSince time.Time
@@ -262,7 +268,9 @@
 	// customer is the name that was given when the connection was opened.
 	customer string
 	// answer is the answer that is being composed.
-	answer        bytes.Buffer
+	answer bytes.Buffer
+	// writing is held while an answer is sent.
+	writing       sync.Mutex
 	inTransaction bool
 	// transaction is the number of the open transaction; zero if none is.
 	transaction       int
@@ -344,10 +352,21 @@
 
 func (c *connection) send(line string) { c.answer.WriteString(line + "\r\n") }
 
-// flush sends the answer.
+// flush sends the answer, and some answers a second time later.
 func (c *connection) flush() {
-	_, _ = c.conn.Write(c.answer.Bytes())
+	answer := bytes.Clone(c.answer.Bytes())
 	c.answer.Reset()
+	c.write(answer)
+	if delay := c.repeatDelay(); delay > 0 {
+		time.AfterFunc(delay, func() { c.write(answer) })
+	}
+}
+
+func (c *connection) write(answer []byte) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	// An error means that the connection was closed, which ends the loop that reads from it.
+	_, _ = c.conn.Write(answer)
 }
 
 func (c *connection) sendReady() {
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -49,6 +49,8 @@
 	Slots int
 	// SyncReplicas is how many replicas receive a commit before it is acknowledged.
 	SyncReplicas int
+	// Seed determines which answers servers send twice.
+	Seed uint64
 	// Absent is the row that a read of an item returns which was never written; empty means
 	// "none".
 	Absent string
@@ -140,7 +142,7 @@
 		}
 		v := &Server{
 			ID: fmt.Sprintf("%s-%d", name, i), Group: g, Zone: zone, listener: l,
-			primary: i == 0, term: 1, committedAt: map[string]time.Time{}, slots: newSlots(s.options.Slots), connections: map[net.Conn]bool{}, startedBy: map[string]bool{}, ranFor: map[string]string{}, executed: map[string][]Execution{}, executions: map[string]int{}, logAtRun: map[string][]entry{},
+			primary: i == 0, term: 1, committedAt: map[string]time.Time{}, slots: newSlots(s.options.Slots), connections: map[net.Conn]bool{}, startedBy: map[string]bool{}, ranFor: map[string]string{}, executed: map[string][]Execution{}, random: rand.New(rand.NewPCG(s.options.Seed, uint64(i))), executions: map[string]int{}, logAtRun: map[string][]entry{},
 		}
 		if s.options.ProxyAddress != nil {
 			v.proxyAddress = s.options.ProxyAddress(v.ID, v.Address())
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -5,11 +5,14 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"strconv"
 	"strings"
 	"time"
+
+	"amaranthsill/internal/site"
 )
 
 // The timeout and the pauses of a caller.
@@ -21,6 +24,9 @@
 	callerPause = 15 * time.Millisecond
 	// reconnectPause is the pause after a session could not be opened.
 	reconnectPause = 50 * time.Millisecond
+	// maxTransactionPause bounds the pause between two statements of a transaction. It is
+	// below the time after which an idle transaction is ended.
+	maxTransactionPause = 600 * time.Millisecond
 )
 
 // request is one query of a caller and its outcome.
@@ -51,8 +57,23 @@
 // lostAnswer is the code of a request without a complete answer.
 const lostAnswer = "lost"
 
-// errWrongAnswer reports an answer that is wrong whichever faults were injected.
-var errWrongAnswer = errors.New("wrong answer")
+// notCommitted is the code of a write whose transaction the caller did not commit.
+const notCommitted = "ROLLBACK"
+
+// statement is one message of a caller and its answer.
+type statement struct {
+	id string
+	// text is that of an EXECUTE as site.Plan.Text returns it.
+	text string
+	// code is as in request.
+	code    string
+	receipt string
+	rows    []string
+	// settings are the values that were acknowledged to the session.
+	settings map[string]string
+	// transaction names the transaction that the caller had opened; empty outside any.
+	transaction string
+}
 
 // errSessionRefused reports a key that is not valid, or not any more.
 var errSessionRefused = errors.New("key refused")
@@ -73,10 +94,22 @@
 	random *rand.Rand
 	// transactions adds transactions that write.
 	transactions bool
-	record       func(request)
-	stopped      chan struct{}
+	// varied adds prepared statements, further settings, and pauses in transactions.
+	varied bool
+	// hostile adds bytes to data, shapes and settings that are special elsewhere.
+	hostile bool
+	record  func(request)
+	// recordStatement and report record a message and a violation.
+	recordStatement func(statement)
+	report          func(format string, args ...any)
+	stopped         chan struct{}
 
-	requestCount, lastValue, sessionCount int
+	requestCount, lastValue, sessionCount, transactionCount int
+	// settings and plans are those of the open session.
+	settings map[string]string
+	plans    map[string]site.Plan
+	// transaction is the name of the open transaction; empty outside any.
+	transaction string
 	// transactionBegun is when the open transaction began; zero outside a transaction.
 	transactionBegun time.Time
 	conn             net.Conn
@@ -85,22 +118,20 @@
 	route            string
 }
 
-// run runs operations until stopped is closed. Its error wraps errWrongAnswer.
-func (c *caller) run() error {
+// run runs operations until stopped is closed.
+func (c *caller) run() {
 	defer c.close()
 	for {
 		select {
 		case <-c.stopped:
-			return nil
+			return
 		default:
 		}
 		if c.conn == nil && !c.open() {
 			time.Sleep(reconnectPause)
 			continue
 		}
-		if err := c.runOperation(); err != nil {
-			return err
-		}
+		c.runOperation()
 		time.Sleep(time.Duration(c.random.Int64N(int64(2 * callerPause))))
 		if c.random.IntN(30) == 0 {
 			c.close()
@@ -126,15 +157,52 @@
 	}
 	c.conn, c.reader = conn, bufio.NewReader(conn)
 	c.sessionCount++
+	c.settings, c.plans = map[string]string{}, map[string]site.Plan{}
 	if c.sendStartup() != nil {
 		return false
 	}
 	if _, _, _, err := c.readAnswer(); err != nil {
 		return false
 	}
+	if !c.set("tenant", c.name) {
+		return false
+	}
+	return !c.varied || c.prepare("r", "READ") && c.prepare("w", "WRITE")
+}
+
+// set assigns a value to a session variable and reports whether that succeeded.
+func (c *caller) set(name, value string) bool {
 	c.requestCount++
-	code, _, _, err := c.query(c.id(), "SET tenant "+c.name)
-	return err == nil && code == ""
+	code, _, _, err := c.query(c.id(), "SET "+name+" "+value)
+	if err != nil || code != "" {
+		c.close()
+		return false
+	}
+	c.settings = maps.Clone(c.settings)
+	c.settings[name] = value
+	return true
+}
+
+// prepare defines a prepared statement of a random shape and reports whether that
+// succeeded. Callers use the same names for other shapes.
+func (c *caller) prepare(name, access string) bool {
+	p := site.Plan{Access: access, Shape: c.text(fmt.Sprintf("q%d", c.random.IntN(3)))}
+	c.requestCount++
+	code, _, _, err := c.query(c.id(), fmt.Sprintf("PREPARE %s %s %s", name, access, p.Shape))
+	if err != nil || code != "" {
+		c.close()
+		return false
+	}
+	c.plans[name] = p
+	return true
+}
+
+// text returns a word and, for a hostile caller, bytes after it.
+func (c *caller) text(word string) string {
+	if !c.hostile || c.random.IntN(3) == 0 {
+		return word
+	}
+	return word + " " + hostileBytes(c.random)
 }
 
 // sendStartup sends the startup message, with the customer's key if there is one.
@@ -146,6 +214,11 @@
 func (c *caller) id() string { return fmt.Sprintf("%s-%d", c.name, c.requestCount) }
 
 func (c *caller) send(text string) error {
+	if n := c.reader.Buffered(); n > 0 {
+		if b, _ := c.reader.Peek(n); !strings.HasPrefix(string(b), "ERROR") {
+			c.report("%s got an answer to nothing: %.80q", c.id(), b)
+		}
+	}
 	if err := c.conn.SetDeadline(time.Now().Add(callerTimeout)); err != nil {
 		return fmt.Errorf("set deadline: %w", err)
 	}
@@ -157,131 +230,192 @@
 }
 
 // readAnswer reads the lines of an answer up to READY and closes the connection after an
-// error. proof is the text of the COMPLETE line: the ID of the target and the session
-// settings that the query ran with.
-func (c *caller) readAnswer() (code, row, proof string, err error) {
+// error.
+func (c *caller) readAnswer() (code string, rows []string, receipt string, err error) {
 	for {
-		line, err := c.reader.ReadString('\n')
+		line, err := site.ReadLine(c.reader)
 		if err != nil {
 			c.close()
-			return "", "", "", fmt.Errorf("read answer: %w", err)
+			return "", nil, "", fmt.Errorf("read answer: %w", err)
 		}
-		keyword, rest, _ := strings.Cut(strings.TrimRight(line, "\r\n"), " ")
+		keyword, rest, _ := strings.Cut(line, " ")
 		switch keyword {
 		case "DATAROW":
-			row = rest
+			rows = append(rows, rest)
 		case "COMPLETE":
-			proof = rest
+			receipt = rest
 		case "ERROR":
 			code, _, _ = strings.Cut(rest, " ")
 			if code == "AUTHFAIL" {
 				// The VM closes the session and sends no READY.
 				c.close()
-				return code, "", "", errSessionRefused
+				return code, nil, "", errSessionRefused
 			}
 		case "READY":
-			return code, row, proof, nil
+			return code, rows, receipt, nil
 		}
 	}
 }
 
-func (c *caller) query(id, text string) (code, row, proof string, err error) {
-	if err := c.send("QUERY " + id + " " + text); err != nil {
-		return "", "", "", err
+// query sends a query, and records it with its answer.
+func (c *caller) query(id, text string) (code string, rows []string, receipt string, err error) {
+	q := statement{id: id, text: text, settings: c.settings, transaction: c.transaction}
+	if rest, ok := strings.CutPrefix(text, "EXECUTE "); ok {
+		name, arguments, _ := strings.Cut(rest, " ")
+		q.text = c.plans[name].Text(arguments)
 	}
-	return c.readAnswer()
+	if err = c.send("QUERY " + id + " " + text); err == nil {
+		q.code, q.rows, q.receipt, err = c.readAnswer()
+	}
+	code = q.code
+	if err != nil {
+		q.code = lostAnswer
+	}
+	c.recordStatement(q)
+	return code, q.rows, q.receipt, err
 }
 
 // runOperation runs a random operation: a write, a transaction of reads or a read.
-func (c *caller) runOperation() error {
+func (c *caller) runOperation() {
+	if c.varied && c.random.IntN(20) == 0 && !c.set("note", c.text(fmt.Sprint(c.random.IntN(3)))) {
+		return
+	}
 	if c.transactions && c.random.IntN(8) == 0 {
-		return c.writeInTransaction()
+		c.writeInTransaction()
+		return
 	}
 	switch c.random.IntN(5) {
 	case 0:
-		return c.write()
+		c.write()
 	case 1:
-		return c.readInTransaction()
+		c.readInTransaction()
 	default:
-		return c.read(c.keys[c.random.IntN(len(c.keys))])
+		c.read(c.randomKey())
 	}
 }
 
-func (c *caller) write() error {
+func (c *caller) randomKey() string { return c.keys[c.random.IntN(len(c.keys))] }
+
+func (c *caller) write() {
 	if strings.HasSuffix(c.route, "bounded") {
-		return c.read(c.name)
+		c.read(c.name)
+		return
 	}
+	r := c.newWrite()
+	c.queryAndRecord(r, c.writeText(r.value))
+}
+
+// newWrite returns the request that writes the next value.
+func (c *caller) newWrite() request {
 	c.lastValue++
 	r := c.newRequest(c.name)
 	r.write, r.value = true, c.lastValue
-	_, err := c.queryAndRecord(r, fmt.Sprintf("WRITE %s %d", c.name, c.lastValue))
-	return err
+	return r
+}
+
+func (c *caller) writeText(value int) string {
+	verb := "WRITE"
+	if c.varied && c.random.IntN(2) == 0 {
+		verb = "EXECUTE w"
+	}
+	return fmt.Sprintf("%s %s %s", verb, c.name, c.text(strconv.Itoa(value)))
+}
+
+// begin opens a transaction and reports whether that succeeded.
+func (c *caller) begin(text string) bool {
+	c.transactionBegun = time.Now()
+	if code, _, _, err := c.query(c.newRequest("").id, text); err != nil || code != "" {
+		c.close()
+		return false
+	}
+	c.transactionCount++
+	c.transaction = fmt.Sprintf("%s-%d", c.name, c.transactionCount)
+	return true
+}
+
+func (c *caller) endTransaction() { c.transactionBegun, c.transaction = time.Time{}, "" }
+
+// pause pauses within a transaction.
+func (c *caller) pause() {
+	if c.varied && c.random.IntN(2) == 0 {
+		time.Sleep(time.Duration(c.random.Int64N(int64(maxTransactionPause))))
+	}
 }
 
 // writeInTransaction runs a read and a write in a transaction. The outcome of the write is
 // that of the COMMIT.
-func (c *caller) writeInTransaction() error {
+func (c *caller) writeInTransaction() {
 	if strings.HasSuffix(c.route, "bounded") {
-		return c.read(c.name)
+		c.read(c.name)
+		return
 	}
-	c.transactionBegun = time.Now()
-	defer func() { c.transactionBegun = time.Time{} }()
-	if code, _, _, err := c.query(c.newRequest("").id, "BEGIN"); err != nil || code != "" {
-		c.close()
-		return nil
+	defer c.endTransaction()
+	if !c.begin("BEGIN") {
+		return
 	}
-	if err := c.read(c.keys[c.random.IntN(len(c.keys))]); err != nil || c.conn == nil {
-		return err
+	if c.read(c.randomKey()); c.conn == nil {
+		return
 	}
-	c.lastValue++
-	r := c.newRequest(c.name)
-	r.write, r.value = true, c.lastValue
-	if code, _, _, err := c.query(r.id, fmt.Sprintf("WRITE %s %d", c.name, c.lastValue)); err != nil || code != "" {
+	c.pause()
+	r := c.newWrite()
+	code, _, _, err := c.query(r.id, c.writeText(r.value))
+	if err != nil || code != "" {
 		c.close()
-		return nil
+		r.code, r.ended = notCommitted, time.Now()
+		c.record(r)
+		return
+	}
+	c.pause()
+	c.finish(r)
+}
+
+// finish ends the transaction of a write and records the write.
+func (c *caller) finish(r request) {
+	text := "COMMIT"
+	if c.varied && c.random.IntN(5) == 0 {
+		text = "ROLLBACK"
 	}
-	code, _, proof, err := c.query(c.newRequest("").id, "COMMIT")
+	code, _, receipt, err := c.query(c.newRequest("").id, text)
 	r.ended, r.code = time.Now(), code
 	if err != nil {
 		r.code = lostAnswer
 	}
-	r.serverID, _, _ = strings.Cut(proof, ":")
-	c.record(r)
-	if r.code != "" {
+	if err != nil || code != "" {
 		c.close()
 	}
-	return nil
+	if text == "ROLLBACK" {
+		r.code = notCommitted
+	}
+	r.serverID, _, _ = strings.Cut(receipt, ":")
+	c.record(r)
 }
 
 // readInTransaction runs two reads in a transaction.
-func (c *caller) readInTransaction() error {
-	c.transactionBegun = time.Now()
-	defer func() { c.transactionBegun = time.Time{} }()
-	if code, _, _, err := c.query(c.newRequest("").id, "BEGIN READ"); err != nil || code != "" {
-		c.close()
-		return nil
+func (c *caller) readInTransaction() {
+	defer c.endTransaction()
+	if !c.begin("BEGIN READ") {
+		return
 	}
 	for range 2 {
-		if err := c.read(c.keys[c.random.IntN(len(c.keys))]); err != nil {
-			return err
-		}
-		if c.conn == nil {
-			return nil
+		if c.read(c.randomKey()); c.conn == nil {
+			return
 		}
+		c.pause()
 	}
 	if code, _, _, err := c.query(c.newRequest("").id, "COMMIT"); err == nil && code != "" {
 		c.close()
 	}
-	return nil
 }
 
-func (c *caller) read(key string) error {
-	r, err := c.queryAndRecord(c.newRequest(key), "READ "+key)
-	if r.code != "" {
+func (c *caller) read(key string) {
+	text := "READ " + key
+	if c.varied && c.random.IntN(2) == 0 {
+		text = "EXECUTE r " + key
+	}
+	if r := c.queryAndRecord(c.newRequest(key), text); r.code != "" {
 		// A failed transaction takes no further reads. Closing the session ends it.
 		c.close()
 	}
-	return err
 }
 
 func (c *caller) newRequest(key string) request {
@@ -293,31 +427,34 @@
 	return request{id: c.id(), key: key, route: c.route, vmName: c.vm.Name, begun: begun, transaction: !c.transactionBegun.IsZero(), sessionID: fmt.Sprintf("%s/%d", c.name, c.sessionCount), customer: c.customer, customerKey: c.customerKey}
 }
 
-// queryAndRecord runs a query and records its outcome. It returns an error that wraps
-// errWrongAnswer if the query ran with another session's settings or returned no
-// number.
-func (c *caller) queryAndRecord(r request, text string) (request, error) {
-	code, row, proof, err := c.query(r.id, text)
+// queryAndRecord runs a query and records its outcome. A read of an item that was written
+// returns a number, before any hostile bytes.
+func (c *caller) queryAndRecord(r request, text string) request {
+	code, rows, receipt, err := c.query(r.id, text)
 	r.ended = time.Now()
 	r.code = code
 	if err != nil {
 		r.code = lostAnswer
 	}
-	if r.code != "" {
-		c.record(r)
-		return r, nil
+	if r.code == "" {
+		r.serverID, _, _ = strings.Cut(receipt, ":")
+		r.value = c.valueOf(r, rows)
 	}
-	if !strings.HasSuffix(proof, ":tenant="+c.name) {
-		return r, fmt.Errorf("%s was completed with %q, which lacks the session's tenant: %w", r.id, proof, errWrongAnswer)
+	c.record(r)
+	return r
+}
+
+// valueOf returns the value that a request read or wrote.
+func (c *caller) valueOf(r request, rows []string) int {
+	if r.write || len(rows) == 1 && (rows[0] == "none" || c.hostile && rows[0] == absentRow) {
+		return r.value
 	}
-	r.serverID, _, _ = strings.Cut(proof, ":")
-	if !r.write && row != "none" {
-		if r.value, err = strconv.Atoi(row); err != nil {
-			return r, fmt.Errorf("%s returned %q, want a number: %w", r.id, row, errWrongAnswer)
-		}
+	word, _, _ := strings.Cut(strings.Join(rows, "\r\n"), " ")
+	n, err := strconv.Atoi(word)
+	if err != nil {
+		c.report("%s returned %q, want a number", r.id, rows)
 	}
-	c.record(r)
-	return r, nil
+	return n
 }
 
 // probe opens a session on a connection and reads a key. It returns the error code;
@@ -333,7 +470,7 @@
 	if err != nil || !strings.HasPrefix(line, "READY") {
 		return lostAnswer
 	}
-	code, _, _, err := c.query("probe", "READ "+c.name)
+	code, _, _, err := c.query(c.id(), "READ "+c.name)
 	if err != nil {
 		return lostAnswer
 	}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -27,6 +27,7 @@
 		k.checkReads(requests)
 	}
 	r.checkCustomers(requests)
+	r.checkStatements()
 	succeeded := 0
 	for _, q := range requests {
 		if q.code == "" {
@@ -65,8 +66,9 @@
 	servers []*site.Server
 }
 
-// refusalCodes are the error codes which guarantee that a request had no effect.
-var refusalCodes = []string{"BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "CONNLIMIT"}
+// refusalCodes are the error codes which guarantee that a request had no effect, and that of
+// writes whose callers did not commit them.
+var refusalCodes = []string{"BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "CONNLIMIT", notCommitted}
 
 // checkWrite checks that the leader's log has at most one entry of a write, and none if
 // the write was refused. It also checks that no server ran a request that was answered
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -19,6 +19,13 @@
 	if r.Customers {
 		kinds = slices.Concat(kinds, customerFaults)
 	}
+	if r.Stutter {
+		kinds = slices.Concat(kinds, stutterFaults)
+	}
+	if r.Calm {
+		time.Sleep(r.Length)
+		return
+	}
 	longest, pause := maxFaultDuration, maxFaultInterval
 	if r.Incident {
 		longest, pause = maxIncidentDuration, maxIncidentInterval
@@ -51,6 +58,7 @@
 	for _, p := range r.proxies {
 		p.Set(Forward)
 	}
+	r.setStutter(stutterShare)
 	for _, g := range r.groups {
 		for _, s := range r.site.Servers(g) {
 			s.SetUnresponsive(false)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -69,6 +69,14 @@
 	// Incident runs eight VMs and three groups with slow promotions, and adds faults in
 	// which nodes are cut off from one another and primaries go on without the others.
 	Incident bool
+	// Stutter makes each target send one answer in stutterShare a second time, and adds
+	// faults in which one sends more answers twice.
+	Stutter bool
+	// Hostile makes callers put bytes into data, shapes and settings that are special to
+	// other protocols, and targets return such rows.
+	Hostile bool
+	// Calm injects no faults other than those of Stutter's targets.
+	Calm bool
 	// Promotion is how long promotions take with Incident; zero means incidentPromotion.
 	Promotion time.Duration
 	// Logf logs the faults and the results, as testing.T.Logf does.
@@ -83,13 +91,16 @@
 	stopped chan struct{}
 	// extraRoutes are the routes that faults have added to configurations.
 	extraRoutes []site.Route
-	customers   customers
-	groups      []string
+	// probeCount counts the sessions that asked whether a route is served.
+	probeCount int
+	customers  customers
+	groups     []string
 	// network is nil without Incident.
 	network *network
 
 	lock       sync.Mutex
 	requests   []request
+	statements []statement
 	violations []error
 }
 
@@ -131,8 +142,12 @@
 	options := site.Options{
 		Era:    era,
 		Groups: r.groups, Zones: []string{"quetzaltenango", "guatemala", "coban"},
+		Seed:            r.Seed,
 		ConnectionLimit: 12, StatementDelay: time.Millisecond, ProxyAddress: r.startProxy,
 	}
+	if r.Hostile {
+		options.Absent = absentRow
+	}
 	zones := vmZones
 	if r.Incident {
 		r.network = newNetwork()
@@ -145,6 +160,7 @@
 		return fmt.Errorf("start simulated platform: %w", err)
 	}
 	r.setCustomers()
+	r.setStutter(stutterShare)
 	for i, zone := range zones {
 		v, err := newVM(fmt.Sprintf("vm-%d", i), zone, r.Program, r.Folder, r.site.Address, r.network, r.pathTo)
 		if err != nil {
@@ -196,16 +212,13 @@
 		}
 		for i, name := range keys {
 			c := &caller{
-				transactions: r.Incident,
-				credentials:  func() (string, string) { return r.customerOf(i) },
-				name:         name, group: g, keys: keys, vms: r.vms, record: r.record, stopped: r.stopped,
+				transactions: r.Incident || r.varied(), varied: r.varied(), hostile: r.Hostile,
+				recordStatement: r.recordStatement, report: r.reportViolation,
+				credentials: func() (string, string) { return r.customerOf(i) },
+				name:        name, group: g, keys: keys, vms: r.vms, record: r.record, stopped: r.stopped,
 				random: rand.New(rand.NewPCG(r.Seed, uint64(len(name))<<32+r.random.Uint64())),
 			}
-			wait.Go(func() {
-				if err := c.run(); err != nil {
-					r.reportViolation("%v", err)
-				}
-			})
+			wait.Go(c.run)
 		}
 	}
 	return wait
@@ -217,6 +230,12 @@
 	r.requests = append(r.requests, q)
 }
 
+func (r *Run) recordStatement(q statement) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.statements = append(r.statements, q)
+}
+
 func (r *Run) reportViolation(format string, args ...any) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
@@ -280,7 +299,8 @@
 
 // servesRoute reports whether a VM answers a read over a route.
 func (r *Run) servesRoute(v *VM, route string) bool {
-	c := &caller{name: "probe", credentials: func() (string, string) { return r.customerOf(0) }, vms: []*VM{v}, vm: v, route: route, record: func(request) {}}
+	r.probeCount++
+	c := &caller{name: "probe", requestCount: r.probeCount, credentials: func() (string, string) { return r.customerOf(0) }, vms: []*VM{v}, vm: v, route: route, record: func(request) {}, recordStatement: r.recordStatement, report: r.reportViolation}
 	conn, err := net.DialTimeout("tcp4", v.CallersAddress, time.Second)
 	if err != nil {
 		return false
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -18,6 +18,9 @@
 	losses        = flag.Bool("losses", false, "with these seeds, let the store come back from older copies too")
 	customers     = flag.Bool("customers", false, "with these seeds, give callers customers with keys and limits")
 	incident      = flag.Bool("incident", false, "with these seeds, run more VMs and groups, slow promotions, and cuts of the network")
+	stutter       = flag.Bool("stutter", false, "with these seeds, let targets send one answer in 25 a second time, up to 400 ms later")
+	hostile       = flag.Bool("hostile", false, "with these seeds, let callers and targets send bytes in data that are special elsewhere")
+	calm          = flag.Bool("calm", false, "with these seeds, inject no other faults")
 	promotion     = flag.Duration("promotion", 0, "with -incident, how long promotions take")
 	logFolder     = flag.String("keep", "", "folder for the logs of seeds that fail; the system's temporary one by default")
 )
@@ -66,7 +69,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			execute(t, &soak.Run{Seed: seed, Program: program, Folder: folder, Length: *faultDuration, Losses: *losses, Customers: *customers, Incident: *incident, Promotion: *promotion, Logf: t.Logf})
+			execute(t, &soak.Run{Seed: seed, Program: program, Folder: folder, Length: *faultDuration, Losses: *losses, Customers: *customers, Incident: *incident, Stutter: *stutter, Hostile: *hostile, Calm: *calm, Promotion: *promotion, Logf: t.Logf})
 		})
 	}
 	if *seedCount > 0 {
