--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -50,16 +50,8 @@
 	"coban", "coban",
 }
 
-// Run is one run of VMs and a simulated platform under faults. Set the exported fields
-// before Execute.
-type Run struct {
-	// Seed determines the faults and what callers do.
-	Seed uint64
-	// Program is the path of the entry VM's program, and Folder is the existing folder
-	// for the logs and settings of the VMs.
-	Program, Folder string
-	// Length is the time during which faults are injected.
-	Length time.Duration
+// Options selects the faults of a run and what its callers do.
+type Options struct {
 	// Losses adds faults in which the store comes back from an older copy. Without
 	// it, a seed selects among the other kinds only.
 	Losses bool
@@ -79,6 +71,19 @@
 	Calm bool
 	// Promotion is how long promotions take with Incident; zero means incidentPromotion.
 	Promotion time.Duration
+}
+
+// Run is one run of VMs and a simulated platform under faults. Set the exported fields
+// before Execute.
+type Run struct {
+	// Seed determines the faults and what callers do.
+	Seed uint64
+	// Program is the path of the entry VM's program, and Folder is the existing folder
+	// for the logs and settings of the VMs.
+	Program, Folder string
+	// Length is the time during which faults are injected.
+	Length time.Duration
+	Options
 	// Logf logs the faults and the results, as testing.T.Logf does.
 	Logf func(format string, args ...any)
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -3,8 +3,11 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"os"
 	"os/exec"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -33,26 +36,18 @@
 	"an outgoing connection took the port of a VM that was down":                                1019,
 }
 
-// ciSeeds are run by default, before the regressions.
-var ciSeeds = []uint64{1, 2, 3}
-
-// customerSeeds are run by default with customers.
-var customerSeeds = []uint64{1, 2}
-
-// lossSeeds are run by default with losses of the store.
-var lossSeeds = []uint64{1, 2}
+// ciRuns are run by default, by the part of their tests' names before the seed.
+var ciRuns = map[string]struct {
+	options soak.Options
+	seeds   []uint64
+}{
+	"":           {seeds: slices.AppendSeq([]uint64{1, 2, 3}, maps.Values(regressions))},
+	"customers/": {soak.Options{Customers: true}, []uint64{1, 2}},
+	"losses/":    {soak.Options{Losses: true}, []uint64{1, 2}},
+	"hostile/":   {soak.Options{Hostile: true, Calm: true}, []uint64{60001}},
+}
 
 func TestSoak(t *testing.T) {
-	list := append([]uint64{}, ciSeeds...)
-	for _, seed := range regressions {
-		list = append(list, seed)
-	}
-	if *seedCount > 0 {
-		list = list[:0]
-		for i := range *seedCount {
-			list = append(list, *firstSeed+uint64(i))
-		}
-	}
 	program, err := soak.Build(t.TempDir(), func(name string, args ...string) error {
 		out, err := exec.Command(name, args...).CombinedOutput()
 		if err != nil {
@@ -63,45 +58,33 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, seed := range list {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			folder, err := os.MkdirTemp(*logFolder, fmt.Sprintf("soak-%d-", seed))
-			if err != nil {
-				t.Fatal(err)
-			}
-			execute(t, &soak.Run{Seed: seed, Program: program, Folder: folder, Length: *faultDuration, Losses: *losses, Customers: *customers, Incident: *incident, Stutter: *stutter, Hostile: *hostile, Calm: *calm, Promotion: *promotion, Logf: t.Logf})
-		})
-	}
 	if *seedCount > 0 {
+		for i := range *seedCount {
+			execute(t, program, "", *firstSeed+uint64(i), soak.Options{Losses: *losses, Customers: *customers, Incident: *incident, Stutter: *stutter, Hostile: *hostile, Calm: *calm, Promotion: *promotion})
+		}
 		return
 	}
-	for _, seed := range customerSeeds {
-		t.Run(fmt.Sprintf("customers/%d", seed), func(t *testing.T) {
-			folder, err := os.MkdirTemp(*logFolder, fmt.Sprintf("soak-customers-%d-", seed))
-			if err != nil {
-				t.Fatal(err)
-			}
-			execute(t, &soak.Run{Seed: seed, Program: program, Folder: folder, Length: *faultDuration, Customers: true, Logf: t.Logf})
-		})
-	}
-	for _, seed := range lossSeeds {
-		t.Run(fmt.Sprintf("losses/%d", seed), func(t *testing.T) {
-			folder, err := os.MkdirTemp(*logFolder, fmt.Sprintf("soak-losses-%d-", seed))
-			if err != nil {
-				t.Fatal(err)
-			}
-			execute(t, &soak.Run{Seed: seed, Program: program, Folder: folder, Length: *faultDuration, Losses: true, Logf: t.Logf})
-		})
+	for name, c := range ciRuns {
+		for _, seed := range c.seeds {
+			execute(t, program, name, seed, c.options)
+		}
 	}
 }
 
-// execute runs one seed, and keeps its logs if it fails.
-func execute(t *testing.T, r *soak.Run) {
-	if err := r.Execute(); err != nil {
-		t.Errorf("%v\nlogs are kept in %s", err, r.Folder)
-		return
-	}
-	if err := os.RemoveAll(r.Folder); err != nil {
-		t.Error(err)
-	}
+// execute runs one seed with some options, and keeps its logs if it fails.
+func execute(t *testing.T, program, name string, seed uint64, options soak.Options) {
+	t.Run(fmt.Sprint(name, seed), func(t *testing.T) {
+		folder, err := os.MkdirTemp(*logFolder, fmt.Sprintf("soak-%s%d-", strings.ReplaceAll(name, "/", "-"), seed))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := &soak.Run{Seed: seed, Program: program, Folder: folder, Length: *faultDuration, Options: options, Logf: t.Logf}
+		if err := r.Execute(); err != nil {
+			t.Errorf("%v\nlogs are kept in %s", err, folder)
+			return
+		}
+		if err := os.RemoveAll(folder); err != nil {
+			t.Error(err)
+		}
+	})
 }
