--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -26,7 +26,9 @@
 	reconnectPause = 50 * time.Millisecond
 	// maxTransactionPause bounds the pause between two statements of a transaction. It is
 	// below the time after which an idle transaction is ended.
-	maxTransactionPause = 600 * time.Millisecond
+	maxTransactionPause = 300 * time.Millisecond
+	// stutterPause is the mean pause between operations with Stutter.
+	stutterPause = 4 * time.Millisecond
 )
 
 // request is one query of a caller and its outcome.
@@ -94,6 +96,8 @@
 	random *rand.Rand
 	// transactions adds transactions that write.
 	transactions bool
+	// meanPause is the mean pause between two operations.
+	meanPause time.Duration
 	// varied adds prepared statements, further settings, and pauses in transactions.
 	varied bool
 	// hostile adds bytes to data, shapes and settings that are special elsewhere.
@@ -132,7 +136,7 @@
 			continue
 		}
 		c.runOperation()
-		time.Sleep(time.Duration(c.random.Int64N(int64(2 * callerPause))))
+		time.Sleep(time.Duration(c.random.Int64N(int64(2 * c.meanPause))))
 		if c.random.IntN(30) == 0 {
 			c.close()
 		}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -33,6 +33,9 @@
 	maxFaultInterval = 900 * time.Millisecond
 	// callersPerGroup is the number of concurrent callers of each group.
 	callersPerGroup = 6
+	// stutterCallers is the number with Stutter: copies of answers do harm on connections
+	// that are in use again when they arrive.
+	stutterCallers = 16
 )
 
 // ErrViolation reports a violated guarantee, such as a lost write, a stale read or a
@@ -210,14 +213,18 @@
 
 func (r *Run) startCallers() *sync.WaitGroup {
 	wait := &sync.WaitGroup{}
+	count, pause := callersPerGroup, callerPause
+	if r.Stutter {
+		count, pause = stutterCallers, stutterPause
+	}
 	for _, g := range r.groups {
 		keys := []string{}
-		for i := range callersPerGroup {
+		for i := range count {
 			keys = append(keys, fmt.Sprintf("%s%d", g, i))
 		}
 		for i, name := range keys {
 			c := &caller{
-				transactions: r.Incident || r.varied(), varied: r.varied(), hostile: r.Hostile,
+				transactions: r.Incident || r.varied(), meanPause: pause, varied: r.varied(), hostile: r.Hostile,
 				recordStatement: r.recordStatement, report: r.reportViolation,
 				credentials: func() (string, string) { return r.customerOf(i) },
 				name:        name, group: g, keys: keys, vms: r.vms, record: r.record, stopped: r.stopped,
