Accept the success of removing a statement that does not exist

Some targets answer DEALLOC of an unknown name with success instead of NOSTMT, which the protocol leaves open.

Either answer now counts. A position is the highest among the answers to Locate and to the orders that confirm it, so that it does not matter how these answers differ: as many repetitions as there are such orders change nothing.

--- a/pool/matcher.go
+++ b/pool/matcher.go
@@ -209,7 +209,7 @@
 // order may be its answer as well.
 func (m *Matcher) confirm(o Order, first query.Reply, awaited []Order) (query.Reply, error) {
 	m.remember(o, first)
-	candidates, last := []query.Reply{first}, first
+	candidates, last, highest := []query.Reply{first}, first, first.Position
 	m.unsettled = 0
 	for len(awaited) > 0 {
 		r, err := m.Conn.Receive()
@@ -233,6 +233,9 @@
 		case !m.discard(r):
 			return query.Reply{}, m.unmatched(o, r)
 		}
+		if r.Position.Reaches(highest) {
+			highest = r.Position
+		}
 		m.remember(o, r)
 	}
 	i := choose(o, candidates, last.State)
@@ -247,7 +250,13 @@
 		// The answer proper may have been taken for that to Confirm.
 		m.unsettled++
 	}
-	return candidates[i], nil
+	answer := candidates[i]
+	if _, ok := o.(Locate); ok {
+		// Where as many answers as were awaited are repetitions, one of the others is at
+		// least as late as the answer proper.
+		answer.Position = highest
+	}
+	return answer, nil
 }
 
 // goesBack reports whether a reply has a lower position than an earlier one. A target's log
@@ -262,14 +271,6 @@
 	switch o.(type) {
 	case Begin:
 		return lastIndex(candidates, func(r query.Reply) bool { return (r.Failure == nil) == (state == query.StateOpen) })
-	case Locate:
-		highest := 0
-		for i, r := range candidates {
-			if r.Position.Reaches(candidates[highest].Position) {
-				highest = i
-			}
-		}
-		return highest
 	default:
 		// All others that arrive with a receipt are new.
 		if i := lastIndex(candidates[1:], func(r query.Reply) bool { return r.Receipt != "" }); i >= 0 {
@@ -360,7 +361,9 @@
 	case Confirm:
 		return isPlain(r)
 	case Locate:
-		return r.Failure != nil && (known == newReply || r.Failure.Code == query.CodeNoStatement)
+		// Targets may accept the removal of a statement that does not exist.
+		return isPlain(r) && (known == newReply || r.State == m.state) ||
+			r.Failure != nil && (known == newReply || r.Failure.Code == query.CodeNoStatement)
 	case Status, StepDown, Pause:
 		return r.Receipt == "" && (r.Failure != nil || len(r.Rows) > 0)
 	default:
