Make no timer for VMs that are not waited for

The channel of such a timer has expired when select looks at it, and select then runs the timer itself, in a synctest bubble with the one race context of the bubble (runtime/time.go, unlockAndRun), which another thread of the bubble may be using at that moment.

Without patience the answers that are there are taken now, and no timer is made; production saves the timer, and an answer that is there is no longer passed over by chance.

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -215,18 +215,11 @@
 // firstFollowed returns followedCurrent as soon as a VM that is waited for answers so,
 // and otherwise the best outcome once all have ended or the limit has passed.
 func firstFollowed(outcomes <-chan followed, waiting *int, limit time.Duration) followed {
-	t := time.NewTimer(limit)
-	defer t.Stop()
 	best := followedNone
-	for *waiting > 0 && best != followedCurrent {
-		select {
-		case n := <-outcomes:
-			*waiting--
-			best = max(best, n)
-		case <-t.C:
-			return best
-		}
-	}
+	receiveWithin(outcomes, waiting, limit, func(n followed) bool {
+		best = max(best, n)
+		return best == followedCurrent
+	})
 	return best
 }
 
--- a/edge/gather.go
+++ b/edge/gather.go
@@ -172,20 +172,55 @@
 // firstGathered returns the first answer that is one; none once as many as are waited
 // for have failed, or when the limit has passed.
 func firstGathered(answers <-chan gathered, waiting *int, limit time.Duration) gathered {
-	t := time.NewTimer(limit)
-	defer t.Stop()
+	found := gathered{}
+	receiveWithin(answers, waiting, limit, func(a gathered) bool {
+		if a.ok {
+			found = a
+		}
+		return a.ok
+	})
+	return found
+}
+
+// receiveWithin passes to take the outcomes that arrive within a limit, until take
+// returns true or none is waited for. Without a limit above zero it takes what is there.
+func receiveWithin[T any](outcomes <-chan T, waiting *int, limit time.Duration, take func(outcome T) bool) {
+	var passed <-chan time.Time
+	if limit > 0 {
+		t := time.NewTimer(limit)
+		defer t.Stop()
+		passed = t.C
+	}
 	for *waiting > 0 {
-		select {
-		case a := <-answers:
-			*waiting--
-			if a.ok {
-				return a
-			}
-		case <-t.C:
-			return gathered{}
+		o, ok := receiveOr(outcomes, passed)
+		if !ok {
+			return
+		}
+		*waiting--
+		if take(o) {
+			return
 		}
 	}
-	return gathered{}
+}
+
+// receiveOr returns the next outcome; false once the limit has passed, or if there is no
+// limit and no outcome.
+func receiveOr[T any](outcomes <-chan T, passed <-chan time.Time) (T, bool) {
+	select {
+	case o := <-outcomes:
+		return o, true
+	default:
+	}
+	var none T
+	if passed == nil {
+		return none, false
+	}
+	select {
+	case o := <-outcomes:
+		return o, true
+	case <-passed:
+		return none, false
+	}
 }
 
 // gatherThrough has one VM, which may be this one, answer for its zone.
--- a/edge/gather_test.go
+++ b/edge/gather_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -57,3 +58,32 @@
 		})
 	}
 }
+
+// TestGathersWithoutPatienceRunSideBySide answers a crash of the race detector: zones that
+// were gathered at the same moment, past VMs that had left a call unanswered, waited on
+// timers that had already expired, which in one bubble share the context of one thread.
+func TestGathersWithoutPatienceRunSideBySide(t *testing.T) {
+	none := func(int) time.Duration { return 0 }
+	for range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			zones := sync.WaitGroup{}
+			for range 64 {
+				zones.Go(func() {
+					for range 50 {
+						got := gatherFirst(3, none, func(i int) gathered {
+							return gathered{members: make([]*peerpb.Status, i+1), ok: i == 2}
+						})
+						if len(got) != 3 {
+							t.Errorf("VM %d answered, want the third", len(got))
+						}
+						outcomes, waiting := make(chan followed), 1
+						if n := firstFollowed(outcomes, &waiting, 0); n != followedNone {
+							t.Errorf("followed %d without an answer", n)
+						}
+					}
+				})
+			}
+			zones.Wait()
+		})
+	}
+}
