Check each statement's own BUSY in the soak, not its COMMIT's

Seen in a trial that logged all arrivals: the write was answered with its own receipt before, and the COMMIT with BUSY, which promises that the COMMIT did not run and that nothing is kept. Both are right.

The check now takes each statement with its own answer. It is stricter: it also covers COMMIT, SET and PREPARE, and statements of transactions, whose answers it did not see. That nothing of a refused transaction is in the leader's log is checked as before.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -71,8 +71,7 @@
 var refusalCodes = []string{"BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "CONNLIMIT", notCommitted}
 
 // checkWrite checks that the leader's log has at most one entry of a write, and none if
-// the write was refused. It also checks that no server ran a request that was answered
-// with BUSY.
+// the write was refused.
 func (k *checker) checkWrite(q request) {
 	kept := k.leader.EntryCount(q.id)
 	if kept > 1 {
@@ -81,14 +80,6 @@
 	if kept > 0 && slices.Contains(refusalCodes, q.code) {
 		k.reportViolation("%s is in the leader's log, and was answered %s", q.id, q.code)
 	}
-	if q.code != "BUSY" {
-		return
-	}
-	for _, s := range k.servers {
-		if s.Runs(q.id) > 0 {
-			k.reportViolation("%s ran on %s, and was answered BUSY", q.id, s.ID)
-		}
-	}
 }
 
 // checkLeader checks that no acknowledged write was committed at a server after the
--- a/internal/soak/statements.go
+++ b/internal/soak/statements.go
@@ -32,6 +32,7 @@
 	}
 	checked := 0
 	for _, q := range statements {
+		c.checkBusy(q)
 		if q.code == "" && runsOnServer(q.text) {
 			checked++
 			c.checkAnswer(q)
@@ -44,6 +45,7 @@
 // Kinds of violations, by which they are counted, and the count of all statements that ran.
 const (
 	ran            = "ran"
+	ranBusy        = "ran and was answered BUSY"
 	unasked        = "nobody sent it"
 	changedText    = "ran with changed text"
 	otherReceipt   = "answered with another request's receipt"
@@ -92,6 +94,18 @@
 	}
 }
 
+// checkBusy checks that no server ran a statement that was answered with BUSY.
+func (c *statementChecker) checkBusy(q statement) {
+	if q.code != "BUSY" {
+		return
+	}
+	for _, s := range c.servers {
+		if s.Runs(q.id) > 0 {
+			c.violate(ranBusy, "%s %q ran on %s", q.id, q.text, s.ID)
+		}
+	}
+}
+
 // checkAnswer checks that a statement that succeeded was answered with its own receipt and
 // rows.
 func (c *statementChecker) checkAnswer(q statement) {
