Take lower positions as they are

A replica whose log a promotion cut back reports positions that it had reported before. Since a position is the highest among the answers that confirm it, nothing needs the comparison any more.

A new answer without a receipt now counts as a late one only if it has the transaction state that the connection is in.

--- a/pool/matcher.go
+++ b/pool/matcher.go
@@ -54,10 +54,8 @@
 	// unsettled is the number of answers that were taken for those of their orders, but
 	// may be repetitions. The answers proper are then yet to come.
 	unsettled int
-	// reached is the highest position of an answer, and state the transaction state of the
-	// last one.
-	reached query.Position
-	state   query.State
+	// state is the transaction state of the last answer.
+	state query.State
 	// spent reports that the connection must not be used again once it is idle.
 	spent bool
 }
@@ -114,7 +112,7 @@
 	case known == repeatedReply:
 		m.Repeats.Record(m.Target)
 		return true
-	case known == newReply && m.unsettled > 0 && isPlain(r):
+	case known == newReply && m.unsettled > 0 && isPlain(r) && r.State == m.state:
 		m.unsettled--
 		m.Repeats.Record(m.Target)
 		m.remember(nil, r)
@@ -227,7 +225,7 @@
 		switch {
 		case known == conflictingReply:
 			return query.Reply{}, m.unmatched(o, r)
-		case known != newReply && (r.Receipt != "" || m.goesBack(r)):
+		case known != newReply && r.Receipt != "":
 			m.Repeats.Record(m.Target)
 		case m.answers(awaited[0], r, known):
 			awaited, last = awaited[1:], r
@@ -270,12 +268,6 @@
 	return answer.Reply, nil
 }
 
-// goesBack reports whether a reply has a lower position than an earlier one. A target's log
-// becomes shorter only after a promotion.
-func (m *Matcher) goesBack(r query.Reply) bool {
-	return !r.Position.IsZero() && !r.Position.Reaches(m.reached)
-}
-
 // choose returns the index of the answer to an order among replies, of which the others are
 // repetitions, or -1 if that cannot be told. State is the transaction state after the order.
 func choose(o Order, candidates []possibleReply, state query.State) int {
@@ -316,9 +308,6 @@
 		return
 	}
 	m.recent.add(id)
-	if r.Position.Reaches(m.reached) {
-		m.reached = r.Position
-	}
 }
 
 func (m *Matcher) unmatched(o Order, r query.Reply) error {
