Use no stream number twice on a connection between VMs

After 4,294,967,295 streams their numbers on a connection began again at 0, which stands for all streams: the holder ends the connection on it, and every order that runs on it is in doubt; its answer to the opening would count as the notice that it stops. That takes weeks at a thousand links a second, and was found by reading. The dialer now opens a new connection, and what is open on the old one goes on.

TestStreamNumbersAreNotUsedTwice failed before: the next link was not opened through the holder.

--- a/relay/trunk.go
+++ b/relay/trunk.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"os"
 	"sync"
@@ -18,6 +19,7 @@
 	errStreamClosed = errors.New("link is closed")
 	errHolderStops  = errors.New("holder is about to stop")
 	errUnmatched    = errors.New("response of holder matches no request")
+	errUsedUp       = errors.New("connection has had all of its streams")
 )
 
 // trunk is a connection to a holder that carries many links, each as a stream. Without
@@ -152,10 +154,15 @@
 
 // unusable returns why no stream can be opened; nil if one can. The lock must be held.
 func (t *trunk) unusable() error {
-	if t.err == nil && t.leaving {
+	switch {
+	case t.err != nil:
+		return t.err
+	case t.leaving:
 		return errHolderStops
+	case t.last == math.MaxUint32:
+		return errUsedUp
 	}
-	return t.err
+	return nil
 }
 
 // write sends the requests of a stream.
--- a/relay/trunk_test.go
+++ b/relay/trunk_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"slices"
 	"testing"
@@ -225,3 +226,22 @@
 	}
 	return r.reply(), err
 }
+
+// Guards against a connection that ends, with all that runs on it, because the numbers of its
+// streams begin again at the one that stands for all of them.
+func TestStreamNumbersAreNotUsedTwice(t *testing.T) {
+	d, k := dialScripted(t, func(q request) []response { return []response{answerTo(q)} })
+	old := k.(*link).channel.(*stream).trunk
+	old.lock.Lock()
+	old.last = math.MaxUint32
+	old.lock.Unlock()
+	next := dialLink(t, d)
+	if s := next.(*link).channel.(*stream); s.trunk == old || s.id != 1 {
+		t.Errorf("link is stream %d of the connection that has had all", s.id)
+	}
+	for name, l := range map[string]pool.Link{"old": k, "next": next} {
+		if r, err := ask(l, name); err != nil || r.Receipt != "of "+name {
+			t.Errorf("%s link was answered with %q, error %v", name, r.Receipt, err)
+		}
+	}
+}
