Take no answer of a VM's of which nothing tells that it is whole

Over HTTP/1.1, to VMs of builds without HTTP/2, an answer without a length ends with its connection, so that one that is cut off between two fields, or before the first, was decoded as a whole message without them: a VM that knows no leader record, or a zone without members. VMs' servers give the length or send chunks, so only something between them can cause it. Such an answer now fails the call; HTTP/2 marks the end of each answer.

TestHalfOfAPeersAnswerIsNotTaken: 2 of 6 cases failed before.

--- a/edge/peertransport.go
+++ b/edge/peertransport.go
@@ -16,6 +16,10 @@
 // before HTTP/2 is tried again. It is about as long as a VM takes to be replaced.
 const formerBuildTimeout = 10 * time.Second
 
+// errNoLength reports an answer of which nothing tells whether it is whole: a message that is
+// cut off between two fields can be decoded.
+var errNoLength = errors.New("answer has no length")
+
 // peerTransport carries calls to other VMs: over HTTP/2, with one connection for each VM
 // and compressed headers, and over HTTP/1.1 to VMs of former builds. The headers of a call
 // over HTTP/1.1 are several times as long as most messages.
@@ -89,6 +93,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("call over HTTP/1.1: %w", err)
 	}
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		_ = response.Body.Close()
+		return nil, fmt.Errorf("call over HTTP/1.1: %w", errNoLength)
+	}
 	return response, nil
 }
 
--- a/edge/peertransport_test.go
+++ b/edge/peertransport_test.go
@@ -182,3 +182,45 @@
 		last = answer
 	}
 }
+
+// TestHalfOfAPeersAnswerIsNotTaken guards against a message of a VM of a former build that
+// lacks its last fields, such as the leader record, since the answer was cut off.
+func TestHalfOfAPeersAnswerIsNotTaken(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer string
+		whole  bool
+	}{
+		"whole":                     {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ntext", true},
+		"whole, in chunks":          {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ntext\r\n0\r\n\r\n", true},
+		"shorter than its length":   {"HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\ntext", false},
+		"without its last chunk":    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ntext\r\n", false},
+		"without a length":          {"HTTP/1.1 200 OK\r\n\r\ntext", false},
+		"without a length and body": {"HTTP/1.1 200 OK\r\n\r\n", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp4", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = l.Close() }()
+			go func() {
+				for {
+					n, err := l.Accept()
+					if err != nil {
+						return
+					}
+					if q, err := http.ReadRequest(bufio.NewReader(n)); err == nil && q.ProtoMajor == 1 {
+						_, _ = io.Copy(io.Discard, q.Body)
+						_, _ = io.WriteString(n, c.answer)
+					}
+					_ = n.Close()
+				}
+			}()
+			s := &peerServer{address: l.Addr().String()}
+			got, err := s.call(newPeerTransport(), 5*time.Second)
+			if whole := err == nil && got == "text"; whole != c.whole || !whole && err == nil {
+				t.Errorf("got %q, %v", got, err)
+			}
+		})
+	}
+}
