Confirm a failure twice, also in a failed transaction

Found by the review: a commit that was refused while the connection was in doubt waited for a confirmation that a failed transaction refuses (MALFORMED), until its deadline, and was in doubt; and the answer to Locate, which any failure may be, could take the place of the true answer to a write, whose repeated BUSY was then believed (5,844 checks). A failure is now confirmed by two orders of the kind that a failed transaction answers in one known way.

TestRepeatedAnswersOfFailingTarget failed before and passes, 20,000 checks for each case.

--- a/pool/matcher.go
+++ b/pool/matcher.go
@@ -75,9 +75,13 @@
 // Spent reports whether the connection must not be used for other statements.
 func (m *Matcher) Spent() bool { return m.spent }
 
-// locateConfirmations is the number of orders that confirm a position. As many repetitions
-// may arrive before them.
-const locateConfirmations = 3
+// The numbers of orders that confirm an answer.
+const (
+	// locateConfirmations confirm a position; as many repetitions may arrive before them.
+	locateConfirmations = 3
+	// failureConfirmations confirm the failure of a statement.
+	failureConfirmations = 2
+)
 
 // confirmations returns the orders that are sent after one to confirm its answer.
 func confirmations(o Order) []Order {
@@ -188,10 +192,7 @@
 // requestConfirmation sends orders that confirm a reply, and returns the answer that they
 // show.
 func (m *Matcher) requestConfirmation(o Order, r query.Reply, known likeness) (query.Reply, error) {
-	orders := []Order{Confirm{}}
-	if m.state == query.StateIdle && r.State == query.StateIdle {
-		orders = append(orders, Locate{})
-	}
+	orders := slices.Repeat([]Order{Confirm{}}, failureConfirmations)
 	if err := m.Conn.Send(orders...); err != nil {
 		return query.Reply{}, fmt.Errorf("confirm answer: %w", err)
 	}
@@ -366,7 +367,8 @@
 		// an answer to one.
 		return known == newReply && r.Failure != nil || isPlain(r) && (known == newReply || r.State == m.state)
 	case Confirm:
-		return isPlain(r)
+		// A failed transaction refuses all orders but its end.
+		return isPlain(r) || r.State == query.StateFailed && r.Failure != nil && r.Failure.Code == query.CodeMalformed
 	case Locate:
 		// Targets may accept the removal of a statement that does not exist.
 		return isPlain(r) && (known == newReply || r.State == m.state) ||
--- a/pool/matcher_late_test.go
+++ b/pool/matcher_late_test.go
@@ -236,3 +236,10 @@
 		t.Run(name, func(t *testing.T) { testDelayed(t, c.copies, c.warned, c.lenient) })
 	}
 }
+
+// Guards against the same where two copies arrive at once from a target that was never seen to
+// send answers twice.
+func TestTwoRepeatedAnswersAtOnce(t *testing.T) {
+	t.Run("strict", func(t *testing.T) { testDelayed(t, 2, false, false) })
+	t.Run("lenient", func(t *testing.T) { testDelayed(t, 2, false, true) })
+}
