--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -108,8 +108,12 @@
 // inaccurate to refuse a statement.
 const minEstimateQueue = 4
 
+// shortestTimer keeps a timer from having expired when it is made: the race detector crashes
+// on such a timer's channel in a bubble of package synctest.
+const shortestTimer = time.Nanosecond
+
 func (g *Group) await(ctx context.Context, w *waiter) (*Slot, error) {
-	timer := time.NewTimer(max(w.need.Until-g.Now(), 0))
+	timer := time.NewTimer(max(w.need.Until-g.Now(), shortestTimer))
 	defer timer.Stop()
 	queueDeadline, stop := g.queueDeadlineTimer(w.need)
 	defer stop()
@@ -153,7 +157,7 @@
 	if n.QueueDeadline == 0 || n.QueueDeadline >= n.Until {
 		return nil, func() {}
 	}
-	t := time.NewTimer(max(n.QueueDeadline-g.Now(), 0))
+	t := time.NewTimer(max(n.QueueDeadline-g.Now(), shortestTimer))
 	return t.C, func() { t.Stop() }
 }
 
