--- a/front/leadership_test.go
+++ b/front/leadership_test.go
@@ -23,6 +23,8 @@
 	positions map[string]query.Position
 	// answerTime is how long answers are on their way.
 	answerTime time.Duration
+	// sendErrors and receiveErrors hold the error of the next statement with a text.
+	sendErrors, receiveErrors map[string]error
 }
 
 func (l *logs) Affinity(pool.Target, string) string { return "" }
@@ -55,6 +57,9 @@
 }
 
 func (l *logLink) Send(orders ...pool.Order) error {
+	if err := l.fails(orders[len(orders)-1], l.sendErrors); err != nil {
+		return err
+	}
 	l.sent = append(l.sent, orders...)
 	return nil
 }
@@ -66,7 +71,20 @@
 	r, delay := l.answer(o), l.answerTime
 	l.lock.Unlock()
 	time.Sleep(delay)
-	return r, nil
+	return r, l.fails(o, l.receiveErrors)
+}
+
+// fails returns the error of a statement on the link, once.
+func (l *logLink) fails(o pool.Order, errors map[string]error) error {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	f, ok := o.(pool.Forward)
+	if !ok {
+		return nil
+	}
+	err := errors[f.Query.Text]
+	delete(errors, f.Query.Text)
+	return err
 }
 
 func (l *logLink) answer(o pool.Order) query.Reply {
