--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -39,8 +39,8 @@
 	conns []*fakeConn
 	// block delays replies until it is closed; nil if replies are not delayed.
 	block chan struct{}
-	// failReceive makes connections fail instead of replying.
-	failReceive bool
+	// receiveError is returned instead of replies unless it is nil.
+	receiveError error
 }
 
 type fakeConn struct {
@@ -75,6 +75,19 @@
 	return all
 }
 
+// openConnections returns the number of connections that are not closed.
+func (t *fakeTarget) openConnections() int {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	n := 0
+	for _, c := range t.conns {
+		if !c.closed {
+			n++
+		}
+	}
+	return n
+}
+
 func (c *fakeConn) Send(orders ...pool.Order) error {
 	c.target.lock.Lock()
 	defer c.target.lock.Unlock()
@@ -114,13 +127,13 @@
 
 func (c *fakeConn) Receive() (query.Reply, error) {
 	c.target.lock.Lock()
-	block, fail := c.target.block, c.target.failReceive
+	block, fail := c.target.block, c.target.receiveError
 	c.target.lock.Unlock()
 	if block != nil {
 		<-block
 	}
-	if fail {
-		return query.Reply{}, errConnectionLost
+	if fail != nil {
+		return query.Reply{}, fail
 	}
 	c.target.lock.Lock()
 	defer c.target.lock.Unlock()
@@ -431,13 +444,26 @@
 		h := newHolder(1)
 		l := dial(dialer(nil, h.address()))
 		h.fakeTarget.lock.Lock()
-		h.fakeTarget.failReceive = true
+		h.fakeTarget.receiveError = errConnectionLost
 		h.fakeTarget.lock.Unlock()
 		gomega.Expect(l.Send(read("q1"))).To(gomega.Succeed())
 		_, err := l.Receive()
 		gomega.Expect(err).To(gomega.HaveOccurred())
 	})
 
+	// Guards against the promise that a write was rolled back which took effect on its own.
+	ginkgo.It("tells that a statement ran outside its transaction", func() {
+		h := newHolder(2)
+		l := dial(dialer(nil, h.address()))
+		exchange(l, pool.Begin{})
+		h.fakeTarget.lock.Lock()
+		h.fakeTarget.receiveError = pool.ErrOutsideTransaction
+		h.fakeTarget.lock.Unlock()
+		write := pool.Forward{Query: query.Query{ID: "q1", Text: "WRITE 1 x", Operation: query.Write{Item: "1"}}}
+		gomega.Expect(exchange(l, write).Failure.Code).To(gomega.Equal(query.CodeInDoubt))
+		gomega.Eventually(h.openConnections).Should(gomega.BeZero())
+	})
+
 	ginkgo.It("goes through the next holder, or directly, if a holder is not reached", func() {
 		h := newHolder(1)
 		gone, err := net.Listen("tcp4", "127.0.0.1:0")
