--- a/pool/matcher.go
+++ b/pool/matcher.go
@@ -155,7 +155,7 @@
 			continue
 		case r.Receipt != "" && known == newReply:
 			m.unsettled = 0
-		case known == repeatedReply && isDoubtful(o) && m.Repeats.expects(m.Target):
+		case known == repeatedReply && mustBeNew(o) && m.Repeats.expects(m.Target):
 			return query.Reply{}, m.unmatched(o, r)
 		case len(awaited) > 0:
 			return m.confirm(o, possibleReply{r, known}, awaited)
--- a/pool/orderanswer.go
+++ b/pool/orderanswer.go
@@ -12,9 +12,10 @@
 	}
 }
 
-// isDoubtful reports whether an answer to an order without a receipt decides what a caller is
+// mustBeNew reports whether an answer to an order without a receipt is believed only if it
+// equals no earlier one, on a target that sends answers twice: it decides what a caller is
 // told or where its statements run.
-func isDoubtful(o Order) bool {
+func mustBeNew(o Order) bool {
 	_, begins := o.(Begin)
 	return begins || hasReceipt(o)
 }
