--- a/edge/departed.go
+++ b/edge/departed.go
@@ -165,7 +165,7 @@
 		defer st.comparing.Store(false)
 		limited, cancel := context.WithTimeout(ctx, departureCheckTimeout)
 		defer cancel()
-		if s.replicasReach(limited, name, leader) {
+		if s.reached(limited, name, leader) {
 			s.Log.Info("targets that departed have no commit alone any more", "group", name, "departed", len(s.control.Departed(name)))
 			s.directory.ForgetDeparted(name, now)
 		}
--- a/edge/supervisor.go
+++ b/edge/supervisor.go
@@ -90,6 +90,8 @@
 	recordingReplicas   atomic.Bool
 	replicasCheckedAt   time.Duration
 	replicasDifferSince map[string]time.Duration
+	// reached is replicasReach, except in tests.
+	reached func(ctx context.Context, name, leader string) bool
 }
 
 // groupState is what the supervisor tracks of a group while its lead stays the
@@ -130,6 +132,7 @@
 	s.holderChangeSince = map[string]time.Duration{}
 	s.fallbacks = map[string]bool{}
 	s.replicasDifferSince = map[string]time.Duration{}
+	s.reached = s.replicasReach
 	tick := time.NewTicker(superviseInterval)
 	defer tick.Stop()
 	for {
