--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # network. The system's own program is built by the deploy file.
 set -e
 cd "$(dirname "$0")/harness"
-GOPROXY=off GOFLAGS=-mod=mod go build -o ../../bin/review2 .
+GOPROXY=off go build -o ../../bin/review2 .
