Wait for answers until the last part of the grace period

Cause: edge.VM.stop waited for eight tenths of the grace period for all sessions, and then exited. The log has "sessions drained" with left=3 took=4.8s, and no line on the requests, so that neither the target nor the pool gave them up.

Change: answers of targets are awaited until 11/12 of the grace period; what is left is then answered as aborted or in doubt, so that no request is without a complete answer. From 8/10 on no statement is sent any more: those that wait for a target are refused, and sessions that wait for their caller are closed, as before. A holder waits for other VMs' orders as long, and rolls back transactions without an order in flight at 8/10. A VM that stops waits for moves of leaderships under way, and begins none from 4/10 on. The calls to the store end at 39/40. All steps are fractions of the grace period since the signal.

The fixture closes a stopped VM's connections, since its goroutines lived on and answered late.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -9,7 +10,9 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -22,6 +25,7 @@
 	"amaranthsill/clock"
 	"amaranthsill/customer"
 	"amaranthsill/edge"
+	"amaranthsill/front"
 	"amaranthsill/internal/site"
 	"amaranthsill/platform"
 	"amaranthsill/pool"
@@ -46,6 +50,8 @@
 	zones []string
 	vms   []*vm
 	begun time.Time
+	// grace is how long a VM may take to stop; zero means two seconds.
+	grace time.Duration
 	// customers are added to the configuration that the VMs decode; nil for none.
 	customers *customer.Set
 }
@@ -62,6 +68,35 @@
 	// stop begins the graceful stop; ended is closed when Run has returned.
 	stop  context.CancelFunc
 	ended chan struct{}
+	// exit closes the connections to callers and targets, as the end of the process does.
+	exit closers
+}
+
+// closers are the connections that the end of a process closes.
+type closers struct {
+	lock  sync.Mutex
+	list  []func()
+	ended bool
+}
+
+// add adds a connection, which is closed at once if the process has ended.
+func (c *closers) add(closeConnection func()) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if c.ended {
+		closeConnection()
+	}
+	c.list = append(c.list, closeConnection)
+}
+
+func (c *closers) closeAll() {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.ended = true
+	// Those to callers come last in the list: no answer that the end causes reaches them.
+	for _, closeConnection := range slices.Backward(c.list) {
+		closeConnection()
+	}
 }
 
 // openFixture starts a platform and as many VMs, and waits until all are ready.
@@ -130,8 +165,8 @@
 		f.site.Store.ServeHTTP(w, q)
 	}))
 	text := fmt.Sprintf(`{"vm": %q, "zone": %q, "callers": %q, "ready": %q, "peers": %q, "metrics": %q, "relay": %q,
-		"store": %q, "duty": %q, "memory": 512, "grace": "2s", "first": %t}`,
-		name, zone, v.callers, v.ready, site.FreeAddress(), v.metrics, site.FreeAddress(), gate.Listener.Addr(), f.site.Address, first)
+		"store": %q, "duty": %q, "memory": 512, "grace": %q, "first": %t}`,
+		name, zone, v.callers, v.ready, site.FreeAddress(), v.metrics, site.FreeAddress(), gate.Listener.Addr(), f.site.Address, cmp.Or(f.grace, 2*time.Second).String(), first)
 	settings, err := edge.ParseSettings("vm.json", []byte(text))
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	ctx, stop := context.WithCancel(context.Background())
@@ -147,11 +182,17 @@
 		}
 		return c, err
 	}
+	newCallerConn := adapter.NewCallerConn
+	adapter.NewCallerConn = func(c net.Conn) front.CallerConn {
+		v.exit.add(func() { _ = c.Close() })
+		return newCallerConn(c)
+	}
 	e := &edge.VM{Settings: settings, Adapter: adapter, Now: clock.SinceBoot, Log: logr.FromSlogHandler(slog.NewTextHandler(ginkgo.GinkgoWriter, nil))}
 	go func() {
 		defer ginkgo.GinkgoRecover()
 		defer close(v.ended)
 		defer gate.CloseClientConnections()
+		defer v.exit.closeAll()
 		gomega.Expect(e.Run(ctx)).To(gomega.Succeed())
 	}()
 	return v
@@ -184,7 +225,11 @@
 	if d.vm.blocked.Load() == t.ID {
 		return nil, query.Position{}, context.DeadlineExceeded
 	}
-	return d.Dialer.Dial(ctx, t, customer)
+	l, p, err := d.Dialer.Dial(ctx, t, customer)
+	if err == nil {
+		d.vm.exit.add(l.Close)
+	}
+	return l, p, err
 }
 
 // caller is a session of a caller.
--- a/edge/leases.go
+++ b/edge/leases.go
@@ -389,7 +389,12 @@
 // has sessions, which may rely on the leader record, it removes the entry instead.
 func (r *registrar) deregister(ctx context.Context) {
 	r.cancel()
-	<-r.ended
+	select {
+	case <-r.ended:
+	case <-ctx.Done():
+		r.Log.Info("this VM's entry is still being written; it expires on its own")
+		return
+	}
 	if r.lease == 0 || r.Adapter.Store.Era() != r.revision.Era() {
 		return
 	}
--- a/edge/supervisor.go
+++ b/edge/supervisor.go
@@ -365,7 +365,7 @@
 	if !s.established() {
 		delay += unestablishedDelay
 	}
-	if st.moving || now-st.causeSince < delay || st.lastAttempt != 0 && now-st.lastAttempt < moveRetryInterval {
+	if st.moving || s.movesEnding.Load() || now-st.causeSince < delay || st.lastAttempt != 0 && now-st.lastAttempt < moveRetryInterval {
 		return
 	}
 	st.moving = true
--- a/edge/vm.go
+++ b/edge/vm.go
@@ -129,6 +129,9 @@
 	callers     net.Listener
 	startedAt   time.Duration
 	stopping    atomic.Bool
+	// movesEnding reports that this VM, which stops, begins no move of a leadership any
+	// more. Another one then does.
+	movesEnding atomic.Bool
 	// settledByOther is when another VM last announced that it writes the leader
 	// record again, in nanoseconds since the machine's boot; zero if none did.
 	settledByOther atomic.Int64
@@ -389,37 +392,6 @@
 	return lacking > 0 && lacking*maxGroupsPerLack >= len(c.Groups)
 }
 
-// stop reports the VM as not ready, waits until callers are no longer sent to it,
-// lets sessions end between operations, and rolls back the transactions that are
-// still open after half of the grace period.
-func (v *VM) stop(ctx context.Context, r *registrar) {
-	startedAt := v.Now()
-	v.stopping.Store(true)
-	v.relays.Leave()
-	v.Log.Info("VM is stopping", "sessions", v.front.Sessions())
-	sleep(ctx, min(balancerDelay, v.settings().Grace()*2/5))
-	if v.callers != nil {
-		// The process is about to exit, which closes the listener in any case.
-		_ = v.callers.Close()
-	}
-	abortAfter := v.settings().Grace()/2 - (v.Now() - startedAt)
-	time.AfterFunc(max(abortAfter, 0), v.front.AbortTransactions)
-	drainTimeout := v.settings().Grace()*8/10 - (v.Now() - startedAt)
-	drainCtx, cancel := context.WithTimeout(ctx, max(drainTimeout, 0))
-	defer cancel()
-	relayed := make(chan struct{})
-	go func() {
-		v.relays.Drain(drainCtx)
-		close(relayed)
-	}()
-	v.front.Drain(drainCtx)
-	<-relayed
-	v.Log.Info("sessions drained", "left", v.front.Sessions(), "took", (v.Now() - startedAt).String())
-	deregisterCtx, cancelDeregister := context.WithTimeout(ctx, deregisterTimeout)
-	defer cancelDeregister()
-	r.deregister(deregisterCtx)
-}
-
 // established reports whether all other VMs can be assumed to know this one. On
 // the first start of the whole system no VM can have older state.
 func (v *VM) established() bool {
--- a/front/attempt.go
+++ b/front/attempt.go
@@ -189,6 +189,10 @@
 // leader only once the leader is confirmed.
 func (a *attempt) acquire(ctx context.Context) (*pool.Slot, pool.Need, error) {
 	for {
+		if ctx.Err() != nil {
+			a.reason = "the VM stops"
+			return nil, pool.Need{}, pool.ErrNoTarget
+		}
 		n := a.need(ctx)
 		if n.Leader && a.group.LeaderUnreachableFor() > unreachableLimit {
 			a.reason = "the leader is not reached from this VM"
@@ -309,7 +313,7 @@
 	if refusal != nil {
 		return *refusal
 	}
-	if f := s.admitOperation(ctx, r); f != nil {
+	if f := s.admitOperation(s.waiting, r); f != nil {
 		return *f
 	}
 	reply := a.run(ctx, st)
@@ -321,7 +325,7 @@
 // try is allowed.
 func (a *attempt) run(ctx context.Context, st statement) query.Reply {
 	for {
-		slot, need, err := a.acquireAligned(ctx)
+		slot, need, err := a.acquireAligned(a.session.waiting)
 		if err != nil {
 			return a.giveUp(err)
 		}
@@ -371,7 +375,7 @@
 	}
 	slot.Release()
 	if f := answer.Failure; f != nil {
-		return a.failedOn(ctx, slot, need, st, answer.Reply)
+		return a.failedOn(slot, need, st, answer.Reply)
 	}
 	if st.write {
 		a.group.RecordAnsweredCommit(answer.Position)
@@ -440,10 +444,10 @@
 
 // failedOn handles a target's reply that reports a failure. The results are
 // those of runOn.
-func (a *attempt) failedOn(ctx context.Context, slot *pool.Slot, need pool.Need, st statement, r query.Reply) (query.Reply, bool) {
+func (a *attempt) failedOn(slot *pool.Slot, need pool.Need, st statement, r query.Reply) (query.Reply, bool) {
 	s := a.session
 	if r.Failure.Code.NotRun() {
-		if a.retryNotRun(ctx, slot, need, r.Failure) {
+		if a.retryNotRun(s.waiting, slot, need, r.Failure) {
 			return query.Reply{}, false
 		}
 		return a.refuse(), true
--- a/front/front.go
+++ b/front/front.go
@@ -108,6 +108,8 @@
 
 func (srv *Server) serve(ctx context.Context, conn net.Conn) {
 	s := &session{server: srv, conn: srv.NewCallerConn(conn)}
+	s.waiting, s.stopWaiting = context.WithCancel(ctx)
+	defer s.stopWaiting()
 	srv.addSession(s)
 	defer srv.removeSession(s)
 	defer s.close()
--- a/front/session.go
+++ b/front/session.go
@@ -24,9 +24,16 @@
 	floor     query.Position
 	floorTime time.Duration
 	tx        *transaction
+	// waiting ends once statements that wait for a target are to be refused, by the call
+	// of stopWaiting.
+	waiting     context.Context
+	stopWaiting context.CancelFunc
 
 	lock sync.Mutex
 	access
+	inFlight
+	// ending is true once the session is to be closed when it waits for the caller.
+	ending bool
 	// idle is true while the session waits for the caller outside a transaction,
 	// so that it may be closed.
 	idle bool
@@ -41,6 +48,16 @@
 	answered bool
 }
 
+// inFlight is the query that a session runs, with what is answered to it if the VM has to
+// exit before the target has answered.
+type inFlight struct {
+	// running reports that there is one, and that it has no answer.
+	running  bool
+	code     query.Code
+	state    query.State
+	position query.Position
+}
+
 // expiredDeadline is a deadline in the past; it interrupts a blocked read at
 // once.
 var expiredDeadline = time.Unix(1, 0)
@@ -107,6 +124,9 @@
 	s.lock.Lock()
 	s.idle = false
 	s.lock.Unlock()
+	if err != nil && s.isEnding() {
+		return false
+	}
 	if s.tx != nil && errors.Is(err, os.ErrDeadlineExceeded) && s.isExpired() {
 		return s.awaitAfterRevocation()
 	}
@@ -122,7 +142,7 @@
 	draining := s.server.isDraining()
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	if (draining || s.closing) && s.tx == nil && s.answered {
+	if (draining || s.closing) && s.tx == nil && s.answered || s.aborted && s.tx == nil {
 		return false
 	}
 	s.idle = s.tx == nil
@@ -135,7 +155,7 @@
 // clearDeadline lets the session wait for the caller without limit, unless its time is
 // over. The caller holds the lock.
 func (s *session) clearDeadline() error {
-	if s.expired {
+	if s.expired || s.ending {
 		return s.conn.SetReadDeadline(expiredDeadline)
 	}
 	return s.conn.SetReadDeadline(time.Time{})
@@ -146,7 +166,7 @@
 func (s *session) setTransactionDeadline(idle time.Duration) error {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	if s.aborted || s.expired {
+	if s.aborted || s.expired || s.ending {
 		idle = 0
 	}
 	return s.conn.SetReadDeadline(time.Now().Add(idle))
@@ -160,6 +180,9 @@
 		return false
 	}
 	err := s.conn.Wait()
+	if err != nil && s.isEnding() {
+		return false
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) && !s.isExpired() {
 		s.tx.fail("the transaction was idle for too long or its VM stops")
 		s.lock.Lock()
@@ -169,7 +192,7 @@
 			err = s.conn.Wait()
 		}
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) && s.isExpired() {
+	if errors.Is(err, os.ErrDeadlineExceeded) && s.isExpired() && !s.isEnding() {
 		return s.awaitAfterRevocation()
 	}
 	if err != nil {
@@ -230,7 +253,12 @@
 // answer handles one query, sends the reply, and reports whether the session
 // continues.
 func (s *session) answer(ctx context.Context, q query.Query) bool {
+	s.begun(q)
 	r := s.handle(ctx, q)
+	if !s.done() {
+		s.server.Log.Info("request was answered without its target's answer, since the VM stops", "request", q.ID)
+		return false
+	}
 	if err := s.conn.Reply(r); err != nil {
 		s.server.Metrics.recordBrokenSession(err)
 		return false
@@ -266,7 +294,7 @@
 	}
 	switch op := q.Operation.(type) {
 	case query.Begin:
-		return s.begin(ctx, op)
+		return s.begin(op)
 	case query.Commit, query.Rollback:
 		return s.failure(query.CodeMalformed, "no transaction is open")
 	case query.Read, query.Write, query.Execute:
--- a/front/transaction.go
+++ b/front/transaction.go
@@ -29,12 +29,12 @@
 
 // begin opens a transaction for the caller. The target opens it later,
 // together with the first statement.
-func (s *session) begin(ctx context.Context, b query.Begin) query.Reply {
+func (s *session) begin(b query.Begin) query.Reply {
 	r, refusal := s.startOperation()
 	if refusal != nil {
 		return *refusal
 	}
-	if f := s.admitOperation(ctx, r); f != nil {
+	if f := s.admitOperation(s.waiting, r); f != nil {
 		return *f
 	}
 	s.tx = &transaction{session: s, route: r, readOnly: b.ReadOnly}
@@ -113,7 +113,7 @@
 		return *refusal
 	}
 	if t.slot == nil {
-		if r := t.begin(ctx, q.ID, st.plan); r != nil {
+		if r := t.begin(q.ID, st.plan); r != nil {
 			return *r
 		}
 	}
@@ -127,14 +127,14 @@
 // begin opens the transaction on a target, trying others if one fails. It
 // also prepares the plan of the first statement there, if that has one. It
 // returns nil, or the failure reply.
-func (t *transaction) begin(ctx context.Context, id string, plan *query.Plan) *query.Reply {
+func (t *transaction) begin(id string, plan *query.Plan) *query.Reply {
 	a, refusal := t.session.newAttempt(id, t.route, !t.readOnly)
 	if refusal != nil {
 		return t.failWith(*refusal)
 	}
 	t.attempt = a
 	for {
-		slot, need, err := a.acquire(ctx)
+		slot, need, err := a.acquire(t.session.waiting)
 		if err != nil {
 			return t.failWith(a.giveUp(err))
 		}
@@ -153,7 +153,7 @@
 				return t.failWith(a.refuse())
 			}
 		case answer.Failure.Code.NotRun():
-			if !a.retryNotRun(ctx, slot, need, answer.Failure) {
+			if !a.retryNotRun(t.session.waiting, slot, need, answer.Failure) {
 				return t.failWith(a.refuse())
 			}
 		case !a.allowRetry("target answered " + answer.Failure.Code.String()):
@@ -203,7 +203,7 @@
 		if f == nil {
 			return t.confirmAnswer(ctx, st, answer, until)
 		}
-		if f.Code == query.CodeBusy && answer.State == query.StateOpen && s.server.Now()+busyRetryDelay < until && t.attempt.pauseBusy(ctx) {
+		if f.Code == query.CodeBusy && answer.State == query.StateOpen && s.server.Now()+busyRetryDelay < until && t.attempt.pauseBusy(s.waiting) {
 			continue
 		}
 		t.fail("")
@@ -255,7 +255,7 @@
 		return s.failure(query.CodeAborted, reason)
 	}
 	if t.slot == nil {
-		if r := t.begin(ctx, q.ID, nil); r != nil {
+		if r := t.begin(q.ID, nil); r != nil {
 			s.tx = nil
 			r.State = query.StateIdle
 			return *r
--- a/internal/site/server.go
+++ b/internal/site/server.go
@@ -387,12 +387,21 @@
 	c.flush()
 }
 
+// work waits for as long as the server works on a query.
+func (c *connection) work(text string) {
+	d := c.Group.StatementDelay
+	if w := c.Group.site.options.Work; w != nil {
+		d = w(text)
+	}
+	time.Sleep(d)
+}
+
 // query executes one query and sends its answer. It reports whether the connection
 // stays open.
 func (c *connection) query(id, text string) bool {
 	acquired := !takesSlot(text) || c.slots.acquire()
 	if acquired {
-		time.Sleep(c.Group.StatementDelay)
+		c.work(text)
 		if takesSlot(text) {
 			defer c.slots.release()
 		}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -26,6 +27,11 @@
 	Lag time.Duration
 	// StatementDelay is how long each server waits before it executes a query.
 	StatementDelay time.Duration
+	// Work returns how long each server waits before it executes a query, by the query's
+	// text; nil means StatementDelay.
+	Work func(text string) time.Duration
+	// StatementTimeout is the timeout of the routes; zero means one second.
+	StatementTimeout time.Duration
 	// Era is the store's era at the start; zero sends none with its answers.
 	Era uint64
 	// ProxyAddress returns the address under which a server is registered,
@@ -265,7 +271,7 @@
 		for suffix, kind := range map[string]string{"current": "primary", "bounded": "bounded_staleness", "own": "read_your_writes"} {
 			routes = append(routes, Route{
 				"name": g + "-" + suffix, "host": g + "-" + suffix, "kind": kind, "service": g,
-				"timeout_ms": 1000, "target_latency_ms": 600, "priority": 1, "max_staleness_ms": 1500,
+				"timeout_ms": cmp.Or(s.options.StatementTimeout, time.Second).Milliseconds(), "target_latency_ms": 600, "priority": 1, "max_staleness_ms": 1500,
 			})
 		}
 	}
--- a/relay/connlink.go
+++ b/relay/connlink.go
@@ -210,3 +210,6 @@
 		_ = l.conn.SetReadDeadline(time.Now().Add(drainGrace))
 	}
 }
+
+// endTransactions implements drainable. The transaction ends with its next order.
+func (l *connLink) endTransactions() {}
--- a/relay/server.go
+++ b/relay/server.go
@@ -65,7 +65,9 @@
 
 	socket.Acceptor
 	// leaving reports that Leave was called.
-	leaving  atomic.Bool
+	leaving atomic.Bool
+	// ending reports that EndTransactions was called.
+	ending   atomic.Bool
 	lock     sync.Mutex
 	open     map[drainable]bool
 	stopping bool
@@ -96,6 +98,18 @@
 	s.Await(ctx)
 }
 
+// EndTransactions rolls back the open transactions in which no order runs, and those with an
+// order in flight once that is done: an order that follows is answered as aborted, since the
+// server may stop before its target answers.
+func (s *Server) EndTransactions() {
+	s.ending.Store(true)
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	for r := range s.open {
+		r.endTransactions()
+	}
+}
+
 func (s *Server) isStopping() bool {
 	s.lock.Lock()
 	defer s.lock.Unlock()
@@ -123,6 +137,8 @@
 type drainable interface {
 	// endIdle ends what is open outside orders and transactions.
 	endIdle()
+	// endTransactions ends the transactions that wait for an order.
+	endTransactions()
 }
 
 // add registers a connection, so that Drain ends it. It returns false if the server
--- a/relay/serverlink.go
+++ b/relay/serverlink.go
@@ -202,6 +202,10 @@
 		r.server.Log.Info("order not allowed inside a transaction; closing the link", "kind", q.Kind, "target", r.hello.Target)
 		return query.Reply{}, fmt.Errorf("relay order of kind %d inside a transaction: %w", q.Kind, ErrOrder)
 	}
+	if r.server.ending.Load() {
+		r.rollBack()
+		return abortedReply(q), nil
+	}
 	if err := r.slot.Align(&r.state, until); err != nil {
 		return query.Reply{}, fmt.Errorf("align transaction: %w", err)
 	}
@@ -223,6 +227,19 @@
 	return a.Reply, nil
 }
 
+// abortedReply returns the reply to an order in a transaction that the holder has rolled
+// back because it stops.
+func abortedReply(q *request) query.Reply {
+	if q.Kind == kindRollback {
+		return query.Reply{State: query.StateIdle}
+	}
+	state := query.StateFailed
+	if q.Commit {
+		state = query.StateIdle
+	}
+	return query.Reply{Failure: &query.Failure{Code: query.CodeAborted, Detail: "holder stops"}, State: state}
+}
+
 // rollBack rolls back the open transaction, if there is one, and returns its
 // connection to the pool.
 func (r *serverLink) rollBack() {
--- a/relay/servertrunk.go
+++ b/relay/servertrunk.go
@@ -280,6 +280,17 @@
 	go func() { _ = t.reply(0, response{}) }()
 }
 
+// endTransactions implements drainable.
+func (t *serverTrunk) endTransactions() {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	for _, s := range t.streams {
+		if s.expiry != nil {
+			go t.expire(s)
+		}
+	}
+}
+
 // reply writes a response for a stream. A connection to which it cannot be written is
 // closed, since part of the response may have been.
 func (t *serverTrunk) reply(stream uint32, n response) error {
