Find out whether a replica without an entry still receives

Cause: a target without an entry was taken to receive nothing, and forgotten once the registered replicas had what the leader had, once a later commit was acknowledged, or once a leader was recorded. Evidence: "targets that departed have no commit alone any more" 3 s before the crash, and no question to that replica.

Change: VMs ask departed targets of synchronous groups at their last address. One matters as long as it answers; the three proofs count from its end. A move asks targets without an entry as well, also those that had ended, and promotes none that lacks commits of one that answers unless the VMs know that nothing acknowledged is missing.

Tests changed: "matters no more once a later commit was acknowledged, or the logs were compared", "... once a leader was recorded ..." and two on the list took a target without an entry to have ended, which is the fault. They now have it end first, and new ones check that it matters as long as it has not. TestDepartedReplicaIsPutBackOnlyIfItMatters is told that the replica has ended, as one that crashed has.

Test: four specs of "A replica without an entry that still receives" failed on the code before (a promotion while the replica with the commits was cut off) and pass now; the one that asks for no delay passes on both.

--- a/edge/control.go
+++ b/edge/control.go
@@ -28,6 +28,11 @@
 	return c.directory.Departed(group, c.committedAt(group))
 }
 
+// Ended implements succession.Targets.
+func (c *controlClient) Ended(group string) []pool.Target {
+	return c.directory.Ended(group, c.committedAt(group))
+}
+
 // committedAt returns when this VM last acknowledged a commit of a group; zero if it never
 // did.
 func (c *controlClient) committedAt(group string) time.Duration {
@@ -195,11 +200,11 @@
 }
 
 // runDirect opens a connection to the target, sends one order and returns the
-// report. Its error wraps pool.ErrNoTarget if the target is not registered.
+// report. Its error wraps pool.ErrNoTarget if the target is not known.
 func (c *controlClient) runDirect(ctx context.Context, group, target string, o pool.Order) (pool.Report, error) {
 	t, ok := c.findTarget(group, target)
 	if !ok {
-		return pool.Report{}, fmt.Errorf("target %s is not registered: %w", target, pool.ErrNoTarget)
+		return pool.Report{}, fmt.Errorf("target %s is not known: %w", target, pool.ErrNoTarget)
 	}
 	link, _, err := c.Adapter.Dialer.Dial(ctx, t, "")
 	if err != nil {
@@ -225,14 +230,15 @@
 	return report, nil
 }
 
-// findTarget returns the registered target with an ID; false if there is none.
+// findTarget returns the registered target with an ID, or the one that was registered last;
+// false if there is none.
 func (c *controlClient) findTarget(group, id string) (pool.Target, bool) {
 	for _, t := range c.directory.Targets(group) {
 		if t.ID == id {
 			return t, true
 		}
 	}
-	return pool.Target{}, false
+	return c.directory.FindDeparted(group, id)
 }
 
 // recordLeadersTimeout bounds one attempt to write the groups' first leaders.
--- a/edge/departed_test.go
+++ b/edge/departed_test.go
@@ -49,6 +49,14 @@
 	d.Expire()
 }
 
+// end has a departed target found to have ended.
+func (d *departures) end(id string) {
+	t, found := d.FindDeparted("choir", id)
+	gomega.Expect(found).To(gomega.BeTrue())
+	d.RecordEnded(t)
+	d.now++
+}
+
 // lead writes a leader record.
 func (d *departures) lead(l succession.Lead) {
 	d.revision++
@@ -109,16 +117,55 @@
 			},
 			[]string{"a/1"},
 		},
-		"matters no more once a leader was recorded that had every commit": {
-			func(d *departures) { d.remove("a"); d.lead(succession.Lead{Target: "c", Since: 9}) },
+		"matters no more once it had ended and a leader was recorded that had every commit": {
+			func(d *departures) { d.remove("a"); d.end("a"); d.lead(succession.Lead{Target: "c", Since: 9}) },
 			[]string{},
 		},
 		"still matters while the leadership is being moved": {
-			func(d *departures) { d.remove("a"); d.lead(succession.Lead{Target: "p", Mover: "vm-0/1/1"}) },
+			func(d *departures) {
+				d.remove("a")
+				d.end("a")
+				d.lead(succession.Lead{Target: "p", Mover: "vm-0/1/1"})
+			},
 			[]string{"a/1"},
 		},
 		"still matters if the record of the same leader is written again": {
-			func(d *departures) { d.remove("a"); d.lead(succession.Lead{Target: "p", Since: 1}) },
+			func(d *departures) { d.remove("a"); d.end("a"); d.lead(succession.Lead{Target: "p", Since: 1}) },
+			[]string{"a/1"},
+		},
+		"still matters although a leader was recorded, since it may receive its commits": {
+			func(d *departures) { d.remove("a"); d.lead(succession.Lead{Target: "c", Since: 9}) },
+			[]string{"a/1"},
+		},
+		"still matters if it ended only after the leader was recorded": {
+			func(d *departures) { d.remove("a"); d.lead(succession.Lead{Target: "c", Since: 9}); d.end("a") },
+			[]string{"a/1"},
+		},
+		"matters again once it runs again without an entry": {
+			func(d *departures) {
+				d.remove("a")
+				d.end("a")
+				d.ForgetDeparted("choir", d.now)
+				t, _ := d.FindDeparted("choir", "a")
+				d.RecordRuns(t)
+			},
+			[]string{"a/1"},
+		},
+		"matters, as each of several does": {
+			func(d *departures) {
+				d.register("b", "ready", 1, 81)
+				d.remove("a")
+				d.remove("b")
+				d.end("b")
+				d.ForgetDeparted("choir", d.now)
+			},
+			[]string{"a/1"},
+		},
+		"still matters if another service has its entry": {
+			func(d *departures) {
+				d.revision++
+				d.Apply(store.Item{Key: "servers/a", Revision: d.revision, Value: []byte(`{"service":"guild","address":"10.1.0.9:80","zone":"coban","slots":3,"state":"ready","db_role":"replica","version":"v1","cold_left_ms":0,"seq":1,"born":1}`)})
+			},
 			[]string{"a/1"},
 		},
 	} {
@@ -131,18 +178,51 @@
 		})
 	}
 
-	ginkgo.It("matters no more once a later commit was acknowledged, or the logs were compared", func() {
+	// Guards against commits that are lost because a target without an entry goes on to
+	// receive them.
+	ginkgo.It("matters as long as it may run, whatever is acknowledged and compared", func() {
 		d := newDepartures()
 		d.register("a", "ready", 1, 80)
 		d.remove("a")
-		gomega.Expect(d.names(d.now + 4*time.Second)).To(gomega.Equal([]string{"a/1"}))
-		gomega.Expect(d.names(d.now + 6*time.Second)).To(gomega.BeEmpty())
-		d.ForgetDeparted("choir", d.now)
+		gomega.Expect(d.names(d.now + time.Minute)).To(gomega.Equal([]string{"a/1"}))
+		d.ForgetDeparted("choir", d.now+time.Minute)
+		gomega.Expect(d.names(d.now + time.Minute)).To(gomega.Equal([]string{"a/1"}))
+	})
+
+	ginkgo.It("matters no more once it has ended and a later commit was acknowledged, or the logs were compared", func() {
+		d := newDepartures()
+		d.register("a", "ready", 1, 80)
+		d.remove("a")
+		ended := d.now
+		d.end("a")
+		gomega.Expect(d.names(ended + 4*time.Second)).To(gomega.Equal([]string{"a/1"}))
+		gomega.Expect(d.names(ended + 6*time.Second)).To(gomega.BeEmpty())
+		d.ForgetDeparted("choir", ended)
 		gomega.Expect(d.names(0)).To(gomega.Equal([]string{"a/1"}))
-		d.ForgetDeparted("choir", d.now+1)
+		d.ForgetDeparted("choir", ended+1)
 		gomega.Expect(d.names(0)).To(gomega.BeEmpty())
 	})
 
+	ginkgo.It("has ended once two questions a second apart got no answer", func() {
+		d := newDepartures()
+		d.register("a", "ready", 1, 80)
+		d.remove("a")
+		t, _ := d.FindDeparted("choir", "a")
+		for _, step := range []struct {
+			after time.Duration
+			runs  bool
+			ended bool
+		}{{0, false, false}, {900 * time.Millisecond, false, false}, {0, true, false}, {2 * time.Second, false, false}, {time.Second, false, true}} {
+			d.now += step.after
+			if step.runs {
+				d.RecordRuns(t)
+			} else {
+				d.RecordSilent(t)
+			}
+			gomega.Expect(d.names(d.now + time.Minute)).To(gomega.HaveLen(map[bool]int{false: 1, true: 0}[step.ended]))
+		}
+	})
+
 	ginkgo.It("does not matter in a group that commits asynchronously", func() {
 		d := newDepartures()
 		d.Catalog.Update(&catalog.Configuration{Version: 1, Groups: map[string]catalog.Group{"choir": {Name: "choir"}}})
--- a/edge/grants_test.go
+++ b/edge/grants_test.go
@@ -130,6 +130,9 @@
 // Departed implements succession.Targets.
 func (f *grantFleet) Departed(string) []pool.Target { return nil }
 
+// Ended implements succession.Targets.
+func (f *grantFleet) Ended(string) []pool.Target { return nil }
+
 // Recall implements succession.Targets.
 func (f *grantFleet) Recall(context.Context, string) error { return nil }
 
--- a/edge/putback_test.go
+++ b/edge/putback_test.go
@@ -114,7 +114,7 @@
 		v.registered.Store(true)
 		v.directory = &Directory{Adapter: adapter, Catalog: c, Self: name, Now: now, Log: logr.Discard()}
 		f.vms = append(f.vms, &supervisor{
-			VM: v, reached: reached, replicasDifferSince: map[string]time.Duration{},
+			VM: v, reached: reached, runs: func(context.Context, string, string) runState { return stateEnded }, replicasDifferSince: map[string]time.Duration{},
 			states: map[string]*groupState{"choir": {lead: succession.Lead{Target: "p", Since: 1}}},
 		})
 	}
--- a/edge/replicas.go
+++ b/edge/replicas.go
@@ -87,16 +87,18 @@
 	d.listed[group] = l.Replicas
 }
 
-// forget records that a departed target no longer matters. Until the store's list leaves
-// it out, it is not taken from there again. The caller holds the lock.
+// forget drops a departed target whose log was passed on. The caller holds the lock.
 func (d *Directory) forget(k departureKey) {
-	t, ok := d.departed[k]
-	if !ok {
-		return
-	}
+	group := d.departed[k].Group
 	delete(d.departed, k)
-	if slices.ContainsFunc(d.listed[t.Group], func(r replica) bool { return r.key() == k }) {
-		d.forgotten[k] = t.Group
+	d.forgetListed(k, group)
+}
+
+// forgetListed records that a departed target no longer matters. Until the store's list
+// leaves it out, it is not taken from there again. The caller holds the lock.
+func (d *Directory) forgetListed(k departureKey, group string) {
+	if slices.ContainsFunc(d.listed[group], func(r replica) bool { return r.key() == k }) {
+		d.forgotten[k] = group
 	}
 }
 
@@ -108,7 +110,8 @@
 		_, departed := d.departed[k]
 		_, forgotten := d.forgotten[k]
 		t := d.targets[r.ID]
-		if departed || forgotten || t != nil && t.entry.Incarnation == r.Born {
+		registered := t != nil && t.entry.Group == group
+		if departed || forgotten || registered && t.entry.Incarnation == r.Born {
 			continue
 		}
 		if r.Draining && d.hasSuccessor(group, r) {
@@ -116,7 +119,12 @@
 			continue
 		}
 		former := pool.Target{ID: r.ID, Group: group, Address: r.Address, Incarnation: r.Born, Draining: r.Draining}
-		d.departed[k] = departure{Target: former, at: d.Now(), revision: d.newestRevision, passesOn: r.Draining}
+		n := departure{Target: former, at: d.Now(), revision: d.newestRevision, passesOn: r.Draining}
+		later := func(o replica) bool { return o.ID == r.ID && o.Born > r.Born }
+		if registered || slices.ContainsFunc(d.listed[group], later) {
+			n.endedAt = n.at
+		}
+		d.departed[k] = n
 	}
 }
 
@@ -170,7 +178,13 @@
 	for _, t := range d.grouped()[group] {
 		next = append(next, replicaOf(t))
 	}
-	for _, t := range d.departedFrom(group, committedAt) {
+	departed := d.departedFrom(group, committedAt)
+	for k, t := range d.departed {
+		if t.Group == group && !t.settled && !t.matters(committedAt) {
+			d.settle(k)
+		}
+	}
+	for _, t := range departed {
 		r := replicaOf(t)
 		omitted := listed && !slices.ContainsFunc(old, func(o replica) bool { return o.key() == r.key() })
 		if omitted && !putBack {
--- a/edge/replicas_test.go
+++ b/edge/replicas_test.go
@@ -42,6 +42,10 @@
 			func(d *departures) { d.names(0); d.register("b", "ready", 1, 81) },
 			[]string{},
 		},
+		"still matters after the logs were compared, as long as it may run": {
+			func(d *departures) { d.names(0); d.ForgetDeparted("choir", d.now+1) },
+			[]string{"b/1"},
+		},
 		"matters no more once the list leaves it out and nothing else tells of it": {
 			func(d *departures) {
 				d.list(`{"replicas":[{"id":"a","born":1,"address":"10.1.0.9:80"}]}`)
@@ -49,12 +53,13 @@
 			[]string{},
 		},
 		"matters no more once the logs were compared, although the list has it still": {
-			func(d *departures) { d.names(0); d.ForgetDeparted("choir", d.now+1) },
+			func(d *departures) { d.names(0); d.end("b"); d.ForgetDeparted("choir", d.now+1) },
 			[]string{},
 		},
 		"matters again once it was forgotten, returned and left again": {
 			func(d *departures) {
 				d.names(0)
+				d.end("b")
 				d.ForgetDeparted("choir", d.now+1)
 				d.register("b", "ready", 1, 81)
 				d.remove("b")
--- a/edge/supervisor.go
+++ b/edge/supervisor.go
@@ -92,6 +92,8 @@
 	replicasDifferSince map[string]time.Duration
 	// reached is replicasReach, except in tests.
 	reached func(ctx context.Context, name, leader string) bool
+	// runs is stateOf, except in tests.
+	runs func(ctx context.Context, name, target string) runState
 }
 
 // groupState is what the supervisor tracks of a group while its lead stays the
@@ -116,6 +118,9 @@
 	// that departed still matter, and comparing reports that it is doing so.
 	departedCheckedAt time.Duration
 	comparing         atomic.Bool
+	// silent reports that a departed target did not answer when it was last asked, but is not
+	// known to have ended.
+	silent atomic.Bool
 	// omissionChecked is the revision of the newest list of the group's targets that left
 	// out departed ones, so that this VM found out whether they still matter.
 	omissionChecked store.Revision
@@ -133,6 +138,7 @@
 	s.fallbacks = map[string]bool{}
 	s.replicasDifferSince = map[string]time.Duration{}
 	s.reached = s.replicasReach
+	s.runs = s.stateOf
 	tick := time.NewTicker(superviseInterval)
 	defer tick.Stop()
 	for {
--- /dev/null
+++ b/edge/unregistered_test.go
@@ -0,0 +1,117 @@
+package edge_test
+
+import (
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"amaranthsill/internal/site"
+)
+
+// cutSite is a site of which servers can be cut off from the store alone, so that their
+// entries go although they run.
+type cutSite struct {
+	*fixture
+	// cut holds the IDs of the servers that are cut off.
+	cut atomic.Pointer[[]string]
+}
+
+// openCutSite starts a synchronous group with one server for each zone, and three VMs.
+func openCutSite(zones []string) *cutSite {
+	c := &cutSite{}
+	c.cut.Store(&[]string{})
+	options := syncedZones
+	options.Zones = zones
+	options.EntryTimeout = time.Second
+	options.Reaches = func(from, to string) bool {
+		list := *c.cut.Load()
+		return from != site.StoreNode && to != site.StoreNode || !slices.Contains(list, from) && !slices.Contains(list, to)
+	}
+	c.fixture = openFixture(options, 3)
+	return c
+}
+
+// cutOff cuts servers off from the store, in place of those before, and waits until those
+// are dropped whose entries go.
+func (c *cutSite) cutOff(servers ...*site.Server) {
+	list := []string{}
+	for _, s := range servers {
+		list = append(list, s.ID)
+	}
+	c.cut.Store(&list)
+	for _, id := range list {
+		gomega.Eventually(c.site.Store.Get, recoveryTimeout, "20ms").WithArguments("servers/" + id).Should(gomega.BeNil())
+	}
+	// The entries are kept in use for 2.5 s, and then the logs are compared.
+	time.Sleep(5 * time.Second)
+}
+
+var _ = ginkgo.Describe("A replica without an entry that still receives", func() {
+	four := append(slices.Clone(zones), "antigua")
+	// Each guards against acknowledged commits that are lost: a replica that was cut off from
+	// the store alone was taken to receive nothing more, and another one without its commits
+	// was promoted.
+	for name, c := range map[string]struct {
+		zones []string
+		// cut is how many replicas are cut off, the last ones. The other one receives nothing.
+		cut int
+		// wait is how long nobody may be promoted after the crash.
+		wait time.Duration
+		// meanwhile happens after the entries are gone and before the last commits.
+		meanwhile func(c *cutSite)
+	}{
+		"is waited for":                      {zones, 1, 4 * time.Second, func(*cutSite) {}},
+		"is waited for if there are several": {four, 2, 4 * time.Second, func(*cutSite) {}},
+		"is waited for after all VMs have started again": {zones, 1, 15 * time.Second, func(c *cutSite) {
+			c.stopAll()
+			c.startAll(3, false)
+		}},
+		"is waited for after it has started again": {zones, 1, 4 * time.Second, func(c *cutSite) {
+			s := c.site.Servers("choir")[2]
+			s.Crash()
+			time.Sleep(4 * time.Second)
+			s.Restart()
+			time.Sleep(time.Second)
+		}},
+	} {
+		ginkgo.It(name, func() {
+			f := openCutSite(c.zones)
+			w := f.vms[1].session("choir-own")
+			w.must("WRITE bar before")
+			servers := f.site.Servers("choir")
+			away := servers[len(servers)-c.cut:]
+			f.cutOff(away...)
+			c.meanwhile(f)
+			servers[1].SetReplicationPaused(true)
+			acknowledged := []string{}
+			w = f.vms[1].session("choir-own")
+			for range 5 {
+				acknowledged = append(acknowledged, w.must("WRITE bar x").id)
+			}
+			servers[0].Crash()
+			f.expectWaiting(c.wait)
+			f.cut.Store(&[]string{})
+			gomega.Eventually(func() bool { return slices.Contains(away, f.site.Leader("choir")) }, 3*recoveryTimeout, "20ms").Should(gomega.BeTrue())
+			servers[1].SetReplicationPaused(false)
+			f.expectKept(acknowledged)
+		})
+	}
+
+	ginkgo.It("delays no move if another replica has as much", func() {
+		f := openCutSite(zones)
+		c := f.vms[1].session("choir-own")
+		servers := f.site.Servers("choir")
+		f.cutOff(servers[2])
+		last := c.must("WRITE bar 1")
+		time.Sleep(50 * time.Millisecond)
+		servers[0].Crash()
+		crashed := time.Now()
+		f.vms[2].session("choir-own").retry("WRITE bar 2")
+		gomega.Expect(f.site.Leader("choir")).To(gomega.Equal(servers[1]))
+		ginkgo.GinkgoWriter.Println("gap", time.Since(crashed))
+		f.expectKept([]string{last.id})
+	})
+})
--- a/succession/candidate.go
+++ b/succession/candidate.go
@@ -145,6 +145,8 @@
 		}
 		others = append(others, t)
 	}
+	v.askDeparted(ctx)
+	defer v.awaitDeparted()
 	if reports := v.collectReportsFrom(ctx, others, v.reportsNeeded(len(others))); len(reports) > 0 {
 		v.remember(reports)
 		return reports
--- a/succession/evidence.go
+++ b/succession/evidence.go
@@ -16,8 +16,8 @@
 // how far their logs reach, one that has told has the newest acknowledged commit. A log
 // has all commits before each that it has, so the one that reaches furthest has every
 // acknowledged commit. A replica that refuses the question because its slots are taken,
-// does not answer, or is no longer registered has not told; nor has one from before its
-// last start, since it may have lost its log. A draining one counts like any other.
+// or does not answer has not told; nor has one from before its last start, since it may have
+// lost its log. A draining one counts like any other, and so does one whose entry is gone.
 //
 // Where too few have told, the VMs may know how far the acknowledged commits reach: a
 // target whose log reaches as far has all of them, whatever the others hold.
@@ -57,6 +57,9 @@
 	if extent, known := v.extent(); known && c.Received.Reaches(extent) {
 		return true
 	}
+	if !v.reachesDeparted(c.Received) {
+		return false
+	}
 	return c.ID == v.oldLeader || v.coversOldLeader(c) || v.recalled && len(v.silentReplicas()) < v.syncReplicas
 }
 
@@ -91,7 +94,7 @@
 func (v *move) coversOldLeader(c candidateReport) bool {
 	v.lock.Lock()
 	defer v.lock.Unlock()
-	return v.steppedDown && v.reachesReported(v.oldPosition) && c.Received.Reaches(v.oldPosition)
+	return v.steppedDown && v.reachesReported(v.oldPosition) && v.reachesDeparted(v.oldPosition) && c.Received.Reaches(v.oldPosition)
 }
 
 // silentReplicas returns the replicas that may have acknowledged commits and have not told
@@ -104,7 +107,7 @@
 		}
 	}
 	for _, t := range v.Targets.Departed(v.group) {
-		if t.ID != v.oldLeader {
+		if t.ID != v.oldLeader && !v.told[departedStart{t.ID, t.Incarnation}] {
 			silent = append(silent, fmt.Sprintf("%s as started at %d", t.ID, t.Incarnation))
 		}
 	}
@@ -122,6 +125,10 @@
 	if v.Now()-v.startedAt > promotionWindow {
 		return fmt.Errorf("replicas %v of %s do not tell: %w", silent, v.group, ErrTooFewReports)
 	}
+	if !v.waitLogged && len(silent) < v.syncReplicas && !v.highest.IsZero() {
+		v.waitLogged = true
+		v.Log.Info("a target that is not registered has more than those that are; waiting", "group", v.group, "received", v.highest.String())
+	}
 	if len(silent) >= v.syncReplicas && !v.waitLogged {
 		v.waitLogged = true
 		v.Log.Info("too few replicas tell how far their logs reach; waiting", "group", v.group, "silent", silent, "sync", v.syncReplicas)
@@ -137,8 +144,9 @@
 	v.lock.Lock()
 	known := v.steppedDown
 	v.lock.Unlock()
-	registered := slices.ContainsFunc(v.Targets.Candidates(v.group), func(t pool.Target) bool { return t.ID == v.oldLeader })
-	if known || !registered || v.pending {
+	targets := slices.Concat(v.Targets.Candidates(v.group), v.Targets.Departed(v.group), v.Targets.Ended(v.group))
+	listed := slices.ContainsFunc(targets, func(t pool.Target) bool { return t.ID == v.oldLeader })
+	if known || !listed || v.pending {
 		return
 	}
 	r, err := v.demoteOnce(ctx, v.oldLeader)
--- a/succession/evidence_test.go
+++ b/succession/evidence_test.go
@@ -68,6 +68,49 @@
 		})
 	}
 
+	// Guards against acknowledged commits that are lost, since a replica whose entry is gone
+	// went on to receive them and was taken to have ended.
+	for name, hide := range map[string]func(s *fixture){
+		"whose entry is gone":                         func(s *fixture) { s.setDeparted("b") },
+		"that was found to have ended and runs again": func(s *fixture) { s.ended = []string{"b"} },
+	} {
+		ginkgo.It("promotes none that lacks commits of a replica "+name, func() {
+			s := newSyncFixture()
+			hide(s)
+			gomega.Expect(s.moveFor(1500 * time.Millisecond)).NotTo(gomega.Succeed())
+			gomega.Expect(s.calledFor()).To(gomega.BeEmpty())
+		})
+
+		ginkgo.It("waits for no replica "+name+" if another one has as much", func() {
+			s := newSyncFixture()
+			hide(s)
+			s.reports["c"].Received = group.At(3, 9)
+			begun := clock.SinceBoot()
+			gomega.Expect(s.move("vm-0")).To(gomega.Succeed())
+			gomega.Expect(s.calledFor()).To(gomega.Equal([]string{"c"}))
+			gomega.Expect(clock.SinceBoot() - begun).To(gomega.BeNumerically("<", time.Second))
+		})
+
+		ginkgo.It("waits for no replica "+name+" if another one has all that the VMs have acknowledged", func() {
+			s := newSyncFixture()
+			hide(s)
+			extent := s.reports["c"].Received
+			s.acknowledged = &extent
+			gomega.Expect(s.moveFor(3 * time.Second)).To(gomega.Succeed())
+			gomega.Expect(s.calledFor()).To(gomega.Equal([]string{"c"}))
+		})
+	}
+
+	ginkgo.It("waits for no replica that has ended and does not answer", func() {
+		s := newSyncFixture()
+		s.ended = []string{"b"}
+		s.setDown(true, "b")
+		begun := clock.SinceBoot()
+		gomega.Expect(s.move("vm-0")).To(gomega.Succeed())
+		gomega.Expect(s.calledFor()).To(gomega.Equal([]string{"c"}))
+		gomega.Expect(clock.SinceBoot() - begun).To(gomega.BeNumerically("<", time.Second))
+	})
+
 	// Guards against acknowledged commits that are lost, since a VM that started after the
 	// replica with them had left does not know of it.
 	ginkgo.It("waits for a replica that left before the VM started", func() {
--- a/succession/move.go
+++ b/succession/move.go
@@ -59,6 +59,7 @@
 	// its replicas reached when they last told, by target.
 	syncReplicas int
 	reported     map[string]query.Position
+	departedReports
 	// extentAskedAt is when Fleet.Acknowledged was last called; zero if it was not.
 	extentAskedAt time.Duration
 	// recalled reports that Targets.Recall has succeeded since the move was written.
@@ -70,6 +71,7 @@
 func (v *move) run(ctx context.Context, from Lead) error {
 	ctx, cancel := context.WithCancel(ctx)
 	v.stepped, v.grantsGone, v.backed = make(chan struct{}), make(chan struct{}), make(chan struct{})
+	v.departedReports = newDepartedReports()
 	watched := make(chan struct{})
 	go func() {
 		defer close(watched)
--- a/succession/mover.go
+++ b/succession/mover.go
@@ -75,6 +75,9 @@
 	// after an answer; it is longer than the difference in latency between
 	// zones.
 	stragglerTimeout = 150 * time.Millisecond
+	// departedTimeout is how long the reports of targets that are registered no more are
+	// awaited after those of the others. Most of them have ended.
+	departedTimeout = 300 * time.Millisecond
 	// stepDownTimeout is how long an unreachable leader may delay a move that
 	// all other VMs have yielded to.
 	stepDownTimeout = 250 * time.Millisecond
@@ -119,6 +122,10 @@
 	// Departed returns the targets of a group, or starts of them, that are registered no
 	// more, but may have commits that no registered replica has.
 	Departed(group string) []pool.Target
+	// Ended returns the targets of a group that are registered no more and have no commit
+	// alone, because they were found to have ended. One may have started again since, and
+	// received commits.
+	Ended(group string) []pool.Target
 	// Recall takes in which targets may hold commits of a group alone as the store tells at
 	// the time of the call, so that Departed also returns those that left before this VM
 	// started.
@@ -127,7 +134,7 @@
 	// is acknowledged.
 	SyncReplicas(group string) int
 	// Order runs a control order on a target, over a connection apart from the
-	// pool, and returns the target's report.
+	// pool, and returns the target's report. Departed targets may run as well.
 	Order(ctx context.Context, group, target string, o pool.Order) (pool.Report, error)
 }
 
--- a/succession/succession_test.go
+++ b/succession/succession_test.go
@@ -185,6 +185,8 @@
 	// about to end.
 	syncReplicas int
 	departed     []string
+	// ended holds those that are registered no more and were found to have ended.
+	ended []string
 	// gone holds further targets that are not registered, of which the VM does not know.
 	gone []string
 	// recalled replaces departed at a call of Recall, unless it is nil or recallFails is set.
@@ -318,7 +320,7 @@
 	defer p.lock.Unlock()
 	list := []pool.Target{}
 	for _, id := range []string{"a", "b", "c"} {
-		if !slices.Contains(p.departed, id) && !slices.Contains(p.gone, id) {
+		if !slices.Contains(p.departed, id) && !slices.Contains(p.ended, id) && !slices.Contains(p.gone, id) {
 			list = append(list, pool.Target{ID: id, Absent: p.absent[id], Draining: p.draining[id]})
 		}
 	}
@@ -335,6 +337,16 @@
 	return list
 }
 
+func (p *fakePlatform) Ended(string) []pool.Target {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	list := []pool.Target{}
+	for _, id := range p.ended {
+		list = append(list, pool.Target{ID: id})
+	}
+	return list
+}
+
 // Recall finds the targets that left before the VM started.
 func (p *fakePlatform) Recall(context.Context, string) error {
 	p.lock.Lock()
