Do not go by a replica without an entry that has lost its log

Cause: found by reading. A replica that is cut off from the store may start again without its log; what it tells then shows nothing of what it had received before. Change: VMs remember how far a departed target's log reached when they asked it. If it tells of less, it has not told. Test: succession "does not go by a replica without an entry that has told of more before" and edge "has lost its log if it tells of less than before"; both need the new call, so that they do not compile on the code before.

--- a/edge/control.go
+++ b/edge/control.go
@@ -13,6 +13,7 @@
 	"amaranthsill/group"
 	"amaranthsill/peer/peerpb"
 	"amaranthsill/pool"
+	"amaranthsill/query"
 )
 
 // controlClient sends control orders to targets, each over its own connection.
@@ -33,6 +34,11 @@
 	return c.directory.Ended(group, c.committedAt(group))
 }
 
+// KeptLog implements succession.Targets.
+func (c *controlClient) KeptLog(t pool.Target, received query.Position) bool {
+	return c.directory.RecordRuns(t, received)
+}
+
 // committedAt returns when this VM last acknowledged a commit of a group; zero if it never
 // did.
 func (c *controlClient) committedAt(group string) time.Duration {
--- a/edge/departed.go
+++ b/edge/departed.go
@@ -53,6 +53,8 @@
 	// askedAt is when it was last asked, and silentSince the first question of those in a
 	// row that it did not answer; zero if there is none.
 	askedAt, silentSince time.Duration
+	// received is how far its log reached when it told of most since it was dropped.
+	received query.Position
 	// settled reports that it has no commit alone any more and had ended before.
 	settled bool
 	// passesOn reports that it left after draining, so that its log is passed on to a new
@@ -171,15 +173,23 @@
 	stateEnded
 )
 
-// RecordRuns records that a departed target runs, so that it may have commits alone.
-func (d *Directory) RecordRuns(t pool.Target) {
+// RecordRuns records that a departed target runs, so that it may have commits alone, and how
+// far its log reaches; zero if that is not known. It returns false if the target had told of
+// more before: then it has started again without its log.
+func (d *Directory) RecordRuns(t pool.Target, received query.Position) bool {
+	kept := true
 	d.recordRun(t, func(n *departure) {
+		kept = received.Reaches(n.received)
+		if kept {
+			n.received = received
+		}
 		if n.settled {
 			d.Log.Info("departed target runs again; it may have commits alone", "target", t.ID, "group", t.Group)
 		}
 		n.endedAt, n.silentSince, n.settled, n.revision = 0, 0, false, d.newestRevision
 		delete(d.forgotten, departureKey{t.ID, t.Incarnation})
 	})
+	return kept
 }
 
 // RecordEnded records that a departed target receives nothing any more.
@@ -386,10 +396,10 @@
 	wait := sync.WaitGroup{}
 	for _, t := range s.directory.unanswered(name) {
 		wait.Go(func() {
-			state := s.runs(limited, name, t.ID)
+			state, received := s.runs(limited, name, t.ID)
 			switch {
 			case state == stateRuns:
-				s.directory.RecordRuns(t)
+				s.directory.RecordRuns(t, received)
 			case state == stateEnded || othersFound:
 				s.directory.RecordEnded(t)
 			default:
@@ -400,20 +410,21 @@
 	wait.Wait()
 }
 
-// stateOf asks a departed target, directly and through other VMs, whether it runs.
-func (s *supervisor) stateOf(ctx context.Context, name, target string) runState {
-	_, err := s.control.Order(ctx, name, target, pool.Status{})
+// stateOf asks a departed target, directly and through other VMs, whether it runs, and how
+// far its log reaches.
+func (s *supervisor) stateOf(ctx context.Context, name, target string) (runState, query.Position) {
+	r, err := s.control.Order(ctx, name, target, pool.Status{})
 	refused := (*query.Failure)(nil)
 	switch {
 	case err == nil:
-		return stateRuns
+		return stateRuns, r.Received
 	case errors.As(err, &refused) && refused.Code == query.CodeMisrouted, errors.Is(err, syscall.ECONNREFUSED):
-		return stateEnded
+		return stateEnded, query.Position{}
 	case refused != nil:
 		// It has no slot or connection free.
-		return stateRuns
+		return stateRuns, query.Position{}
 	default:
-		return stateSilent
+		return stateSilent, query.Position{}
 	}
 }
 
--- a/edge/departed_test.go
+++ b/edge/departed_test.go
@@ -10,7 +10,9 @@
 
 	"amaranthsill/catalog"
 	"amaranthsill/edge"
+	"amaranthsill/group"
 	"amaranthsill/platform"
+	"amaranthsill/query"
 	"amaranthsill/store"
 	"amaranthsill/succession"
 )
@@ -147,7 +149,7 @@
 				d.end("a")
 				d.ForgetDeparted("choir", d.now)
 				t, _ := d.FindDeparted("choir", "a")
-				d.RecordRuns(t)
+				d.RecordRuns(t, query.Position{})
 			},
 			[]string{"a/1"},
 		},
@@ -203,6 +205,19 @@
 		gomega.Expect(d.names(0)).To(gomega.BeEmpty())
 	})
 
+	ginkgo.It("has lost its log if it tells of less than before", func() {
+		d := newDepartures()
+		d.register("a", "ready", 1, 80)
+		d.remove("a")
+		t, _ := d.FindDeparted("choir", "a")
+		for _, step := range []struct {
+			offset uint64
+			kept   bool
+		}{{5, true}, {9, true}, {7, false}, {9, true}} {
+			gomega.Expect(d.RecordRuns(t, group.At(1, step.offset))).To(gomega.Equal(step.kept))
+		}
+	})
+
 	ginkgo.It("has ended once two questions a second apart got no answer", func() {
 		d := newDepartures()
 		d.register("a", "ready", 1, 80)
@@ -215,7 +230,7 @@
 		}{{0, false, false}, {900 * time.Millisecond, false, false}, {0, true, false}, {2 * time.Second, false, false}, {time.Second, false, true}} {
 			d.now += step.after
 			if step.runs {
-				d.RecordRuns(t)
+				d.RecordRuns(t, query.Position{})
 			} else {
 				d.RecordSilent(t)
 			}
--- a/edge/grants_test.go
+++ b/edge/grants_test.go
@@ -22,6 +22,7 @@
 	"github.com/go-logr/logr/funcr"
 
 	"amaranthsill/pool"
+	"amaranthsill/query"
 	"amaranthsill/store"
 )
 
@@ -133,6 +134,9 @@
 // Ended implements succession.Targets.
 func (f *grantFleet) Ended(string) []pool.Target { return nil }
 
+// KeptLog implements succession.Targets.
+func (f *grantFleet) KeptLog(pool.Target, query.Position) bool { return true }
+
 // Recall implements succession.Targets.
 func (f *grantFleet) Recall(context.Context, string) error { return nil }
 
--- a/edge/putback_test.go
+++ b/edge/putback_test.go
@@ -13,6 +13,7 @@
 
 	"amaranthsill/catalog"
 	"amaranthsill/pool"
+	"amaranthsill/query"
 	"amaranthsill/store"
 	"amaranthsill/succession"
 )
@@ -114,7 +115,7 @@
 		v.registered.Store(true)
 		v.directory = &Directory{Adapter: adapter, Catalog: c, Self: name, Now: now, Log: logr.Discard()}
 		f.vms = append(f.vms, &supervisor{
-			VM: v, reached: reached, runs: func(context.Context, string, string) runState { return stateEnded }, replicasDifferSince: map[string]time.Duration{},
+			VM: v, reached: reached, runs: func(context.Context, string, string) (runState, query.Position) { return stateEnded, query.Position{} }, replicasDifferSince: map[string]time.Duration{},
 			states: map[string]*groupState{"choir": {lead: succession.Lead{Target: "p", Since: 1}}},
 		})
 	}
--- a/edge/supervisor.go
+++ b/edge/supervisor.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"amaranthsill/pool"
+	"amaranthsill/query"
 	"amaranthsill/store"
 	"amaranthsill/succession"
 )
@@ -93,7 +94,7 @@
 	// reached is replicasReach, except in tests.
 	reached func(ctx context.Context, name, leader string) bool
 	// runs is stateOf, except in tests.
-	runs func(ctx context.Context, name, target string) runState
+	runs func(ctx context.Context, name, target string) (runState, query.Position)
 }
 
 // groupState is what the supervisor tracks of a group while its lead stays the
--- a/succession/departed.go
+++ b/succession/departed.go
@@ -100,7 +100,7 @@
 
 func (v *move) recordDeparted(a departedAnswer) {
 	delete(v.asked, a.target.ID)
-	if !a.ok {
+	if !a.ok || !v.Targets.KeptLog(a.target, a.received) {
 		return
 	}
 	s := departedStart{a.target.ID, a.target.Incarnation}
--- a/succession/evidence_test.go
+++ b/succession/evidence_test.go
@@ -11,6 +11,7 @@
 	"amaranthsill/clock"
 	"amaranthsill/group"
 	"amaranthsill/pool"
+	"amaranthsill/query"
 	"amaranthsill/succession"
 )
 
@@ -101,6 +102,17 @@
 		})
 	}
 
+	// Guards against the same loss through a replica that started again without an entry and
+	// without its log.
+	ginkgo.It("does not go by a replica without an entry that has told of more before", func() {
+		s := newSyncFixture()
+		s.told = map[string]query.Position{"b": group.At(3, 9)}
+		s.reports["b"].Received = group.At(3, 2)
+		s.setDeparted("b")
+		gomega.Expect(s.moveFor(1500 * time.Millisecond)).NotTo(gomega.Succeed())
+		gomega.Expect(s.calledFor()).To(gomega.BeEmpty())
+	})
+
 	ginkgo.It("waits for no replica that has ended and does not answer", func() {
 		s := newSyncFixture()
 		s.ended = []string{"b"}
--- a/succession/mover.go
+++ b/succession/mover.go
@@ -126,6 +126,9 @@
 	// alone, because they were found to have ended. One may have started again since, and
 	// received commits.
 	Ended(group string) []pool.Target
+	// KeptLog takes in how far the log of a departed target reaches. It returns false if the
+	// target had told of more before, so that it has started again without its log.
+	KeptLog(t pool.Target, received query.Position) bool
 	// Recall takes in which targets may hold commits of a group alone as the store tells at
 	// the time of the call, so that Departed also returns those that left before this VM
 	// started.
--- a/succession/succession_test.go
+++ b/succession/succession_test.go
@@ -185,6 +185,8 @@
 	// about to end.
 	syncReplicas int
 	departed     []string
+	// told holds how far the logs of departed targets reached before.
+	told map[string]query.Position
 	// ended holds those that are registered no more and were found to have ended.
 	ended []string
 	// gone holds further targets that are not registered, of which the VM does not know.
@@ -347,6 +349,12 @@
 	return list
 }
 
+func (p *fakePlatform) KeptLog(t pool.Target, received query.Position) bool {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	return received.Reaches(p.told[t.ID])
+}
+
 // Recall finds the targets that left before the VM started.
 func (p *fakePlatform) Recall(context.Context, string) error {
 	p.lock.Lock()
