Do not let the log keep a VM from exiting

At its end the process waited until all lines of its log were written, however long nobody read them; and a line that came after that was sent on a closed channel, which ends the process with a panic. Change: the exit waits for the log for 40 ms at most, and later lines are lost. The calls to the store end at 19/20 of the grace period, so that this fits into the shortest one. Test: logline "let the process exit although nobody reads them, and may be written after that"; TestStopSchedule counts the log in. The first needs the new call. Result: logline and cmd/amaranthsilld pass with the race detector.

--- a/cmd/amaranthsilld/edge.go
+++ b/cmd/amaranthsilld/edge.go
@@ -39,7 +39,7 @@
 	reloadSignals := make(chan os.Signal, 1)
 	signal.Notify(reloadSignals, syscall.SIGHUP)
 	logWriter := logline.NewWriter(os.Stdout)
-	defer logWriter.Close()
+	defer logWriter.CloseWithin(edge.LogTimeout)
 	log := logline.New(logWriter)
 	vm := &edge.VM{
 		Settings:        settings,
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -20,9 +20,13 @@
 	// the grace period is in time, and its answer still has to travel between regions.
 	cutOffPart = 110
 	// exitPart is when the VM gives up its remaining calls to exit.
-	exitPart = 117
+	exitPart = 114
 )
 
+// LogTimeout is how long the exit of a VM may wait for its log to be written. With the
+// shortest grace period, that much is left after exitPart.
+const LogTimeout = minGrace * (stopParts - exitPart) / stopParts * 4 / 5
+
 // idleCheckInterval is the time between two checks whether moves of leaderships have ended.
 const idleCheckInterval = 20 * time.Millisecond
 
--- a/edge/stop_test.go
+++ b/edge/stop_test.go
@@ -18,7 +18,7 @@
 			if least := grace*5/6 + grace/20; s.cutOff < least {
 				t.Errorf("answers are cut off after %s, want at least %s", s.cutOff, least)
 			}
-			steps := []time.Duration{0, s.closeCallers, s.abortTransactions, s.endWaiting, s.cutOff, s.exit, grace}
+			steps := []time.Duration{0, s.closeCallers, s.abortTransactions, s.endWaiting, s.cutOff, s.exit, s.exit + LogTimeout, grace}
 			for i := range steps[1:] {
 				if steps[i] >= steps[i+1] {
 					t.Errorf("step %d is at %s, the one after it at %s", i, steps[i], steps[i+1])
--- a/logline/logline_test.go
+++ b/logline/logline_test.go
@@ -52,6 +52,23 @@
 		gomega.Expect(int64(strings.Count(out.text.String(), "\n"))).To(gomega.Equal(5000 - w.Dropped()))
 	})
 
+	// Guards against a process that outlasts its grace period, or panics at its end.
+	ginkgo.It("let the process exit although nobody reads them, and may be written after that", func() {
+		out := &blockableOutput{}
+		out.lock.Lock()
+		defer out.lock.Unlock()
+		w := logline.NewWriter(out)
+		_, _ = w.Write([]byte("line\n"))
+		closed := make(chan struct{})
+		go func() {
+			defer close(closed)
+			w.CloseWithin(10 * time.Millisecond)
+		}()
+		gomega.Eventually(closed, "5s").Should(gomega.BeClosed())
+		_, err := w.Write([]byte("late\n"))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	})
+
 	ginkgo.It("limit the rate of one message and report the number of suppressed lines", func() {
 		out := &blockableOutput{}
 		w := logline.NewWriter(out)
--- a/logline/writer.go
+++ b/logline/writer.go
@@ -16,6 +16,7 @@
 import (
 	"io"
 	"sync/atomic"
+	"time"
 )
 
 // bufferedLines is the number of lines that may wait for the output.
@@ -26,13 +27,14 @@
 type Writer struct {
 	lines   chan []byte
 	dropped atomic.Int64
-	done    chan struct{}
+	// closing is closed by Close, and done once all lines are written.
+	closing, done chan struct{}
 }
 
 // NewWriter returns a Writer that writes to w and starts its goroutine, which
 // runs until Close.
 func NewWriter(w io.Writer) *Writer {
-	writer := &Writer{lines: make(chan []byte, bufferedLines), done: make(chan struct{})}
+	writer := &Writer{lines: make(chan []byte, bufferedLines), closing: make(chan struct{}), done: make(chan struct{})}
 	go writer.run(w)
 	return writer
 }
@@ -52,18 +54,46 @@
 // full.
 func (w *Writer) Dropped() int64 { return w.dropped.Load() }
 
-// Close waits until all buffered lines are written and ends the goroutine.
-// Write must not be called afterwards.
+// Close waits until all buffered lines are written and ends the goroutine. Lines of later
+// calls of Write are lost.
 func (w *Writer) Close() {
-	close(w.lines)
+	close(w.closing)
 	<-w.done
 }
 
-// run writes queued lines to out until Close.
+// CloseWithin is like Close, but returns after a time at the latest: an output that nobody
+// reads must not keep the process from exiting.
+func (w *Writer) CloseWithin(limit time.Duration) {
+	close(w.closing)
+	select {
+	case <-w.done:
+	case <-time.After(limit):
+	}
+}
+
+// run writes queued lines to out until Close, and then those that are left.
 func (w *Writer) run(out io.Writer) {
 	defer close(w.done)
-	for line := range w.lines {
-		// A failed write to the log output cannot be logged.
-		_, _ = out.Write(line)
+	for {
+		select {
+		case line := <-w.lines:
+			// A failed write to the log output cannot be logged.
+			_, _ = out.Write(line)
+		case <-w.closing:
+			w.writeRest(out)
+			return
+		}
+	}
+}
+
+// writeRest writes the lines that are in the buffer.
+func (w *Writer) writeRest(out io.Writer) {
+	for {
+		select {
+		case line := <-w.lines:
+			_, _ = out.Write(line)
+		default:
+			return
+		}
 	}
 }
