Test how a holder that stops ends transactions, and say what callers get

That holds only if the holder still reads it; otherwise the caller is told that it is in doubt, since a VM learns that a link has ended when it reads from it. Tried and reverted: to fail the write on a link that has ended, which an existing spec rules out.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -574,6 +574,30 @@
 })
 
 var _ = ginkgo.Describe("A holder that stops", func() {
+	// Guards against transactions that hold up a holder until it has to exit, and are cut off
+	// then.
+	ginkgo.It("ends transactions in which no order runs", func() {
+		h := newHolder(2)
+		d := dialer(&fakeTarget{}, h.address())
+		l := dial(d)
+		exchange(l, pool.Begin{})
+		h.server.EndTransactions()
+		gomega.Eventually(h.orders).Should(gomega.Equal([][]string{{"begin", "rollback"}}))
+		_, err := l.Receive()
+		gomega.Expect(err).To(gomega.HaveOccurred())
+	})
+
+	ginkgo.It("answers an order of a transaction that it has ended as aborted", func() {
+		h := newHolder(2)
+		d := dialer(&fakeTarget{}, h.address())
+		h.server.EndTransactions()
+		l := dial(d)
+		exchange(l, pool.Begin{})
+		r := exchange(l, read("q1"))
+		gomega.Expect(r.Failure).NotTo(gomega.BeNil())
+		gomega.Expect(r.Failure.Code).To(gomega.Equal(query.CodeAborted))
+	})
+
 	ginkgo.It("ends links between transactions and accepts no new ones", func() {
 		h := newHolder(2)
 		d := dialer(&fakeTarget{}, h.address())
