Wait for other replicas if none has what the old leader had

Cause: in a group that commits asynchronously one report was enough, with 150 ms for others, and a replica that refused the question was left out. One in another region tells after 160 ms, so that a near one that had received nothing for seconds was promoted.

Change: if no report reaches the position of the old leader that this VM knows of, the move waits for the other replicas up to 0.5 s more, and asks again those that refused. Where one does, nothing changes.

Test: two specs of succession failed on the code before (the replica that is behind was called for) and pass now; two more bound the wait.

--- a/edge/control.go
+++ b/edge/control.go
@@ -34,6 +34,14 @@
 	return c.directory.Ended(group, c.committedAt(group))
 }
 
+// Reached implements succession.Targets.
+func (c *controlClient) Reached(group, target string) query.Position {
+	if g, ok := c.existingPool(group); ok {
+		return g.Position(target)
+	}
+	return query.Position{}
+}
+
 // KeptLog implements succession.Targets.
 func (c *controlClient) KeptLog(t pool.Target, received query.Position) bool {
 	return c.directory.RecordRuns(t, received)
--- a/edge/grants_test.go
+++ b/edge/grants_test.go
@@ -134,6 +134,9 @@
 // Ended implements succession.Targets.
 func (f *grantFleet) Ended(string) []pool.Target { return nil }
 
+// Reached implements succession.Targets.
+func (f *grantFleet) Reached(string, string) query.Position { return query.Position{} }
+
 // KeptLog implements succession.Targets.
 func (f *grantFleet) KeptLog(pool.Target, query.Position) bool { return true }
 
--- a/succession/candidate.go
+++ b/succession/candidate.go
@@ -3,10 +3,12 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"time"
 
 	"amaranthsill/pool"
+	"amaranthsill/query"
 )
 
 // candidateReport is a target with its report.
@@ -97,7 +99,7 @@
 		return candidateReport{}, false
 	}
 	others := slices.DeleteFunc(slices.Clone(v.Targets.Candidates(v.group)), func(t pool.Target) bool { return t.ID == reports[i].ID })
-	answers := v.collectReportsFrom(ctx, others, 1)
+	answers := v.collectReportsFrom(ctx, others, 1).reports
 	c := reports[i]
 	conflicts := func(r candidateReport) bool {
 		return r.Report.Role != pool.RoleReplica || r.Report.Term > c.Report.Term
@@ -147,45 +149,109 @@
 	}
 	v.askDeparted(ctx)
 	defer v.awaitDeparted()
-	if reports := v.collectReportsFrom(ctx, others, v.reportsNeeded(len(others))); len(reports) > 0 {
-		v.remember(reports)
-		return reports
+	c := v.collectReportsFrom(ctx, others, v.reportsNeeded(len(others)))
+	if !v.isSynchronous() {
+		c.awaitReached(ctx, v.Targets.Reached(v.group, v.oldLeader))
 	}
-	return v.collectReportsFrom(ctx, old, 1)
+	if len(c.reports) > 0 {
+		v.remember(c.reports)
+		return c.reports
+	}
+	return v.collectReportsFrom(ctx, old, 1).reports
+}
+
+// collection is a round of questions to targets for their reports. One goroutine uses it.
+type collection struct {
+	*move
+	answers chan reportAnswer
+	// pending is the number of questions without an answer.
+	pending int
+	reports []candidateReport
+	// refused are the targets that refused the question.
+	refused []pool.Target
 }
 
-// collectReportsFrom asks targets for their reports in parallel. It returns
-// when all have answered or failed, or when stragglerTimeout has passed since
-// the latest answer and as many as needed have answered.
-func (v *move) collectReportsFrom(ctx context.Context, targets []pool.Target, needed int) []candidateReport {
-	answers := make(chan *candidateReport, len(targets))
+// reportAnswer is a target's report, or why there is none.
+type reportAnswer struct {
+	candidateReport
+	err error
+}
+
+// collectReportsFrom asks targets for their reports in parallel. It returns when all have
+// answered or failed, or when stragglerTimeout has passed since the latest answer and as many
+// as needed have answered.
+func (v *move) collectReportsFrom(ctx context.Context, targets []pool.Target, needed int) *collection {
+	c := &collection{move: v, answers: make(chan reportAnswer)}
 	for _, t := range targets {
-		go func() {
-			r, err := v.sendOrder(ctx, t.ID, pool.Status{})
-			if err != nil {
-				v.Log.Info("target did not return its status; leaving it out of the candidates", "group", v.group, "target", t.ID, "reason", err.Error())
-				answers <- nil
-				return
-			}
-			answers <- &candidateReport{Target: t, Report: r}
-		}()
+		c.ask(ctx, t)
 	}
-	reports := []candidateReport{}
 	var stragglers <-chan time.Time
-	for range targets {
+	for c.pending > 0 {
 		select {
-		case r := <-answers:
-			if r != nil {
-				reports = append(reports, *r)
-			}
-			if r != nil && len(reports) >= needed {
+		case a := <-c.answers:
+			if c.take(a) && len(c.reports) >= needed {
 				stragglers = time.After(stragglerTimeout)
 			}
 		case <-stragglers:
-			return reports
+			return c
 		}
 	}
-	return reports
+	return c
+}
+
+// ask asks a target for its report in the background.
+func (c *collection) ask(ctx context.Context, t pool.Target) {
+	c.pending++
+	go func() {
+		r, err := c.sendOrder(ctx, t.ID, pool.Status{})
+		select {
+		case c.answers <- reportAnswer{candidateReport{Target: t, Report: r}, err}:
+		case <-ctx.Done():
+		}
+	}()
+}
+
+// take takes in one answer, and reports whether it is a report.
+func (c *collection) take(a reportAnswer) bool {
+	c.pending--
+	if a.err == nil {
+		c.reports = append(c.reports, a.candidateReport)
+		return true
+	}
+	c.Log.Info("target did not return its status; leaving it out of the candidates", "group", c.group, "target", a.ID, "reason", a.err.Error())
+	if f := (*query.Failure)(nil); errors.As(a.err, &f) {
+		c.refused = append(c.refused, a.Target)
+	}
+	return false
+}
+
+// awaitReached waits for the reports of the other targets, up to lateReportTimeout, if none so
+// far has all that this VM knows the old leader to have reached. Those that refused are asked
+// again.
+func (c *collection) awaitReached(ctx context.Context, reached query.Position) {
+	limit := time.NewTimer(lateReportTimeout)
+	defer limit.Stop()
+	again := time.NewTicker(reportInterval)
+	defer again.Stop()
+	for len(c.reports) > 0 && c.lacks(reached) && c.pending+len(c.refused) > 0 {
+		select {
+		case a := <-c.answers:
+			c.take(a)
+		case <-again.C:
+			refused := c.refused
+			c.refused = nil
+			for _, t := range refused {
+				c.ask(ctx, t)
+			}
+		case <-limit.C:
+			return
+		}
+	}
+}
+
+// lacks reports whether no log that a target told of reaches a position.
+func (c *collection) lacks(p query.Position) bool {
+	return !slices.ContainsFunc(c.reports, func(r candidateReport) bool { return r.Received.Reaches(p) })
 }
 
 // oldLeaderIsGone reports whether the old leader is not in the store's list of targets.
--- a/succession/evidence_test.go
+++ b/succession/evidence_test.go
@@ -229,6 +229,48 @@
 })
 
 var _ = ginkgo.Describe("A move of a group that commits asynchronously", func() {
+	// Guards against reads that lack acknowledged commits: a replica that was behind was
+	// promoted, since one with all commits told later or had no slot free.
+	for name, hide := range map[string]func(s *fixture){
+		"tells later": func(s *fixture) { s.slow, s.slowness = "b", 400*time.Millisecond },
+		"refuses the question at first": func(s *fixture) {
+			s.setBusy(true, "b")
+			time.AfterFunc(300*time.Millisecond, func() { s.setBusy(false, "b") })
+		},
+	} {
+		ginkgo.It("promotes the replica that has what the old leader is known to have reached although it "+name, func() {
+			s := newSyncFixture()
+			s.syncReplicas = 0
+			s.reached = group.At(3, 9)
+			hide(s)
+			gomega.Expect(s.move("vm-0")).To(gomega.Succeed())
+			gomega.Expect(s.calledFor()).To(gomega.Equal([]string{"b"}))
+		})
+	}
+
+	ginkgo.It("waits for no other replica if one has what the old leader is known to have reached", func() {
+		s := newSyncFixture()
+		s.syncReplicas = 0
+		s.reached = s.reports["c"].Received
+		s.setDown(false, "b")
+		s.slow, s.slowness = "b", 600*time.Millisecond
+		begun := clock.SinceBoot()
+		gomega.Expect(s.move("vm-0")).To(gomega.Succeed())
+		gomega.Expect(s.calledFor()).To(gomega.Equal([]string{"c"}))
+		gomega.Expect(clock.SinceBoot() - begun).To(gomega.BeNumerically("<", 550*time.Millisecond))
+	})
+
+	ginkgo.It("waits no longer than half a second for a replica that does not answer", func() {
+		s := newSyncFixture()
+		s.syncReplicas = 0
+		s.reached = group.At(3, 9)
+		s.slow, s.slowness = "b", 3*time.Second
+		begun := clock.SinceBoot()
+		gomega.Expect(s.move("vm-0")).To(gomega.Succeed())
+		gomega.Expect(s.calledFor()).To(gomega.Equal([]string{"c"}))
+		gomega.Expect(clock.SinceBoot() - begun).To(gomega.BeNumerically("<", time.Second))
+	})
+
 	ginkgo.It("waits for no replica that does not tell", func() {
 		s := newFixture()
 		s.setDown(true, "a", "b")
--- a/succession/mover.go
+++ b/succession/mover.go
@@ -75,6 +75,10 @@
 	// after an answer; it is longer than the difference in latency between
 	// zones.
 	stragglerTimeout = 150 * time.Millisecond
+	// lateReportTimeout is how much longer the reports of other targets are awaited in a group
+	// that commits asynchronously, if none has all that the old leader is known to have
+	// reached. A report from another region takes three round trips.
+	lateReportTimeout = 500 * time.Millisecond
 	// departedTimeout is how long the reports of targets that are registered no more are
 	// awaited after those of the others. Most of them have ended.
 	departedTimeout = 300 * time.Millisecond
@@ -133,6 +137,9 @@
 	// the time of the call, so that Departed also returns those that left before this VM
 	// started.
 	Recall(ctx context.Context, group string) error
+	// Reached returns the highest log position of a target of a group that this VM knows of;
+	// zero if it knows none.
+	Reached(group, target string) query.Position
 	// SyncReplicas returns how many replicas of a group have received a commit before it
 	// is acknowledged.
 	SyncReplicas(group string) int
--- a/succession/succession_test.go
+++ b/succession/succession_test.go
@@ -185,6 +185,8 @@
 	// about to end.
 	syncReplicas int
 	departed     []string
+	// reached is how far the VM knows the old leader's log to reach.
+	reached query.Position
 	// told holds how far the logs of departed targets reached before.
 	told map[string]query.Position
 	// ended holds those that are registered no more and were found to have ended.
@@ -349,6 +351,8 @@
 	return list
 }
 
+func (p *fakePlatform) Reached(string, string) query.Position { return p.reached }
+
 func (p *fakePlatform) KeptLog(t pool.Target, received query.Position) bool {
 	p.lock.Lock()
 	defer p.lock.Unlock()
@@ -390,7 +394,7 @@
 		return pool.Report{}, errors.New("target is down")
 	}
 	if p.busy[target] {
-		return pool.Report{}, errors.New("target is busy")
+		return pool.Report{}, &query.Failure{Code: query.CodeBusy, Detail: target}
 	}
 	if s, ok := o.(pool.StepDown); ok && s.Term > p.reports[target].Term {
 		p.reports[target].Role = pool.RoleReplica
