Do not take a leader to be gone before its entry was read

Cause: a VM that got the new leader record from another VM, and has not read from the store since, does not know the new target. It took that for "its entry is gone" and moved the leadership to the former one.

Change: that cause counts only if the VM has read everything up to the record in which it first saw the leader.

Test: TestUnregisteredLeader; two of its cases fail without the check.

--- a/edge/cause_test.go
+++ b/edge/cause_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"amaranthsill/pool"
+	"amaranthsill/store"
 	"amaranthsill/succession"
 )
 
@@ -37,6 +38,31 @@
 	}
 }
 
+// TestUnregisteredLeader guards against a VM that moves a leadership back and forth with another
+// one: it knew the new leader from the other VM, and took it to be gone since it had not read its
+// entry yet.
+func TestUnregisteredLeader(t *testing.T) {
+	for name, c := range map[string]struct {
+		startup  time.Duration
+		complete store.Revision
+		want     string
+	}{
+		"everything up to the record is known":      {0, 12, "its entry is gone"},
+		"more than the record is known":             {0, 20, "its entry is gone"},
+		"the record is newer than what is known":    {0, 11, ""},
+		"the VM has just started":                   {59 * time.Second, 12, ""},
+		"nothing was read from the store till then": {0, 0, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &supervisor{VM: &VM{directory: &Directory{}}, startupComplete: true, startupCompletedAt: c.startup}
+			s.directory.MarkComplete(c.complete)
+			if got := s.causeUnregistered(&groupState{leadRevision: 12}, time.Minute); got != c.want {
+				t.Errorf("cause %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
 func TestConflictingPrimaries(t *testing.T) {
 	targets := []pool.Target{
 		{ID: "a", Role: pool.RolePrimary},
--- a/edge/supervisor.go
+++ b/edge/supervisor.go
@@ -101,8 +101,10 @@
 // same.
 type groupState struct {
 	lead succession.Lead
-	// leadSince is when the lead was first seen.
-	leadSince time.Duration
+	// leadSince is when the lead was first seen, and leadRevision the revision of the leader
+	// record in which it was.
+	leadSince    time.Duration
+	leadRevision store.Revision
 	// movingSince is when the leadership was first seen being moved away from the
 	// lead's target, by whatever VM; zero if it is not.
 	movingSince time.Duration
@@ -247,7 +249,7 @@
 	st := s.states[name]
 	now := s.Now()
 	if st == nil || st.lead != lead {
-		next := &groupState{lead: lead, leadSince: now, moving: st != nil && st.moving}
+		next := &groupState{lead: lead, leadSince: now, leadRevision: s.grants.Record().Revision, moving: st != nil && st.moving}
 		if lead.Moving() {
 			next.movingSince = now
 		}
@@ -313,7 +315,7 @@
 	}
 	t, known := g.Target(st.lead.Target)
 	if !known {
-		return s.causeUnregistered(now)
+		return s.causeUnregistered(st, now)
 	}
 	if t.Draining {
 		return "it is draining"
@@ -352,11 +354,16 @@
 
 // causeUnregistered returns why a leader that is not registered has to be
 // replaced; empty if it has not. A VM that has just started cannot tell a target
-// that is gone from one whose entry expired while the store was away.
-func (s *supervisor) causeUnregistered(now time.Duration) string {
+// that is gone from one whose entry expired while the store was away. Nor can one that
+// knows the leader from a record that is newer than what it has read from the store: the
+// leader may have registered meanwhile.
+func (s *supervisor) causeUnregistered(st *groupState, now time.Duration) string {
 	if !s.startupComplete || now-s.startupCompletedAt < targetRetention {
 		return ""
 	}
+	if s.directory.CompleteRevision() < st.leadRevision {
+		return ""
+	}
 	return "its entry is gone"
 }
 
