Use no target of a group whose entries are all gone

Cause: the supervisor passed over groups without registered targets, so that their pools went on with the last ones. Evidence: the directory's lines that it drops each target.

Change: the pool of such a group is emptied 1.5 s after the last target was dropped, its statements are refused at once, and it does not keep the VM from being ready.

Test: edge "A group without a registered target ..." failed on the code before (the write ran) and passes now, also with the race detector.

--- a/edge/supervisor.go
+++ b/edge/supervisor.go
@@ -91,6 +91,8 @@
 	recordingReplicas   atomic.Bool
 	replicasCheckedAt   time.Duration
 	replicasDifferSince map[string]time.Duration
+	// goneSince is since when groups in use have had no registered target.
+	goneSince map[string]time.Duration
 	// reached is replicasReach, except in tests.
 	reached func(ctx context.Context, name, leader string) bool
 	// runs is stateOf, except in tests.
@@ -140,6 +142,7 @@
 	s.holderChangeSince = map[string]time.Duration{}
 	s.fallbacks = map[string]bool{}
 	s.replicasDifferSince = map[string]time.Duration{}
+	s.goneSince = map[string]time.Duration{}
 	s.reached = s.replicasReach
 	s.runs = s.stateOf
 	tick := time.NewTicker(superviseInterval)
@@ -167,8 +170,10 @@
 	for name, n := range c.Groups {
 		targets := s.directory.Targets(name)
 		if len(targets) == 0 {
+			s.dropTargets(name)
 			continue
 		}
+		delete(s.goneSince, name)
 		g := s.pool(name)
 		s.configurePool(name, n.ConnectionLimit, g, targets)
 		s.updateLeader(ctx, name, g, targets)
@@ -180,6 +185,31 @@
 	s.checkReady()
 }
 
+// goneRetention is how much longer than others the last targets of a group are used after
+// their entries were removed. It serves callers nothing to drop them before the entries of all
+// can be back after an outage of the store.
+const goneRetention = 1500 * time.Millisecond
+
+// dropTargets has a group's pool use no target any more, once the group has had none registered
+// for goneRetention.
+func (s *supervisor) dropTargets(name string) {
+	g, used := s.existingPool(name)
+	if !used || g.IsEmpty() {
+		return
+	}
+	now := s.Now()
+	since, known := s.goneSince[name]
+	if !known {
+		s.goneSince[name] = now
+		return
+	}
+	if now-since > goneRetention {
+		s.Log.Info("no target of the group is registered any more; its statements are refused", "group", name)
+		g.SetLeader("")
+		g.Configure(nil, 1)
+	}
+}
+
 // closeSessions ends the open sessions, each between two operations, once the
 // leader record has been unconfirmed for closeSessionsAfter. Sessions that
 // start later stay.
--- a/edge/unregistered_test.go
+++ b/edge/unregistered_test.go
@@ -127,3 +127,29 @@
 		f.expectKept([]string{last.id})
 	})
 })
+
+var _ = ginkgo.Describe("A group without a registered target", func() {
+	// Guards against requests that reach servers long after they are gone: the last targets of
+	// a group were used for good.
+	ginkgo.It("has its statements refused at once, and is served again once its targets are back", func() {
+		c := openCutSite(zones)
+		w := c.vms[1].session("choir-own")
+		w.must("WRITE bar 1")
+		servers := c.site.Servers("choir")
+		c.cutOff(servers...)
+		for _, text := range []string{"WRITE bar 2", "READ bar"} {
+			asked := time.Now()
+			a, err := w.ask(text)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(a.code).To(gomega.Equal("BUSY"))
+			gomega.Expect(time.Since(asked)).To(gomega.BeNumerically("<", 500*time.Millisecond))
+			for _, s := range servers {
+				gomega.Expect(s.Runs(a.id)).To(gomega.BeZero())
+			}
+		}
+		gomega.Expect(c.vms[1].isReady()).To(gomega.BeTrue())
+		c.cut.Store(&[]string{})
+		w.retry("WRITE bar 3")
+		w.retry("READ bar")
+	})
+})
--- a/edge/vm.go
+++ b/edge/vm.go
@@ -375,7 +375,8 @@
 
 // lacksLeaders reports whether this VM has not reached the recorded leader for longer than
 // unreadyWithoutLeader, in one of maxGroupsPerLack groups or more. Callers then do better
-// with another VM. A group that has no leader is served by no VM, so that it does not count.
+// with another VM. A group that has no leader, or no registered target, is served by no VM, so
+// that it does not count.
 func (v *VM) lacksLeaders() bool {
 	c := v.catalog.Current()
 	if c == nil {
@@ -384,7 +385,7 @@
 	lacking := 0
 	for name, g := range v.pools() {
 		l := v.grants.Lead(name)
-		led := l.Target != "" && !l.Moving()
+		led := l.Target != "" && !l.Moving() && !g.IsEmpty()
 		if _, used := c.Groups[name]; used && led && g.LeaderUnreachableFor() > unreadyWithoutLeader {
 			lacking++
 		}
--- a/front/attempt.go
+++ b/front/attempt.go
@@ -193,6 +193,10 @@
 			a.reason = "the VM stops"
 			return nil, pool.Need{}, pool.ErrNoTarget
 		}
+		if a.group.IsEmpty() {
+			a.reason = "no target of the group is registered"
+			return nil, pool.Need{}, pool.ErrNoTarget
+		}
 		n := a.need(ctx)
 		if n.Leader && a.group.LeaderUnreachableFor() > unreachableLimit {
 			a.reason = "the leader is not reached from this VM"
--- a/pool/group.go
+++ b/pool/group.go
@@ -89,6 +89,13 @@
 	g.probeDistances()
 }
 
+// IsEmpty reports whether the group has no targets.
+func (g *Group) IsEmpty() bool {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	return len(g.servers) == 0
+}
+
 func (g *Group) register(t Target) {
 	old := g.servers[t.ID]
 	if old == nil || old.Incarnation != t.Incarnation || old.Address != t.Address {
